--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+GO ?= go
+SITE ?= ecuador
+
+.PHONY: all build format lint test bench demo up capacity
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+format:
+	$(GO) tool gofumpt -w $$(git ls-files '*.go')
+
+lint:
+	@out=$$($(GO) tool gofumpt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted, run make format:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Everything that CI runs.
+test: lint build
+	sh scripts/test.sh
+	$(MAKE) demo SITE=ecuador
+	$(MAKE) demo SITE=addis
+
+demo: build
+	sh scripts/demo.sh $(SITE)
+
+up: build
+	sh scripts/demo.sh -up $(SITE)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,26 @@
+// Package metrics serves a daemon's go-metrics registry over HTTP.
+package metrics
+
+import (
+	"net"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// Serve answers GET /metrics on ln with the registry as JSON until ln closes.
+func Serve(ln net.Listener, r gometrics.Registry) error {
+	s := &fasthttp.Server{Handler: handler(r), Name: "catkin", NoDefaultDate: true}
+	return s.Serve(ln)
+}
+
+func handler(r gometrics.Registry) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != "/metrics" {
+			ctx.Error("unknown path: use /metrics", fasthttp.StatusNotFound)
+			return
+		}
+		ctx.SetContentType("application/json")
+		gometrics.WriteJSONOnce(r, ctx)
+	}
+}
