Answer a call through separate processes, from one command

Change: stand-ins for the platform and upstreams, entry with its data path, agent with the intent API, catkinctl, open-loop load, two sites, demo, and a test that runs real processes. A call is answered with its agent killed (TestCallAnsweredWithoutAgent). Conclusion: the path holds; the slices replace their thin versions.

--- /dev/null
+++ b/cmd/catkin-agent/main.go
@@ -0,0 +1,36 @@
+// Command catkin-agent is the control process beside an entry.
+package main
+
+import (
+	"os"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/catkinrouter/catkinrouter/agent"
+	"github.com/catkinrouter/catkinrouter/internal/daemon"
+	"github.com/catkinrouter/catkinrouter/internal/logs"
+)
+
+const name = "catkin-agent"
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	f, code, ok := daemon.Parse(name, "keeps an entry's configuration and members, and serves operators", os.Args[1:], os.Stderr, nil)
+	if !ok {
+		return code
+	}
+	var s agent.Settings
+	if code, ok = f.Load(name, &s, os.Stderr); !ok {
+		return code
+	}
+	l := logs.For(daemon.Logger(s.LogLevel), "agent")
+	ctx, stop := daemon.Context()
+	defer stop()
+	if err := agent.NewDaemon(s, l).Run(ctx); err != nil {
+		level.Error(l).Log("msg", "stopped by a fault", "err", err)
+		return daemon.ExitFault
+	}
+	level.Info(l).Log("msg", "stopped")
+	return daemon.ExitOK
+}
--- /dev/null
+++ b/cmd/catkin-entry/main.go
@@ -0,0 +1,37 @@
+// Command catkin-entry is the data path: it accepts callers, picks an
+// upstream for each call, forwards it and answers.
+package main
+
+import (
+	"os"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/catkinrouter/catkinrouter/internal/daemon"
+	"github.com/catkinrouter/catkinrouter/internal/logs"
+	"github.com/catkinrouter/catkinrouter/proxy"
+)
+
+const name = "catkin-entry"
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	f, code, ok := daemon.Parse(name, "accepts callers and forwards their calls to upstreams", os.Args[1:], os.Stderr, nil)
+	if !ok {
+		return code
+	}
+	var s proxy.Settings
+	if code, ok = f.Load(name, &s, os.Stderr); !ok {
+		return code
+	}
+	l := logs.For(daemon.Logger(s.LogLevel), "entry")
+	ctx, stop := daemon.Context()
+	defer stop()
+	if err := proxy.New(s, l).Run(ctx); err != nil {
+		level.Error(l).Log("msg", "stopped by a fault", "err", err)
+		return daemon.ExitFault
+	}
+	level.Info(l).Log("msg", "stopped")
+	return daemon.ExitOK
+}
--- /dev/null
+++ b/proxy/settings.go
@@ -0,0 +1,51 @@
+package proxy
+
+import (
+	"errors"
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/settings"
+)
+
+// Settings are an entry's static settings.
+type Settings struct {
+	// ID names the entry among the fleet.
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	// Address serves callers.
+	Address string `json:"address"`
+	// LinkAddress serves the agent; keep it on loopback.
+	LinkAddress    string `json:"link_address"`
+	MetricsAddress string `json:"metrics_address"`
+	// LogLevel is "debug", "info", "warn" or "error"; "info" by default.
+	LogLevel string `json:"log_level"`
+	// MaxHeader bounds a request's headers, in bytes; 8192 by default.
+	MaxHeader int `json:"max_header"`
+	// StopTimeout bounds a planned stop; 60s by default.
+	StopTimeout config.Duration `json:"stop_timeout"`
+}
+
+// Defaults of Settings.
+const (
+	DefaultMaxHeader   = 8 << 10 // bytes
+	DefaultStopTimeout = 60 * time.Second
+)
+
+// Check sets defaults and returns every fault, joined.
+func (s *Settings) Check() error {
+	if s.MaxHeader == 0 {
+		s.MaxHeader = DefaultMaxHeader
+	}
+	if s.StopTimeout == 0 {
+		s.StopTimeout = config.Duration(DefaultStopTimeout)
+	}
+	return errors.Join(
+		settings.CheckSet("id", s.ID),
+		settings.CheckSet("data_centre", s.DataCentre),
+		settings.CheckAddress("address", s.Address),
+		settings.CheckAddress("link_address", s.LinkAddress),
+		settings.CheckAddress("metrics_address", s.MetricsAddress),
+	)
+}
--- /dev/null
+++ b/standin/site.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinrouter/catkinrouter/platform"
+)
+
+// UpstreamFaultsPath, followed by an upstream's ID, takes a POST of
+// UpstreamFaults; CountsPath answers the counts of all upstreams.
+const (
+	UpstreamFaultsPath = "/standin/upstream/"
+	CountsPath         = "/standin/counts"
+)
+
+// Site runs a platform and upstreams until its context ends.
+type Site struct {
+	platform  *Platform
+	upstreams map[string]*Upstream
+	servers   []*fasthttp.Server
+	listeners []net.Listener
+}
+
+// NewSite opens every listener that s names.
+func NewSite(s *Settings) (*Site, error) {
+	site := &Site{platform: NewPlatform(s.Instances), upstreams: map[string]*Upstream{}}
+	if err := site.listen(s.PlatformAddress, site.platform.Handle); err != nil {
+		return nil, err
+	}
+	if err := site.listen(s.ControlAddress, site.control); err != nil {
+		return nil, err
+	}
+	for _, svc := range s.Services {
+		for i := range svc.Count {
+			u := NewUpstream(svc.options(i))
+			site.upstreams[svc.id(i)] = u
+			if err := site.listen(svc.address(i), u.Handle); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return site, nil
+}
+
+func (s *Site) listen(addr string, h fasthttp.RequestHandler) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		s.close()
+		return err
+	}
+	s.listeners = append(s.listeners, ln)
+	s.servers = append(s.servers, &fasthttp.Server{Handler: h, NoDefaultDate: true, NoDefaultServerHeader: true, CloseOnShutdown: true})
+	return nil
+}
+
+func (s *Site) close() {
+	for _, ln := range s.listeners {
+		ln.Close()
+	}
+}
+
+// Run serves until ctx ends.
+func (s *Site) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for i, srv := range s.servers {
+		g.Go(func() error { return srv.Serve(s.listeners[i]) })
+	}
+	g.Go(func() error {
+		<-ctx.Done()
+		s.close()
+		return nil
+	})
+	err := g.Wait()
+	if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (s *Site) control(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if path == CountsPath {
+		var out []UpstreamCounts
+		for _, u := range s.upstreams {
+			out = append(out, u.Counts())
+		}
+		reply(ctx, fasthttp.StatusOK, out)
+		return
+	}
+	id, ok := strings.CutPrefix(path, UpstreamFaultsPath)
+	u := s.upstreams[id]
+	if !ok || u == nil {
+		reply(ctx, fasthttp.StatusNotFound, platform.Answer{Error: "unknown path or upstream: use " + CountsPath + " or " + UpstreamFaultsPath + "ID"})
+		return
+	}
+	var f UpstreamFaults
+	if decode(ctx, &f) {
+		u.SetFaults(f)
+	}
+}
