Carry out every step of the Node, with typed refusals and counters

Steps for other calls, cancellations, forwards, probes and those of Tick are carried out; before, all but the steps of the caller's own goroutine were dropped. A request is turned into bytes once, so that attempts side by side share it. Bad input at the edge is refused with a reason, a remedy and a counter. A reply without a length never counts as whole: the former check looked after the library had set one.

--- /dev/null
+++ b/proxy/dispatch.go
@@ -0,0 +1,213 @@
+package proxy
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/balance"
+	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/entry"
+	"github.com/catkinrouter/catkinrouter/link"
+)
+
+// errOrphan ends an attempt whose call is over.
+var errOrphan = errors.New("call is over: nothing was sent")
+
+// dispatcher owns the Node: it serialises events and hands the resulting
+// steps to the calls they concern. Its lock is held for decisions alone,
+// never over I/O.
+type dispatcher struct {
+	now   func() time.Duration
+	side  func(*call, *try)
+	probe func(entry.Step)
+
+	mu    sync.Mutex // guards what follows and the fields of calls that say so
+	node  *entry.Node
+	calls map[uint64]*call
+	last  uint64
+	steps []entry.Step
+}
+
+// begin starts a call and returns what its goroutine is to do first.
+func (d *dispatcher) begin(c *call) action {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last++
+	c.id, c.ec.ID = d.last, d.last
+	c.began = d.now()
+	d.calls[c.id] = c
+	d.steps = d.node.Start(c.began, c.ec, d.steps[:0])
+	d.route()
+	return d.take(c)
+}
+
+// finished reports the end of an attempt by c's own goroutine and returns
+// what it is to do next.
+func (d *dispatcher) finished(c *call, t *try, r entry.Result) action {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.inline = nil
+	d.end(t, r)
+	return d.take(c)
+}
+
+// sideFinished reports the end of an attempt by a goroutine of its own. It
+// returns true where nothing uses c any more.
+func (d *dispatcher) sideFinished(c *call, t *try, r entry.Result) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.sides--
+	d.end(t, r)
+	return c.over && c.sides == 0
+}
+
+// leave tells that c's own goroutine is done with it. It returns true where
+// nothing uses c any more.
+func (d *dispatcher) leave(c *call) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.over = true
+	return c.sides == 0
+}
+
+// earlier returns the attempt before t of c's own goroutine whose whole reply
+// is still in its place; nil where there is none.
+func (d *dispatcher) earlier(c *call, t *try) *try {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, old := range c.tries {
+		if old != t && !old.side && old.whole && old.resp == nil {
+			return old
+		}
+	}
+	return nil
+}
+
+func (d *dispatcher) end(t *try, r entry.Result) {
+	d.steps = d.node.Finished(d.now(), t.id, r, d.steps[:0])
+	d.route()
+}
+
+// tick does what is due.
+func (d *dispatcher) tick() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.steps = d.node.Tick(d.now(), d.steps[:0])
+	d.route()
+}
+
+// cancel tells that the caller of the call with this id went away.
+func (d *dispatcher) cancel(c *call, id uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.calls[id] != c || c.gone || c.answered {
+		return false
+	}
+	c.gone = true
+	d.steps = d.node.Cancel(d.now(), id, d.steps[:0])
+	d.route()
+	c.wakeUp()
+	return true
+}
+
+// route hands out d.steps. Ending a step without a call may append more.
+func (d *dispatcher) route() {
+	for i := 0; i < len(d.steps); i++ {
+		st := &d.steps[i]
+		if st.Kind == entry.StepProbe {
+			d.probe(*st)
+			continue
+		}
+		c := d.calls[st.Call]
+		if c != nil {
+			d.deliver(c, st)
+			continue
+		}
+		if st.Kind == entry.StepSend || st.Kind == entry.StepForward {
+			d.steps = d.node.Finished(d.now(), st.Attempt, entry.Result{Err: errOrphan}, d.steps)
+		}
+	}
+}
+
+func (d *dispatcher) deliver(c *call, st *entry.Step) {
+	switch st.Kind {
+	case entry.StepCancel:
+		c.cancelTry(st.Attempt)
+	case entry.StepAnswer:
+		c.answer, c.answered = *st, true
+	case entry.StepSend, entry.StepForward:
+		d.send(c, st)
+	}
+	c.wakeUp()
+}
+
+// send gives an attempt to the call's own goroutine where that is free, else
+// to a new one.
+func (d *dispatcher) send(c *call, st *entry.Step) {
+	t := c.newTry(st)
+	if c.inline == nil {
+		c.inline, c.pending = t, true
+		return
+	}
+	c.sides++
+	t.side = true
+	d.side(c, t)
+}
+
+// take returns the next action of c's own goroutine.
+func (d *dispatcher) take(c *call) action {
+	switch {
+	case c.pending:
+		c.pending = false
+		return action{try: c.inline}
+	case c.answered:
+		delete(d.calls, c.id)
+		return action{answer: true}
+	case c.gone:
+		delete(d.calls, c.id)
+		return action{gone: true}
+	}
+	c.waiting = true
+	return action{}
+}
+
+// next waits for an action of c's own goroutine.
+func (d *dispatcher) next(c *call) action {
+	<-c.wake
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.take(c)
+}
+
+// probed reports the answer to a probe.
+func (d *dispatcher) probed(st *entry.Step, load *balance.Load, latency time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.node.Probed(d.now(), st.Service, st.Upstream, load, latency)
+}
+
+// waiting appends the calls that began at least age ago.
+func (d *dispatcher) waiting(out []watched, age time.Duration) []watched {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.now() - age
+	for id, c := range d.calls {
+		if c.began <= before && !c.gone {
+			out = append(out, watched{c: c, id: id, conn: c.conn})
+		}
+	}
+	return out
+}
+
+// sync puts the agent's state in force and returns the Node's.
+func (d *dispatcher) sync(in *link.State, doc *config.Document) link.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	if doc != nil {
+		d.node.Configure(now, in.Revision, doc)
+	}
+	d.node.Members(now, in.Members, in.LeavingUpstreams)
+	return d.node.Status(now)
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -14,59 +16,171 @@
 	"github.com/catkinrouter/catkinrouter/headers"
 )
 
-// errUnframed marks a reply whose end cannot be told from a cut.
-var errUnframed = errors.New("reply has no length and no chunks: let the upstream state one")
+// Errors of an exchange.
+var (
+	errUnframed    = errors.New("reply has no length and no chunks, so its end cannot be told from a cut: let the upstream state one")
+	errSwitch      = errors.New("upstream switched protocols unasked: let it answer in HTTP/1.1")
+	errInterim     = errors.New("upstream sent too many interim replies")
+	errCancelled   = errors.New("attempt was cancelled")
+	errNoTime      = errors.New("no time is left for the attempt")
+	errProbeStatus = errors.New("probe was not answered with status 200")
+)
 
 const (
 	maxReply = 64 << 20 // bytes
 	// identityLength is fasthttp's content length of a reply that ends with
-	// its connection.
+	// its connection; chunkedLength that of a reply in chunks.
 	identityLength = -2
+	chunkedLength  = -1
+	maxInterim     = 16
 )
 
-// exchange sends req to the address of s and reads the whole reply into resp.
-func (p *pool) exchange(s entry.Step, req *fasthttp.Request, resp *fasthttp.Response) entry.Result {
+// exchange sends the call's request to the address of the attempt and reads
+// the whole reply into resp.
+func (s *Server) exchange(c *call, t *try, resp *fasthttp.Response) entry.Result {
 	var r entry.Result
-	c, err := p.get(s.Address, s.Fresh, s.Timeout)
+	began := time.Now()
+	if t.step.Timeout <= 0 {
+		r.Err = errNoTime
+		return r
+	}
+	cn, err := s.pool.get(t.step.Address, t.step.Fresh, t.step.Timeout)
 	if err != nil {
 		r.Err = err
 		return r
 	}
-	r.Wrote = true
-	if err := c.roundTrip(s.Timeout, req, resp); err != nil {
-		c.Close()
-		r.Err = err
+	if !t.hold(cn) {
+		s.pool.put(cn)
+		r.Err = errCancelled
+		return r
+	}
+	r.Wrote, r.Err = cn.send(c, t, began)
+	if r.Err == nil {
+		sent := time.Now()
+		r.Err = cn.receive(resp, c.req.headOnly)
+		if !t.side {
+			c.upstream += time.Since(sent)
+		}
+	}
+	t.drop()
+	if r.Err != nil {
+		s.pool.discard(cn)
 		return r
 	}
 	if resp.ConnectionClose() {
-		c.Close()
+		s.pool.discard(cn)
 	} else {
-		p.put(c)
+		s.pool.put(cn)
 	}
+	t.whole = true
 	readResult(&r, resp)
+	if t.step.Record {
+		r.Reply = recorded(resp)
+	}
 	return r
 }
 
-func (c *conn) roundTrip(timeout time.Duration, req *fasthttp.Request, resp *fasthttp.Response) error {
-	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return err
+// send writes the request. It returns true once a byte may have left.
+func (c *conn) send(cl *call, t *try, began time.Time) (wrote bool, err error) {
+	left := t.step.Timeout - time.Since(began)
+	if left <= 0 {
+		return false, errNoTime
 	}
-	if err := req.Write(c.w); err != nil {
-		return err
+	if err := c.SetDeadline(began.Add(t.step.Timeout)); err != nil {
+		return false, err
 	}
-	if err := c.w.Flush(); err != nil {
-		return err
+	if t.isCancelled() {
+		return false, errCancelled
+	}
+	req := &cl.req
+	c.used = true
+	c.out = append(c.out[:0], req.head...)
+	c.out = req.appendTail(c.out, &cl.ec, &t.step, left)
+	if len(req.body) > 0 && len(req.body) <= maxInlineBody {
+		c.out = append(c.out, req.body...)
+		_, err = c.Write(c.out)
+		return true, err
+	}
+	if len(req.body) == 0 && req.rest == nil {
+		_, err = c.Write(c.out)
+		return true, err
+	}
+	bufs := net.Buffers{c.out, req.body}
+	if _, err = bufs.WriteTo(c.Conn); err != nil {
+		return true, err
 	}
-	resp.SkipBody = req.Header.IsHead()
-	if err := resp.ReadLimitBody(c.r, maxReply); err != nil {
+	if req.rest != nil {
+		err = c.sendRest(req)
+	}
+	return true, err
+}
+
+// maxInlineBody is the largest body that is copied behind the headers to be
+// written with them.
+const maxInlineBody = 16 << 10 // bytes
+
+func (c *conn) sendRest(req *request) error { return errors.ErrUnsupported }
+
+// receive reads a whole reply.
+func (c *conn) receive(resp *fasthttp.Response, headOnly bool) error {
+	resp.ResetBody()
+	resp.SkipBody = headOnly
+	if err := readHeader(c, resp); err != nil {
 		return err
 	}
-	if resp.Header.ContentLength() == identityLength && !resp.SkipBody {
+	if hasNoBody(resp, headOnly) {
+		return nil
+	}
+	length := resp.Header.ContentLength()
+	if length == identityLength {
 		return errUnframed
 	}
+	if err := resp.ReadBody(c.r, maxReply); err != nil {
+		return err
+	}
+	if length == chunkedLength {
+		return unexpected(resp.Header.ReadTrailer(c.r))
+	}
 	return nil
 }
 
+// readHeader reads the header of the final reply.
+func readHeader(c *conn, resp *fasthttp.Response) error {
+	for range maxInterim {
+		if err := resp.Header.Read(c.r); err != nil {
+			return err
+		}
+		switch code := resp.StatusCode(); {
+		case code == fasthttp.StatusSwitchingProtocols:
+			return errSwitch
+		case code >= fasthttp.StatusOK:
+			return nil
+		}
+	}
+	return errInterim
+}
+
+// hasNoBody tells whether a reply ends with its header.
+func hasNoBody(resp *fasthttp.Response, headOnly bool) bool {
+	code := resp.StatusCode()
+	return headOnly || code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
+}
+
+// unexpected turns the end of input into an error that says so.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func recorded(resp *fasthttp.Response) *attempt.Reply {
+	return &attempt.Reply{
+		Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()),
+		Body: append([]byte(nil), resp.Body()...),
+	}
+}
+
 func readResult(r *entry.Result, resp *fasthttp.Response) {
 	h := &resp.Header
 	r.Status = resp.StatusCode()
@@ -79,7 +193,7 @@
 }
 
 func parseOutcome(s string) attempt.Outcome {
-	for _, o := range []attempt.Outcome{attempt.Answered, attempt.NotRun, attempt.Unknown} {
+	for _, o := range [...]attempt.Outcome{attempt.Answered, attempt.NotRun, attempt.Unknown} {
 		if o.String() == s {
 			return o
 		}
--- /dev/null
+++ b/proxy/handler.go
@@ -0,0 +1,118 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/headers"
+)
+
+// handle serves one request. It runs in the goroutine of the caller's
+// connection, which also carries out the call's attempts, but for those that
+// run beside another.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == headers.LookupPath {
+		s.lookup(ctx)
+	} else {
+		s.forward(ctx)
+	}
+	if s.closing.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// forward serves a request for an upstream.
+func (s *Server) forward(ctx *fasthttp.RequestCtx) {
+	began := time.Now()
+	c := acquireCall(ctx.Conn())
+	if f := s.accept(ctx, c); f != nil {
+		s.refuse(ctx, f)
+		releaseCall(c)
+		return
+	}
+	if s.carryOut(ctx, c) {
+		s.reply(ctx, c)
+	}
+	s.m.held.Update((time.Since(began) - c.upstream).Microseconds())
+	if s.d.leave(c) {
+		releaseCall(c)
+	}
+}
+
+// accept reads the request into c.
+func (s *Server) accept(ctx *fasthttp.RequestCtx, c *call) *fault {
+	if f := c.req.read(ctx, &c.ec); f != nil {
+		return f
+	}
+	return s.readBody(ctx, c)
+}
+
+// carryOut does what the Node asks for the call until it is answered; it
+// returns false where the caller went away instead.
+func (s *Server) carryOut(ctx *fasthttp.RequestCtx, c *call) bool {
+	a := s.d.begin(c)
+	for {
+		switch {
+		case a.try != nil:
+			s.setAside(ctx, c, a.try)
+			r := s.exchange(c, a.try, &ctx.Response)
+			a = s.d.finished(c, a.try, r)
+		case a.answer:
+			return true
+		case a.gone:
+			ctx.SetConnectionClose()
+			return false
+		default:
+			a = s.d.next(c)
+		}
+	}
+}
+
+// setAside keeps the whole reply of an earlier attempt, since the answer may
+// name it, and counts the reason for a further one.
+func (s *Server) setAside(ctx *fasthttp.RequestCtx, c *call, t *try) {
+	if t == &c.first[0] {
+		return
+	}
+	s.m.retried(t.step.Reason).Inc(1)
+	if old := s.d.earlier(c, t); old != nil {
+		old.resp = fasthttp.AcquireResponse()
+		ctx.Response.CopyTo(old.resp)
+	}
+}
+
+// runSide carries out an attempt beside another of the same call.
+func (s *Server) runSide(c *call, t *try) {
+	s.m.retried(t.step.Reason).Inc(1)
+	t.resp = fasthttp.AcquireResponse()
+	t.resp.Header.SetNoDefaultContentType(true)
+	go func() {
+		r := s.exchange(c, t, t.resp)
+		if s.d.sideFinished(c, t, r) {
+			releaseCall(c)
+		}
+	}()
+}
+
+// readBody takes the body of a request that is small enough to be sent more
+// than once.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *call) *fault {
+	ec := &c.ec
+	h := &ctx.Request.Header
+	length := h.ContentLength()
+	limit := s.maxBody(ec.Service)
+	if length > limit {
+		return newFault(reasonBodyTooLarge, "the body is larger than the service takes")
+	}
+	body := ctx.Request.Body()
+	if len(body) > limit {
+		return newFault(reasonBodyTooLarge, "the body is larger than the service takes")
+	}
+	c.req.body = append(c.req.body, body...)
+	ec.BodyBytes = len(body)
+	if len(body) > 0 || ec.Method == fasthttp.MethodPost || ec.Method == fasthttp.MethodPut {
+		c.req.addInt(fasthttp.HeaderContentLength, len(body))
+	}
+	return nil
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -1,90 +1,184 @@
 package proxy
 
 import (
-	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"time"
-
-	"github.com/valyala/fasthttp"
 )
 
-// conn is a connection to an upstream or another entry.
-type conn struct {
-	net.Conn
-	addr string
-	r    *bufio.Reader
-	w    *bufio.Writer
-	idle time.Time
-}
-
-// pool keeps idle connections by address. It is safe for concurrent use.
-type pool struct {
-	mu   sync.Mutex
-	idle map[string][]*conn
-}
+// errConnLimit is returned where an upstream has as many connections as this
+// entry may open.
+var errConnLimit = errors.New("connection limit of the upstream reached: nothing was sent")
 
 const (
 	dialTimeout = time.Second
 	// maxIdle is how long a connection may wait for reuse.
-	maxIdle        = 10 * time.Second
-	maxIdlePerAddr = 64
-	connBuffer     = 4 << 10 // bytes
+	maxIdle = 10 * time.Second
+	// connLimit is the most connections to one address.
+	connLimit = 64
 )
 
-func newPool() *pool { return &pool{idle: map[string][]*conn{}} }
+// pool keeps connections by address: a bounded number each, idle ones for
+// reuse. It is safe for concurrent use.
+type pool struct {
+	m     *counters
+	start time.Time
+
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+// host is the pool of one address.
+type host struct {
+	open int
+	idle []*conn // the one used last is at the end
+}
+
+func newPool(m *counters) *pool {
+	return &pool{m: m, start: time.Now(), hosts: map[string]*host{}}
+}
+
+func (p *pool) now() time.Duration { return time.Since(p.start) }
 
 // get returns a connection to addr; a fresh one carried no request before.
+// With an error no byte was written.
 func (p *pool) get(addr string, fresh bool, timeout time.Duration) (*conn, error) {
-	if !fresh {
-		if c := p.pop(addr); c != nil {
+	for !fresh {
+		c := p.pop(addr)
+		if c == nil {
+			break
+		}
+		if c.idleState() == peekQuiet {
+			p.m.reused.Inc(1)
 			return c, nil
 		}
+		p.m.stale.Inc(1)
+		p.discard(c)
+	}
+	return p.dial(addr, timeout)
+}
+
+func (p *pool) dial(addr string, timeout time.Duration) (*conn, error) {
+	if err := p.reserve(addr); err != nil {
+		return nil, err
 	}
-	nc, err := fasthttp.DialTimeout(addr, min(timeout, dialTimeout))
+	d := net.Dialer{Timeout: min(timeout, dialTimeout)}
+	nc, err := d.Dial("tcp", addr)
 	if err != nil {
+		p.unreserve(addr)
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, connBuffer), w: bufio.NewWriterSize(nc, connBuffer)}, nil
+	p.m.opened.Inc(1)
+	return newConn(nc, addr), nil
 }
 
-func (p *pool) pop(addr string) *conn {
+// reserve counts a connection that is to be opened. An idle one is closed
+// where there would be too many.
+func (p *pool) reserve(addr string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		l := p.idle[addr]
-		if len(l) == 0 {
-			return nil
-		}
-		c := l[len(l)-1]
-		p.idle[addr] = l[:len(l)-1]
-		if time.Since(c.idle) < maxIdle {
-			return c
+	h := p.hosts[addr]
+	if h == nil {
+		h = &host{}
+		p.hosts[addr] = h
+	}
+	if h.open >= connLimit {
+		if len(h.idle) == 0 {
+			return errConnLimit
 		}
-		c.Close()
+		h.idle[0].Close()
+		h.drop(1)
+	}
+	h.open++
+	return nil
+}
+
+// drop forgets the n idle connections that waited longest.
+func (h *host) drop(n int) {
+	m := copy(h.idle, h.idle[n:])
+	clear(h.idle[m:])
+	h.idle = h.idle[:m]
+	h.open -= n
+}
+
+func (p *pool) unreserve(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[addr]
+	if h == nil {
+		return
+	}
+	h.open--
+	if h.open == 0 {
+		delete(p.hosts, addr)
+	}
+}
+
+func (p *pool) pop(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[addr]
+	if h == nil || len(h.idle) == 0 {
+		return nil
 	}
+	c := h.idle[len(h.idle)-1]
+	h.idle[len(h.idle)-1] = nil
+	h.idle = h.idle[:len(h.idle)-1]
+	return c
 }
 
 // put keeps c for reuse. Its last reply must have been read whole.
 func (p *pool) put(c *conn) {
-	c.idle = time.Now()
+	if c.r.Buffered() > 0 {
+		p.discard(c)
+		return
+	}
+	c.since = p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.addr]) >= maxIdlePerAddr {
-		c.Close()
+	if h := p.hosts[c.addr]; h != nil {
+		h.idle = append(h.idle, c)
 		return
 	}
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	c.Close()
+}
+
+// discard closes c.
+func (p *pool) discard(c *conn) {
+	c.Close()
+	p.unreserve(c.addr)
+}
+
+// sweep closes the connections that were idle for too long.
+func (p *pool) sweep() {
+	limit := p.now() - maxIdle
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, h := range p.hosts {
+		n := 0
+		for n < len(h.idle) && h.idle[n].since < limit {
+			h.idle[n].Close()
+			n++
+		}
+		h.drop(n)
+		if h.open == 0 {
+			delete(p.hosts, addr)
+		}
+	}
 }
 
 // close closes every idle connection.
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, l := range p.idle {
-		for _, c := range l {
+	for addr, h := range p.hosts {
+		for _, c := range h.idle {
 			c.Close()
 		}
+		h.drop(len(h.idle))
+		if h.open == 0 {
+			delete(p.hosts, addr)
+		}
 	}
-	clear(p.idle)
 }
--- /dev/null
+++ b/proxy/probe.go
@@ -0,0 +1,99 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/balance"
+	"github.com/catkinrouter/catkinrouter/entry"
+	"github.com/catkinrouter/catkinrouter/headers"
+)
+
+const (
+	// probeRing bounds the probes that wait; more are dropped.
+	probeRing = 256
+	// probeWorkers bounds the probes under way.
+	probeWorkers = 4
+	probeTimeout = 500 * time.Millisecond
+)
+
+// prober carries out probes, fed by a bounded ring.
+type prober struct {
+	ring chan entry.Step
+	pool *pool
+	d    *dispatcher
+	m    *counters
+}
+
+// push takes a probe, or drops it where the ring is full. It never blocks.
+func (p *prober) push(st entry.Step) {
+	select {
+	case p.ring <- st:
+	default:
+		p.m.probesDropped.Inc(1)
+	}
+}
+
+// run carries out probes until ctx ends.
+func (p *prober) run(ctx context.Context) error {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case st := <-p.ring:
+			p.probe(&st, resp)
+		}
+	}
+}
+
+func (p *prober) probe(st *entry.Step, resp *fasthttp.Response) {
+	began := time.Now()
+	p.m.probesSent.Inc(1)
+	load, err := p.ask(st, resp)
+	if err != nil {
+		p.m.probesFailed.Inc(1)
+	}
+	p.d.probed(st, load, time.Since(began))
+}
+
+func (p *prober) ask(st *entry.Step, resp *fasthttp.Response) (*balance.Load, error) {
+	timeout := probeTimeout
+	if st.Timeout > 0 {
+		timeout = st.Timeout
+	}
+	cn, err := p.pool.get(st.Address, false, timeout)
+	if err != nil {
+		return nil, err
+	}
+	if err := cn.get(st, resp, timeout); err != nil {
+		p.pool.discard(cn)
+		return nil, err
+	}
+	if resp.ConnectionClose() {
+		p.pool.discard(cn)
+	} else {
+		p.pool.put(cn)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, errProbeStatus
+	}
+	return parseLoad(string(resp.Header.Peek(headers.Load))), nil
+}
+
+// get asks for the upstream's load.
+func (c *conn) get(st *entry.Step, resp *fasthttp.Response, timeout time.Duration) error {
+	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	c.out = append(c.out[:0], "GET "+headers.ProbePath+" HTTP/1.1\r\nHost: "...)
+	c.out = append(c.out, st.Service...)
+	c.out = append(c.out, "\r\n\r\n"...)
+	if _, err := c.Write(c.out); err != nil {
+		return err
+	}
+	return c.receive(resp, false)
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -4,13 +4,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/rpc"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,73 +17,140 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/catkinrouter/catkinrouter/attempt"
-	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/entry"
-	"github.com/catkinrouter/catkinrouter/headers"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
-	"github.com/catkinrouter/catkinrouter/link"
 )
 
 // Server runs one entry.
 type Server struct {
-	set     Settings
-	log     log.Logger
-	started time.Time
-	metrics gometrics.Registry
-	pool    *pool
-
-	mu      sync.Mutex // guards node, members, doc and lastCall
-	node    *entry.Node
-	members []link.Member
-	doc     *config.Document
-	last    uint64
+	set      Settings
+	log      log.Logger
+	started  time.Time
+	registry gometrics.Registry
+	m        *counters
+	pool     *pool
+	d        *dispatcher
+	prober   *prober
+
+	syncMu  sync.Mutex // serialises writes of state
+	state   atomic.Pointer[state]
+	closing atomic.Bool
 }
 
 // New returns a Server without a configuration.
 func New(set Settings, l log.Logger) *Server {
 	inc := rand.Uint64()
-	return &Server{
-		set: set, log: l, started: time.Now(), metrics: gometrics.NewRegistry(), pool: newPool(),
+	r := gometrics.NewRegistry()
+	m := newCounters(r)
+	s := &Server{set: set, log: l, started: time.Now(), registry: r, m: m, pool: newPool(m)}
+	s.d = &dispatcher{
+		now: s.now, side: s.runSide, calls: map[uint64]*call{},
 		node: entry.New(entry.Options{ID: set.ID, Address: set.Address, DataCentre: set.DataCentre, Incarnation: inc, Seed: inc}),
 	}
+	s.prober = &prober{ring: make(chan entry.Step, probeRing), pool: s.pool, d: s.d, m: m}
+	s.d.probe = s.prober.push
+	s.state.Store(newState(nil))
+	return s
 }
 
 // Run serves until ctx ends, then finishes the requests in flight.
 func (s *Server) Run(ctx context.Context) error {
-	data, err := net.Listen("tcp", s.set.Address)
+	lns, err := s.listen()
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", s.set.LinkAddress)
-	if err != nil {
-		return err
-	}
-	mln, err := net.Listen("tcp", s.set.MetricsAddress)
+	return s.serve(ctx, lns)
+}
+
+func (s *Server) serve(ctx context.Context, lns *listeners) error {
+	srv := s.newHTTP()
+	ls, err := newLinkServer(lns.link, s)
 	if err != nil {
 		return err
 	}
-	srv := &fasthttp.Server{
-		Handler: s.handle, ReadBufferSize: s.set.MaxHeader, MaxRequestBodySize: config.DefaultMaxBody,
-		NoDefaultDate: true, NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: quiet{},
-	}
 	level.Info(s.log).Log("msg", "serving", "address", s.set.Address)
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return srv.Serve(data) })
-	g.Go(func() error { return s.serveLink(ln) })
-	g.Go(func() error { return ignoreClosed(metrics.Serve(mln, s.metrics)) })
-	g.Go(func() error { return s.tick(ctx) })
+	g.Go(func() error { return srv.Serve(lns.data) })
+	g.Go(ls.serve)
+	g.Go(func() error { return ignoreClosed(metrics.Serve(lns.metrics, s.registry)) })
+	g.Go(func() error { return s.tick(work) })
+	g.Go(func() error { return s.watch(work) })
+	for range probeWorkers {
+		g.Go(func() error { return s.prober.run(work) })
+	}
 	g.Go(func() error {
 		<-ctx.Done()
+		s.closing.Store(true)
 		err := srv.Shutdown()
-		ln.Close()
-		mln.Close()
+		ls.close()
+		lns.metrics.Close()
+		stopWork()
 		s.pool.close()
 		return err
 	})
 	return g.Wait()
 }
 
+// listeners are the addresses that an entry serves.
+type listeners struct {
+	data, link, metrics net.Listener
+}
+
+func (s *Server) listen() (*listeners, error) {
+	var l listeners
+	for _, a := range []struct {
+		key, addr string
+		ln        *net.Listener
+	}{
+		{"address", s.set.Address, &l.data},
+		{"link_address", s.set.LinkAddress, &l.link},
+		{"metrics_address", s.set.MetricsAddress, &l.metrics},
+	} {
+		ln, err := net.Listen("tcp", a.addr)
+		if err != nil {
+			l.close()
+			return nil, &ListenError{Key: a.key, Address: a.addr, Err: err}
+		}
+		*a.ln = ln
+	}
+	return &l, nil
+}
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.data, l.link, l.metrics} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// ListenError is an address of the settings that cannot be served.
+type ListenError struct {
+	Key     string
+	Address string
+	Err     error
+}
+
+// Error names the key, the address, the fault and the remedy.
+func (e *ListenError) Error() string {
+	return "cannot serve " + e.Key + " " + e.Address + ": " + e.Err.Error() + ": free the port or set another address"
+}
+
+// Unwrap returns the underlying fault.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+func (s *Server) newHTTP() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: s.handle, ErrorHandler: s.malformed,
+		ReadBufferSize: s.set.MaxHeader, MaxRequestBodySize: s.set.MaxBody,
+		NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true,
+		DisablePreParseMultipartForm: true, LazyRequestTime: true,
+		CloseOnShutdown: true, Logger: quiet{},
+	}
+}
+
 type quiet struct{}
 
 func (quiet) Printf(string, ...any) {}
@@ -107,140 +172,31 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			s.mu.Lock()
-			s.node.Tick(s.now(), nil)
-			s.mu.Unlock()
+			s.d.tick()
 		}
 	}
 }
 
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) == headers.LookupPath {
-		s.lookup(ctx)
-		return
-	}
-	c := s.call(ctx)
-	s.mu.Lock()
-	s.last++
-	c.ID = s.last
-	steps := s.node.Start(s.now(), c, nil)
-	s.mu.Unlock()
-	for len(steps) > 0 {
-		step := steps[0]
-		if step.Kind == entry.StepAnswer {
-			s.answer(ctx, step)
-			return
-		}
-		r := s.pool.exchange(step, &ctx.Request, &ctx.Response)
-		s.mu.Lock()
-		steps = s.node.Finished(s.now(), step.Attempt, r, nil)
-		s.mu.Unlock()
+// maxBody is the bound of the bodies of a service.
+func (s *Server) maxBody(service string) int {
+	if n, ok := s.state.Load().maxBody[service]; ok {
+		return min(n, s.set.MaxBody)
 	}
+	return s.set.MaxBody
 }
 
-func (s *Server) call(ctx *fasthttp.RequestCtx) entry.Call {
-	h := &ctx.Request.Header
-	service := string(h.Host())
-	if host, _, err := net.SplitHostPort(service); err == nil {
-		service = host
-	}
-	ms, _ := strconv.Atoi(string(h.Peek(headers.Deadline)))
-	return entry.Call{
-		Service: service, Method: string(h.Method()), Path: string(ctx.Path()),
-		Key: string(h.Peek(headers.Key)), Timeout: time.Duration(ms) * time.Millisecond,
-	}
-}
-
-// answer writes the outcome; the reply of an answered call is in ctx already.
-func (s *Server) answer(ctx *fasthttp.RequestCtx, step entry.Step) {
-	gometrics.GetOrRegisterCounter("outcome."+step.Outcome.String(), s.metrics).Inc(1)
-	if step.Outcome != attempt.Answered {
-		gometrics.GetOrRegisterCounter("refused."+string(step.Reason), s.metrics).Inc(1)
-		ctx.Response.Reset()
-		b, _ := json.Marshal(Refusal{Outcome: step.Outcome.String(), Reason: string(step.Reason)})
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		ctx.SetContentType("application/json")
-		ctx.SetBody(b)
-		ctx.Response.Header.Set(headers.Reason, string(step.Reason))
-	}
-	ctx.Response.Header.Set(headers.Outcome, step.Outcome.String())
-	ctx.Response.Header.Set(headers.Entry, s.set.ID)
-}
-
-// Refusal is the body of an answer that is not an upstream's.
-type Refusal struct {
-	Outcome string `json:"outcome"`
-	Reason  string `json:"reason"`
-	Remedy  string `json:"remedy"`
-}
-
-// LookupAnswer is the body of the address lookup's answer.
-type LookupAnswer struct {
-	Service   string          `json:"service"`
-	LifeMs    int64           `json:"life_ms"`
-	Addresses []LookupAddress `json:"addresses"`
-}
-
-// LookupAddress is one entry that a caller may use.
-type LookupAddress struct {
-	Address string  `json:"address"`
-	Weight  float64 `json:"weight"`
-	// Permit begins the Catkin-Key of non-idempotent calls to Address.
-	Permit string `json:"permit"`
-}
-
-func (s *Server) lookup(ctx *fasthttp.RequestCtx) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a := LookupAnswer{Service: string(ctx.QueryArgs().Peek("service"))}
-	if s.doc == nil {
-		ctx.Error("no configuration yet: try another entry", fasthttp.StatusServiceUnavailable)
-		return
-	}
-	a.LifeMs = s.doc.Lookup.Lifetime.D().Milliseconds()
-	for _, m := range s.members {
-		a.Addresses = append(a.Addresses, LookupAddress{Address: m.Address, Weight: 1})
-	}
-	b, _ := json.Marshal(a)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
-}
-
-func (s *Server) serveLink(ln net.Listener) error {
-	srv := rpc.NewServer()
-	if err := srv.RegisterName("Entry", &linkService{s}); err != nil {
-		return err
-	}
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			return ignoreClosed(err)
-		}
-		go srv.ServeConn(c)
-	}
-}
-
-type linkService struct{ s *Server }
-
-// Sync takes the agent's state and answers the entry's.
-func (l *linkService) Sync(in *link.State, out *link.Status) error {
-	var doc *config.Document
-	if len(in.Document) > 0 {
-		doc = &config.Document{}
-		if err := json.Unmarshal(in.Document, doc); err != nil {
-			return err
-		}
-	}
-	s := l.s
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	if doc != nil {
-		s.node.Configure(now, in.Revision, doc)
-		s.doc = doc
-	}
-	s.members = in.Members
-	s.node.Members(now, in.Members, in.LeavingUpstreams)
-	*out = s.node.Status(now)
-	return nil
+// malformed answers a request that could not be read.
+func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var ne net.Error
+	f := newFault(reasonMalformed, "the request could not be read")
+	switch {
+	case errors.As(err, &small):
+		f = newFault(reasonHeaderTooLarge, "the headers are larger than the entry takes")
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		f = newFault(reasonBodyTooLarge, "the body is larger than the entry takes")
+	case errors.As(err, &ne) && ne.Timeout():
+		f = newFault(reasonSlowRequest, "the request did not arrive in time")
+	}
+	s.refuse(ctx, f)
 }
--- a/proxy/settings.go
+++ b/proxy/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
@@ -23,13 +24,17 @@
 	LogLevel string `json:"log_level"`
 	// MaxHeader bounds a request's headers, in bytes; 8192 by default.
 	MaxHeader int `json:"max_header"`
+	// MaxBody bounds every request's body, in bytes, beside the bounds of the
+	// services; 67108864 by default.
+	MaxBody int `json:"max_body"`
 	// StopTimeout bounds a planned stop; 60s by default.
 	StopTimeout config.Duration `json:"stop_timeout"`
 }
 
 // Defaults of Settings.
 const (
-	DefaultMaxHeader   = 8 << 10 // bytes
+	DefaultMaxHeader   = 8 << 10  // bytes
+	DefaultMaxBody     = 64 << 20 // bytes
 	DefaultStopTimeout = 60 * time.Second
 )
 
@@ -38,10 +43,14 @@
 	if s.MaxHeader == 0 {
 		s.MaxHeader = DefaultMaxHeader
 	}
+	if s.MaxBody == 0 {
+		s.MaxBody = DefaultMaxBody
+	}
 	if s.StopTimeout == 0 {
 		s.StopTimeout = config.Duration(DefaultStopTimeout)
 	}
 	return errors.Join(
+		checkBounds(s),
 		settings.CheckSet("id", s.ID),
 		settings.CheckSet("data_centre", s.DataCentre),
 		settings.CheckAddress("address", s.Address),
@@ -49,3 +58,20 @@
 		settings.CheckAddress("metrics_address", s.MetricsAddress),
 	)
 }
+
+func checkBounds(s *Settings) error {
+	var errs []error
+	if s.MaxHeader < minHeader {
+		errs = append(errs, fmt.Errorf("key \"max_header\": %d is too low: set %d or more, or leave it out", s.MaxHeader, minHeader))
+	}
+	if s.MaxBody < 0 {
+		errs = append(errs, fmt.Errorf("key \"max_body\": %d is below 0: set the bound in bytes, or leave it out", s.MaxBody))
+	}
+	if s.StopTimeout < 0 {
+		errs = append(errs, fmt.Errorf("key \"stop_timeout\": %v is below 0: write it like \"60s\", or leave it out", s.StopTimeout.D()))
+	}
+	return errors.Join(errs...)
+}
+
+// minHeader is the lowest bound of a request's headers, in bytes.
+const minHeader = 1 << 10
--- /dev/null
+++ b/proxy/testsite_test.go
@@ -0,0 +1,153 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/link"
+)
+
+const (
+	testService = "tienda"
+	testMaxBody = 1000 // bytes
+	testTimeout = 10 * time.Second
+)
+
+// testSite is a Server in this process with one upstream.
+type testSite struct {
+	t    testing.TB
+	s    *Server
+	addr string
+	stop context.CancelFunc
+	done chan error
+}
+
+func listenTest(t testing.TB) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// newTestSite starts a Server whose service has the upstreams given.
+func newTestSite(t testing.TB, rules config.Rules, upstreams ...string) *testSite {
+	t.Helper()
+	lns := &listeners{data: listenTest(t), link: listenTest(t), metrics: listenTest(t)}
+	set := Settings{ID: "instance-1", DataCentre: "quito-centro", Address: lns.data.Addr().String(), LinkAddress: lns.link.Addr().String(), MetricsAddress: lns.metrics.Addr().String()}
+	if err := set.Check(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	site := &testSite{t: t, s: New(set, log.NewNopLogger()), addr: set.Address, stop: stop, done: make(chan error, 1)}
+	site.configure(rules, upstreams)
+	go func() { site.done <- site.s.serve(ctx, lns) }()
+	t.Cleanup(site.close)
+	return site
+}
+
+func (site *testSite) configure(rules config.Rules, upstreams []string) {
+	rules.MaxBody = testMaxBody
+	svc := config.Service{Name: testService, Rules: rules}
+	for i, a := range upstreams {
+		svc.Upstreams = append(svc.Upstreams, config.Upstream{
+			ID: "tienda-" + string(rune('1'+i)), Address: a, DataCentre: "quito-centro", Slots: 6, Connections: 250,
+		})
+	}
+	doc := &config.Document{
+		Site: "test", DataCentres: []config.DataCentre{{Name: "quito-centro", Region: "sierra-norte"}}, Services: []config.Service{svc},
+		MaxEntries: 2, Lookup: config.Lookup{Lifetime: config.Duration(time.Second), Addresses: 2},
+		PermitKeys: []config.PermitKey{{ID: "k1", Secret: []byte("test key")}},
+	}
+	if err := doc.Check(); err != nil {
+		site.t.Fatal(err)
+	}
+	st := &link.State{Revision: 1, Members: []link.Member{{ID: "instance-1", Address: site.addr}}}
+	site.s.sync(st, doc)
+}
+
+func (site *testSite) close() {
+	site.stop()
+	if err := <-site.done; err != nil {
+		site.t.Error(err)
+	}
+}
+
+// dial opens a connection as a caller.
+func (site *testSite) dial() *caller {
+	site.t.Helper()
+	c, err := net.Dial("tcp", site.addr)
+	if err != nil {
+		site.t.Fatal(err)
+	}
+	site.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testTimeout))
+	return &caller{t: site.t, Conn: c, r: bufio.NewReader(c)}
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	t testing.TB
+	net.Conn
+	r *bufio.Reader
+}
+
+func (c *caller) send(raw string) {
+	c.t.Helper()
+	if _, err := c.Write([]byte(raw)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *caller) read() *fasthttp.Response {
+	c.t.Helper()
+	var resp fasthttp.Response
+	if err := resp.Read(c.r); err != nil {
+		c.t.Fatal(err)
+	}
+	return &resp
+}
+
+// ask sends one request on a connection of its own.
+func (site *testSite) ask(raw string) *fasthttp.Response {
+	site.t.Helper()
+	c := site.dial()
+	c.send(raw)
+	return c.read()
+}
+
+// get is a request line with the service's Host header and more headers.
+func get(headers ...string) string { return request1("GET /clue", "", headers...) }
+
+func request1(line, body string, headers ...string) string {
+	head := line + " HTTP/1.1\r\nHost: " + testService + "\r\n"
+	if len(headers) > 0 {
+		head += strings.Join(headers, "\r\n") + "\r\n"
+	}
+	return head + "\r\n" + body
+}
+
+// upstream serves handler as an upstream and returns its address.
+func upstream(t testing.TB, handler fasthttp.RequestHandler) string {
+	t.Helper()
+	ln := listenTest(t)
+	srv := &fasthttp.Server{Handler: handler, NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: quiet{}}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ln) }()
+	t.Cleanup(func() {
+		srv.Shutdown()
+		<-done
+	})
+	return ln.Addr().String()
+}
+
+func header(r *fasthttp.Response, k string) string { return string(r.Header.Peek(k)) }
