--- a/attempt/outcome.go
+++ b/attempt/outcome.go
@@ -26,7 +26,3 @@
 	}
 	return "none"
 }
-
-// Reason names why a call was refused or ended without an answer, in the form
-// of the Catkin-Reason header. Each has a counter and a remedy.
-type Reason string
--- a/attempt/reply.go
+++ b/attempt/reply.go
@@ -1,8 +1,16 @@
 package attempt
 
+// MaxReply is the size of the largest reply body that a Record keeps, in
+// bytes.
+const MaxReply = 64 << 10
+
 // Reply is a whole reply of an upstream, kept for repeats of a keyed call.
+// It is not changed once handed over.
 type Reply struct {
 	Status      int
 	ContentType string
 	Body        []byte
 }
+
+// size is the memory that r takes, in bytes.
+func (r *Reply) size() int { return len(r.Body) + len(r.ContentType) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,8 +31,11 @@
 	RetriesSpent bool
 	// Forwarded is set on a call that another entry forwarded.
 	Forwarded bool
-	// BodyBytes is the size of the request's body.
+	// BodyBytes is the size of the request's body; 0 where not known.
 	BodyBytes int
+	// Digest is a hash of the request's whole URI and body (of the URI alone
+	// where the body is streamed). Repeats of a Key must have the same.
+	Digest uint64
 	// Streamed bodies can be sent only once.
 	Streamed bool
 }
@@ -48,9 +51,12 @@
 	// Finished with the entry's answer.
 	StepForward
 	// StepAnswer answers the caller. With Outcome Answered the body is the
-	// reply of Attempt, or the stored Reply.
+	// stored Reply, or else the reply of Attempt. Each call gets exactly one
+	// StepAnswer, unless it is cancelled. It can come while Attempt, or
+	// another attempt of the call, is still going on.
 	StepAnswer
-	// StepCancel gives up Attempt: its connection is closed.
+	// StepCancel gives up Attempt: its connection is closed. Finished need
+	// not be called for it; where it is, it is ignored.
 	StepCancel
 	// StepProbe asks Upstream for its load, and reports Probed.
 	StepProbe
@@ -71,11 +77,12 @@
 	// Fresh asks for a connection that carried no request before.
 	Fresh bool
 	// Record asks that the whole reply is passed to Finished, since the
-	// Node keeps it for repeats of the call.
+	// Node keeps it for repeats of the call. A reply above attempt.MaxReply
+	// bytes need not be passed.
 	Record bool
 	// Timeout is the time left for the attempt.
 	Timeout time.Duration
-	// RetriesSpent is to be marked on the request.
+	// RetriesSpent is to be marked on the request, or on the answer.
 	RetriesSpent bool
 	Outcome      attempt.Outcome
 	Reason       attempt.Reason
@@ -104,6 +111,8 @@
 	// Outcome and Reason are set by another entry's answer to a forward.
 	Outcome attempt.Outcome
 	Reason  attempt.Reason
+	// RetryAfter is the reply's own hint; 0 for none.
+	RetryAfter time.Duration
 	// Reply is the whole reply, where the Step asked for it.
 	Reply *attempt.Reply
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -18,16 +18,6 @@
 	Seed        uint64
 }
 
-// Reasons of the assembly itself.
-const (
-	ReasonNoConfiguration attempt.Reason = "no-configuration"
-	ReasonUnknownService  attempt.Reason = "unknown-service"
-	ReasonNoUpstream      attempt.Reason = "no-upstream"
-	ReasonLost            attempt.Reason = "reply-lost"
-	ReasonConnect         attempt.Reason = "connect-failed"
-	ReasonShed            attempt.Reason = "upstream-shed"
-)
-
 // Node is the state of one entry.
 type Node struct {
 	opt      Options
@@ -75,13 +65,13 @@
 	p := n.pools[c.Service]
 	switch {
 	case n.revision == 0:
-		return append(out, refuse(c.ID, ReasonNoConfiguration))
+		return append(out, refuse(c.ID, attempt.ReasonNoConfiguration))
 	case p == nil:
-		return append(out, refuse(c.ID, ReasonUnknownService))
+		return append(out, refuse(c.ID, attempt.ReasonUnknownService))
 	}
 	id, addr, ok := p.Pick(now, balance.Query{})
 	if !ok {
-		return append(out, refuse(c.ID, ReasonNoUpstream))
+		return append(out, refuse(c.ID, attempt.ReasonNoUpstream))
 	}
 	n.last++
 	n.attempts[n.last] = sent{call: c, upstream: id, at: now}
@@ -111,11 +101,11 @@
 	s := Step{Kind: StepAnswer, Call: a.call.ID, Attempt: id, Outcome: attempt.Answered}
 	switch {
 	case r.Shed:
-		s.Outcome, s.Reason = attempt.NotRun, ReasonShed
+		s.Outcome, s.Reason = attempt.NotRun, attempt.ReasonShed
 	case r.Err != nil && !r.Wrote:
-		s.Outcome, s.Reason = attempt.NotRun, ReasonConnect
+		s.Outcome, s.Reason = attempt.NotRun, attempt.ReasonConnect
 	case r.Err != nil:
-		s.Outcome, s.Reason = attempt.Unknown, ReasonLost
+		s.Outcome, s.Reason = attempt.Unknown, attempt.ReasonLost
 	}
 	return append(out, s)
 }
