Widen catkin-load: callers that keep addresses, faults, swings, comparisons

Cause: policies and failures are to be measured in one run, by callers that behave as the users' do. Change: scenarios with rates or shares of capacity, swings, faults against the stand-ins, keyed calls with repeats, a check of the stand-ins' ledger against what callers were told, shares per data centre, compare in alternating turns; stand-in upstreams honour deadlines, start cold, report with lag. Conclusion: the tool states its own noise in each row.

--- /dev/null
+++ b/load/main.go
@@ -0,0 +1,123 @@
+package load
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/catkinrouter/catkinrouter/internal/daemon"
+	"github.com/catkinrouter/catkinrouter/internal/version"
+	"github.com/catkinrouter/catkinrouter/settings"
+)
+
+const usage = `catkin-load makes load against a site and prints what came of it.
+
+usage: catkin-load COMMAND -scenario FILE [-json FILE]
+
+commands:
+  run       make the scenario's load once
+  compare   run each of the scenario's variants in alternating turns
+  version   print the version
+
+Exit codes: 0 done, 1 a call broke a promise or the site failed, 2 usage.
+`
+
+// Main runs the command line of catkin-load and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		fmt.Fprint(stderr, usage)
+		return daemon.ExitUsage
+	}
+	switch args[0] {
+	case "run", "compare":
+		return command(args[0], args[1:], stdout, stderr)
+	case "version", "-version":
+		fmt.Fprintln(stdout, "catkin-load", version.Version)
+		return daemon.ExitOK
+	case "-h", "-help", "--help", "help":
+		fmt.Fprint(stdout, usage)
+		return daemon.ExitOK
+	}
+	fmt.Fprintf(stderr, "catkin-load: unknown command %q: use run or compare\n", args[0])
+	return daemon.ExitUsage
+}
+
+func command(name string, args []string, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	file := fs.String("scenario", "", "scenario file, JSON with comments")
+	out := fs.String("json", "", "file to write the result to, as JSON")
+	check := fs.Bool("check", false, "check the scenario and exit")
+	switch err := fs.Parse(args); {
+	case err == flag.ErrHelp:
+		return daemon.ExitOK
+	case err != nil:
+		return daemon.ExitUsage
+	case *file == "" || fs.NArg() > 0:
+		fmt.Fprintf(stderr, "catkin-load: name the scenario with -scenario FILE, and nothing else\n")
+		return daemon.ExitUsage
+	}
+	var s Scenario
+	if err := settings.Load(*file, &s); err != nil {
+		fmt.Fprintln(stderr, "catkin-load:", err)
+		return daemon.ExitUsage
+	}
+	if *check {
+		fmt.Fprintf(stdout, "catkin-load: %s is valid\n", *file)
+		return daemon.ExitOK
+	}
+	r := NewRunner(&s)
+	r.Progress = stderr
+	fault, err := execute(r, name, *out, stdout)
+	if err != nil {
+		fmt.Fprintln(stderr, "catkin-load:", err)
+		return daemon.ExitFault
+	}
+	if fault != "" {
+		fmt.Fprintln(stderr, "catkin-load:", fault)
+		return daemon.ExitFault
+	}
+	return daemon.ExitOK
+}
+
+// execute runs the command and returns the promise that was broken, if any.
+func execute(r *Runner, name, out string, stdout io.Writer) (fault string, err error) {
+	if name == "compare" {
+		c, err := r.Compare()
+		if err != nil {
+			return "", err
+		}
+		c.Table(stdout)
+		for i := range c.Turns {
+			if f := c.Turns[i].Faulty(); f != "" {
+				fault = f
+			}
+		}
+		return fault, writeJSON(out, c)
+	}
+	res, err := r.Run(Variant{})
+	if err != nil {
+		return "", err
+	}
+	res.Table(stdout)
+	fault = res.Faulty()
+	for _, row := range res.Rows {
+		if row.Answered == 0 && row.Calls > 0 {
+			fault = fmt.Sprintf("no call of %s was answered: see the reasons above", row.Name)
+		}
+	}
+	return fault, writeJSON(out, res)
+}
+
+func writeJSON(path string, v any) error {
+	if path == "" {
+		return nil
+	}
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(b, '\n'), 0o644)
+}
--- /dev/null
+++ b/load/table.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+const microsPerMilli = 1000
+
+func ms(us int64) float64 { return float64(us) / microsPerMilli }
+
+// Table writes a result as text.
+func (res *Result) Table(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "calls of\tcalls\tanswered\tnot run\tunknown\tfailed\twrong\tp50 ms\tp99 ms\tp99.9 ms\tstart noise p99 ms\t")
+	for _, r := range res.Rows {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t\n", r.Name, r.Calls, r.Answered, r.NotRun, r.Unknown,
+			r.Failed, r.Wrong, ms(r.P50), ms(r.P99), ms(r.P999), ms(r.Noise99))
+	}
+	t.Flush()
+	for _, r := range res.Rows {
+		for _, why := range r.Reasons {
+			fmt.Fprintf(w, "%s not answered: %s %d\n", r.Name, why.Name, why.Count)
+		}
+	}
+	res.shareTable(w)
+}
+
+func (res *Result) shareTable(w io.Writer) {
+	if len(res.Shares) == 0 {
+		return
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "service\tdata centre\tshare of work\tshare of capacity\t")
+	for _, s := range res.Shares {
+		fmt.Fprintf(t, "%s\t%s\t%.1f%%\t%.1f%%\t\n", s.Service, s.DataCentre, 100*s.Work, 100*s.Capacity)
+	}
+	t.Flush()
+	fmt.Fprintf(w, "measuring took at most %.3f%% of an upstream's slot time\n", 100*res.ProbeShare)
+	l := res.Ledger
+	if l.Keys > 0 {
+		fmt.Fprintf(w, "keyed calls %d: ran twice %d, told not run but ran %d, answered but never ran %d\n", l.Keys, l.RanTwice, l.NotRunRan, l.AnsweredNo)
+	}
+}
+
+// Faulty tells why a result breaks a promise; empty where it keeps all.
+func (res *Result) Faulty() string {
+	for _, r := range res.Rows {
+		if r.Wrong > 0 {
+			return fmt.Sprintf("%d callers of %s got an answer that was not theirs", r.Wrong, r.Name)
+		}
+	}
+	if l := res.Ledger; l.RanTwice+l.NotRunRan+l.AnsweredNo > 0 {
+		return fmt.Sprintf("the ledger differs from what callers were told: %+v", l)
+	}
+	return ""
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -63,6 +63,6 @@
 	echo "press Ctrl-C to stop"
 	wait
 fi
-bin/catkin-load -scenario "$dir/load.json" || fail "load failed"
+bin/catkin-load run -scenario "$dir/load.json" || fail "load failed"
 stop
 echo "demo of $site: done"
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -95,7 +95,8 @@
 
 func (s ServiceSettings) options(i int) UpstreamOptions {
 	return UpstreamOptions{
-		ID: s.id(i), Slots: s.Slots, Queue: s.Queue,
+		ID: s.id(i), Service: s.Name, Address: s.address(i), DataCentre: s.DataCentres[i%len(s.DataCentres)],
+		Slots: s.Slots, Queue: s.Queue,
 		Work: s.Work.D(), LongWork: max(s.LongWork.D(), time.Millisecond), ProbeWork: s.ProbeWork.D(),
 		Seed: uint64(i + 1),
 	}
--- a/standin/site.go
+++ b/standin/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -90,6 +91,7 @@
 		for _, u := range s.upstreams {
 			out = append(out, u.Counts())
 		}
+		slices.SortFunc(out, func(a, b UpstreamCounts) int { return strings.Compare(a.ID, b.ID) })
 		reply(ctx, fasthttp.StatusOK, out)
 		return
 	}
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,25 +14,13 @@
 	"github.com/catkinrouter/catkinrouter/headers"
 )
 
-// UpstreamFaults are the faults that an Upstream shows.
-type UpstreamFaults struct {
-	// Slow multiplies service times; 0 and 1 leave them.
-	Slow float64 `json:"slow"`
-	// FailFast answers status 500 at once, and reports no load.
-	FailFast bool `json:"fail_fast"`
-	// Drain answers with the leaving mark and refuses new work after
-	// DrainAfterMillis.
-	Drain bool `json:"drain"`
-	// ReportLagMillis is the age of the load report.
-	ReportLagMillis int `json:"report_lag_ms"`
-	// LoseReplies closes the connection after running each request.
-	LoseReplies bool `json:"lose_replies"`
-}
-
 // UpstreamOptions are the fixed properties of an Upstream.
 type UpstreamOptions struct {
-	ID    string
-	Slots int
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
 	// Queue bounds the requests that wait for a slot; more are shed.
 	Queue int
 	// Work is the mean service time; LongWork that of paths under /long.
@@ -50,23 +39,26 @@
 	working atomic.Int64
 	served  atomic.Int64
 	probes  atomic.Int64
-	mu      sync.Mutex
-	faults  UpstreamFaults
-	ledger  map[string]int
-	reports []report
-	rng     *rand.Rand
+	shed    atomic.Int64
+	busy    atomic.Int64 // microseconds of slot time on requests
+	probing atomic.Int64 // microseconds of slot time on probes
+
+	mu     sync.Mutex
+	faults UpstreamFaults
+	since  time.Time // when faults were set
+	ledger map[string]int
+	rng    *rand.Rand
+	lag    lagged
 }
 
-type report struct {
-	at      time.Time
-	working int64
-}
+// longPrefix marks paths of long work.
+const longPrefix = "/long"
 
 // NewUpstream returns an idle Upstream.
 func NewUpstream(opt UpstreamOptions) *Upstream {
 	return &Upstream{
 		opt: opt, slots: make(chan struct{}, opt.Slots), ledger: map[string]int{},
-		rng: rand.New(rand.NewPCG(opt.Seed, 7)),
+		rng: rand.New(rand.NewPCG(opt.Seed, opt.Seed)),
 	}
 }
 
@@ -75,16 +67,18 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.faults = f
+	u.since = time.Now()
 }
 
 // Handle serves requests, probes and health checks.
 func (u *Upstream) Handle(ctx *fasthttp.RequestCtx) {
 	u.mu.Lock()
-	f := u.faults
+	f, since := u.faults, u.since
 	u.mu.Unlock()
 	switch {
 	case f.FailFast:
 		ctx.Error("failing", fasthttp.StatusInternalServerError)
+		u.report(ctx, f)
 		return
 	case string(ctx.Path()) == headers.HealthPath:
 		ctx.SetBodyString("ok")
@@ -92,33 +86,66 @@
 	case f.Drain:
 		ctx.Response.Header.Set(headers.Leaving, "1")
 	}
-	if u.working.Add(1) > int64(u.opt.Slots+u.opt.Queue) {
+	if u.working.Add(1) > int64(u.opt.Slots+u.opt.Queue) || !u.takeSlot(ctx) {
 		u.working.Add(-1)
-		ctx.Response.Header.Set(headers.Shed, "1")
-		u.setLoad(ctx, f)
-		ctx.Error("shed", fasthttp.StatusServiceUnavailable)
+		u.refuse(ctx, f)
 		return
 	}
-	u.slots <- struct{}{}
-	u.run(ctx, f)
+	u.run(ctx, f.factor(time.Since(since)))
 	<-u.slots
 	u.working.Add(-1)
-	u.setLoad(ctx, f)
+	u.report(ctx, f)
 	if f.LoseReplies {
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(closeConn)
 	}
 }
 
-func (u *Upstream) run(ctx *fasthttp.RequestCtx, f UpstreamFaults) {
-	if string(ctx.Path()) == headers.ProbePath {
+// takeSlot waits for a slot until the request's deadline.
+func (u *Upstream) takeSlot(ctx *fasthttp.RequestCtx) bool {
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	default:
+	}
+	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(headers.Deadline)))
+	if err != nil || ms <= 0 {
+		u.slots <- struct{}{}
+		return true
+	}
+	t := time.NewTimer(time.Duration(ms) * time.Millisecond)
+	defer t.Stop()
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	case <-t.C:
+		return false
+	}
+}
+
+// refuse says that the request was not run.
+func (u *Upstream) refuse(ctx *fasthttp.RequestCtx, f UpstreamFaults) {
+	u.shed.Add(1)
+	ctx.Error("shed", fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(headers.Shed, "1")
+	if f.Drain {
+		ctx.Response.Header.Set(headers.Leaving, "1")
+	}
+	u.report(ctx, f)
+}
+
+// run holds a slot for the time of the work.
+func (u *Upstream) run(ctx *fasthttp.RequestCtx, factor float64) {
+	path := string(ctx.Path())
+	if path == headers.ProbePath {
 		u.probes.Add(1)
+		u.probing.Add(u.opt.ProbeWork.Microseconds())
 		time.Sleep(u.opt.ProbeWork)
 		return
 	}
 	u.served.Add(1)
 	mean := u.opt.Work
-	if len(ctx.Path()) >= 5 && string(ctx.Path()[:5]) == "/long" {
+	if strings.HasPrefix(path, longPrefix) {
 		mean = u.opt.LongWork
 	}
 	if key := string(ctx.Request.Header.Peek(headers.Key)); key != "" {
@@ -126,58 +153,60 @@
 		u.ledger[key]++
 		u.mu.Unlock()
 	}
-	time.Sleep(u.serviceTime(mean, f.Slow))
-	fmt.Fprintf(ctx, "%s %s %s\n", u.opt.ID, ctx.Path(), ctx.Request.Header.Peek("X-Request"))
+	start := time.Now()
+	time.Sleep(u.serviceTime(mean, factor))
+	u.busy.Add(time.Since(start).Microseconds())
+	fmt.Fprintf(ctx, "%s %s %s\n", u.opt.ID, path, ctx.Request.Header.Peek("X-Request"))
 }
 
 // serviceTime draws from a half-fixed, half-exponential distribution.
-func (u *Upstream) serviceTime(mean time.Duration, slow float64) time.Duration {
+func (u *Upstream) serviceTime(mean time.Duration, factor float64) time.Duration {
 	u.mu.Lock()
 	x := u.rng.ExpFloat64()
 	u.mu.Unlock()
-	d := time.Duration(float64(mean) * (0.5 + 0.5*x))
-	if slow > 1 {
-		d = time.Duration(float64(d) * slow)
-	}
-	return d
+	return time.Duration(float64(mean) * (0.5 + 0.5*x) * factor)
 }
 
-func (u *Upstream) setLoad(ctx *fasthttp.RequestCtx, f UpstreamFaults) {
+func (u *Upstream) report(ctx *fasthttp.RequestCtx, f UpstreamFaults) {
 	working := u.working.Load()
 	if f.ReportLagMillis > 0 {
-		working = u.lagged(working, time.Duration(f.ReportLagMillis)*time.Millisecond)
+		u.mu.Lock()
+		working = u.lag.read(time.Now(), time.Duration(f.ReportLagMillis)*time.Millisecond, working)
+		u.mu.Unlock()
 	}
 	ctx.Response.Header.Set(headers.Load, fmt.Sprintf("%d/%d", working, u.opt.Slots))
 }
 
-func (u *Upstream) lagged(working int64, lag time.Duration) int64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := time.Now()
-	u.reports = append(u.reports, report{at: now, working: working})
-	for len(u.reports) > 1 && now.Sub(u.reports[1].at) >= lag {
-		u.reports = u.reports[1:]
-	}
-	return u.reports[0].working
-}
-
-// UpstreamCounts tells what an Upstream did.
+// UpstreamCounts tells what an Upstream is and did.
 type UpstreamCounts struct {
-	ID     string         `json:"id"`
-	Served int64          `json:"served"`
-	Probes int64          `json:"probes"`
-	Ledger map[string]int `json:"ledger,omitempty"`
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Slots      int    `json:"slots"`
+	// WorkMicros is the mean service time.
+	WorkMicros int64 `json:"work_us"`
+	Served     int64 `json:"served"`
+	Probes     int64 `json:"probes"`
+	Shed       int64 `json:"shed"`
+	// BusyMicros and ProbeMicros are slot time spent.
+	BusyMicros  int64          `json:"busy_us"`
+	ProbeMicros int64          `json:"probe_us"`
+	Ledger      map[string]int `json:"ledger,omitempty"`
 }
 
 // Counts returns a copy of the counts and the ledger.
 func (u *Upstream) Counts() UpstreamCounts {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	c := UpstreamCounts{ID: u.opt.ID, Served: u.served.Load(), Probes: u.probes.Load(), Ledger: map[string]int{}}
+	c := UpstreamCounts{
+		ID: u.opt.ID, Service: u.opt.Service, Address: u.opt.Address, DataCentre: u.opt.DataCentre,
+		Slots: u.opt.Slots, WorkMicros: u.opt.Work.Microseconds(),
+		Served: u.served.Load(), Probes: u.probes.Load(), Shed: u.shed.Load(),
+		BusyMicros: u.busy.Load(), ProbeMicros: u.probing.Load(), Ledger: map[string]int{},
+	}
 	for k, n := range u.ledger {
 		c.Ledger[k] = n
 	}
 	return c
 }
-
-func closeConn(c net.Conn) { c.Close() }
