--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 SITE ?= ecuador
 
-.PHONY: all build format lint test bench demo up capacity
+.PHONY: bench-policies all build format lint test bench demo up capacity
 
 all: build
 
@@ -28,5 +28,9 @@
 up: build
 	sh scripts/demo.sh -up $(SITE)
 
+# The policies side by side, under each of the scenarios.
+bench-policies: build
+	sh scripts/bench.sh bench scenarios/policy-*.json
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/load/main.go
+++ b/load/main.go
@@ -7,6 +7,9 @@
 	"io"
 	"os"
 
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/headers"
 	"github.com/catkinrouter/catkinrouter/internal/daemon"
 	"github.com/catkinrouter/catkinrouter/internal/version"
 	"github.com/catkinrouter/catkinrouter/settings"
@@ -19,6 +22,7 @@
 commands:
   run       make the scenario's load once
   compare   run each of the scenario's variants in alternating turns
+  ready     tell whether an entry has a configuration: ready -entry ADDRESS
   version   print the version
 
 Exit codes: 0 done, 1 a call broke a promise or the site failed, 2 usage.
@@ -33,6 +37,8 @@
 	switch args[0] {
 	case "run", "compare":
 		return command(args[0], args[1:], stdout, stderr)
+	case "ready":
+		return ready(args[1:], stderr)
 	case "version", "-version":
 		fmt.Fprintln(stdout, "catkin-load", version.Version)
 		return daemon.ExitOK
@@ -82,6 +88,26 @@
 	return daemon.ExitOK
 }
 
+// ready exits with ExitOK where an entry has a configuration in force.
+func ready(args []string, stderr io.Writer) int {
+	fs := flag.NewFlagSet("ready", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	entry := fs.String("entry", "", "address of an entry, IP and port")
+	if err := fs.Parse(args); err != nil {
+		return daemon.ExitUsage
+	}
+	code, body, err := fasthttp.GetTimeout(nil, "http://"+*entry+headers.LookupPath, lookupTimeout)
+	switch {
+	case err != nil:
+		fmt.Fprintf(stderr, "catkin-load: entry %s: %v: check the address and that it runs\n", *entry, err)
+		return daemon.ExitFault
+	case code == fasthttp.StatusServiceUnavailable:
+		fmt.Fprintf(stderr, "catkin-load: entry %s is not ready: %s\n", *entry, body)
+		return daemon.ExitFault
+	}
+	return daemon.ExitOK
+}
+
 // execute runs the command and returns the promise that was broken, if any.
 func execute(r *Runner, name, out string, stdout io.Writer) (fault string, err error) {
 	if name == "compare" {
