Check, plan, confirm and keep the configuration with typed results

Cause: documents were checked in part, plans said nothing of what changes, a confirm whose answer was lost could be told as refused, and an instance had no guard of its own against lower or damaged revisions.

Plans are stored under a lease of their own, so the store removes old ones.

--- a/config/store.go
+++ b/config/store.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"fmt"
+	"time"
 
 	"github.com/catkinrouter/catkinrouter/platform"
 )
@@ -19,130 +16,183 @@
 	PlanPrefix = "catkin/config/plan/"
 )
 
-// Head is the configuration in force. One write moves it.
-type Head struct {
-	Revision uint64 `json:"revision"`
-	PlanID   string `json:"plan_id"`
-	Digest   string `json:"digest"`
-	// Document is the configuration as JSON.
-	Document json.RawMessage `json:"document"`
-}
+const (
+	// PlanLifetime is how long a plan is kept for being confirmed. Its key
+	// belongs to a lease, so the store itself removes it.
+	PlanLifetime = time.Hour
+	// maxTries bounds the writes and reads of one confirm.
+	maxTries = 8
+)
 
-// Plan is a change that waits to be confirmed.
-type Plan struct {
-	ID string `json:"id"`
-	// Base is the revision that the plan was made against.
-	Base     uint64          `json:"base"`
-	Document json.RawMessage `json:"document"`
+// Committer makes and confirms plans in the platform's store. It keeps no
+// state of its own between calls and is safe for concurrent use.
+type Committer struct {
+	store platform.Store
+	now   func() time.Time
+	count func(Event)
 }
 
-// StaleError says that the head moved since a plan was made.
-type StaleError struct {
-	Plan     string
-	Base     uint64
-	Revision uint64
-}
+// Event names what a Committer met, for counters.
+type Event string
 
-// Error names the revisions and the remedy.
-func (e *StaleError) Error() string {
-	return fmt.Sprintf("plan %s was made against revision %d, revision %d is in force: plan again", e.Plan, e.Base, e.Revision)
-}
+// Events of a Committer.
+const (
+	EventPlanned       Event = "planned"
+	EventAccepted      Event = "accepted"
+	EventRepeated      Event = "repeated"       // a confirm of a plan accepted before
+	EventReadBack      Event = "read-back"      // a write whose answer was lost
+	EventRetryConflict Event = "retry-conflict" // a write that lost a race
+	EventStale         Event = "stale"
+	EventUnknownPlan   Event = "unknown-plan"
+	EventUnsettled     Event = "unsettled"
+	EventUnavailable   Event = "unavailable"
+	EventIndefinite    Event = "indefinite"
+	EventInvalid       Event = "invalid"
+	EventCorrupt       Event = "corrupt"
+)
 
-// Committer makes and confirms plans in the platform's store.
-type Committer struct {
-	store platform.Store
-}
+// Option changes a Committer.
+type Option func(*Committer)
+
+// WithClock sets the clock that dates commits.
+func WithClock(now func() time.Time) Option { return func(c *Committer) { c.now = now } }
+
+// WithCount sets a function that is called with each event; it must be safe
+// for concurrent use.
+func WithCount(count func(Event)) Option { return func(c *Committer) { c.count = count } }
 
 // NewCommitter returns a Committer on store.
-func NewCommitter(store platform.Store) *Committer { return &Committer{store: store} }
+func NewCommitter(store platform.Store, opts ...Option) *Committer {
+	c := &Committer{store: store, now: time.Now, count: func(Event) {}}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
 
 // Head reads the head and the store revision of its key; the zero Head where
 // nothing was confirmed yet.
 func (c *Committer) Head(ctx context.Context) (Head, int64, error) {
-	var h Head
 	v, err := c.store.Get(ctx, HeadKey)
 	if platform.IsKind(err, platform.NotFound) {
-		return h, 0, nil
+		return Head{}, 0, nil
 	}
 	if err != nil {
-		return h, 0, err
+		return Head{}, 0, err
 	}
-	return h, v.Revision, json.Unmarshal(v.Data, &h)
+	h, err := DecodeHead(v.Data)
+	return h, v.Revision, err
 }
 
-// Plan checks doc, stores a plan for it and returns the plan.
-func (c *Committer) Plan(ctx context.Context, doc *Document) (Plan, error) {
-	if err := doc.Check(); err != nil {
-		return Plan{}, err
+// DecodeHead reads the value of HeadKey. Its error is a *CorruptError.
+func DecodeHead(b []byte) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(b, &h); err != nil {
+		return Head{}, &CorruptError{Key: HeadKey, Err: err}
 	}
+	if !h.intact() {
+		return Head{}, &CorruptError{Key: HeadKey, Err: errDigest}
+	}
+	return h, nil
+}
+
+// Plan checks doc, stores a plan for it and returns the plan. Its errors are
+// joined *CheckError, *UnavailableError or *CorruptError.
+func (c *Committer) Plan(ctx context.Context, doc *Document) (*Plan, error) {
+	return c.plan(ctx, func(*Document) (*Document, error) { return doc, nil })
+}
+
+// PlanIntent plans the document in force with in applied to it.
+func (c *Committer) PlanIntent(ctx context.Context, in *Intent) (*Plan, error) {
+	return c.plan(ctx, in.Apply)
+}
+
+// plan stores a plan for what change makes of the document in force, which
+// is nil where nothing was confirmed yet.
+func (c *Committer) plan(ctx context.Context, change func(*Document) (*Document, error)) (*Plan, error) {
 	h, _, err := c.Head(ctx)
 	if err != nil {
-		return Plan{}, err
+		return nil, c.unavailable(err)
+	}
+	from, err := h.document()
+	if err != nil {
+		return nil, c.unavailable(err)
+	}
+	to, err := change(from)
+	if err == nil {
+		err = to.Check()
 	}
-	b, err := json.Marshal(doc)
 	if err != nil {
-		return Plan{}, err
+		c.count(EventInvalid)
+		return nil, err
 	}
-	p := Plan{Base: h.Revision, Document: b}
-	p.ID = Digest(fmt.Appendf(nil, "%d %s", p.Base, b))[:16]
-	b, err = json.Marshal(p)
+	p, err := newPlan(h.Revision, from, to)
 	if err != nil {
-		return Plan{}, err
+		return nil, err
 	}
-	_, err = c.store.Put(ctx, PlanPrefix+p.ID, b, 0, 0)
-	if platform.IsKind(err, platform.Conflict) {
-		err = nil // the same plan was stored before
+	if err := c.storePlan(ctx, p); err != nil {
+		return nil, c.unavailable(err)
 	}
-	return p, err
+	c.count(EventPlanned)
+	return p, nil
 }
 
-// Confirm puts a plan in force and returns the new head. Confirming the same
-// plan again returns the same head.
-func (c *Committer) Confirm(ctx context.Context, id string) (Head, error) {
-	v, err := c.store.Get(ctx, PlanPrefix+id)
+// document returns the head's document; nil for the zero Head.
+func (h *Head) document() (*Document, error) {
+	if h.Revision == 0 {
+		return nil, nil
+	}
+	doc, err := h.Decode()
 	if err != nil {
-		return Head{}, err
-	}
-	var p Plan
-	if err := json.Unmarshal(v.Data, &p); err != nil {
-		return Head{}, err
-	}
-	h, rev, err := c.Head(ctx)
-	switch {
-	case err != nil:
-		return h, err
-	case h.PlanID == id:
-		return h, nil
-	case h.Revision != p.Base:
-		return h, &StaleError{Plan: id, Base: p.Base, Revision: h.Revision}
-	}
-	return c.move(ctx, Head{Revision: p.Base + 1, PlanID: id, Digest: Digest(p.Document), Document: p.Document}, rev)
+		return nil, &CorruptError{Key: HeadKey, Err: err}
+	}
+	return doc, nil
 }
 
-// move writes the head; an answer that was lost is settled by reading back.
-func (c *Committer) move(ctx context.Context, next Head, expect int64) (Head, error) {
-	b, err := json.Marshal(next)
+// storePlan writes p under a lease. The record leaves out what can be worked
+// out again.
+func (c *Committer) storePlan(ctx context.Context, p *Plan) error {
+	record := Plan{ID: p.ID, Base: p.Base, Digest: p.Digest, Document: p.Document, Summary: p.Summary}
+	b, err := json.Marshal(record)
 	if err != nil {
-		return Head{}, err
+		return err
 	}
-	_, err = c.store.Put(ctx, HeadKey, b, expect, 0)
-	if err == nil {
-		return next, nil
-	}
-	now, _, readErr := c.Head(ctx)
-	switch {
-	case readErr != nil:
-		return Head{}, errors.Join(err, readErr)
-	case now.PlanID == next.PlanID:
-		return now, nil
-	case platform.IsKind(err, platform.Conflict):
-		return now, &StaleError{Plan: next.PlanID, Base: next.Revision - 1, Revision: now.Revision}
-	}
-	return now, err
+	lease, err := c.store.Grant(ctx, PlanLifetime.Milliseconds())
+	if err != nil {
+		return err
+	}
+	_, err = c.store.Put(ctx, PlanPrefix+p.ID, b, 0, lease)
+	if platform.IsKind(err, platform.Conflict) {
+		return nil // the same plan was stored before
+	}
+	return err
+}
+
+// readPlan returns the record of a plan, nil where it is not kept.
+func (c *Committer) readPlan(ctx context.Context, id string) (*Plan, error) {
+	v, err := c.store.Get(ctx, PlanPrefix+id)
+	if platform.IsKind(err, platform.NotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	p := &Plan{}
+	if err := json.Unmarshal(v.Data, p); err != nil {
+		return nil, &CorruptError{Key: PlanPrefix + id, Err: err}
+	}
+	if p.ID != id || p.ID != planID(p.Base, p.Document) {
+		return nil, &CorruptError{Key: PlanPrefix + id, Err: errDigest}
+	}
+	return p, nil
 }
 
-// Digest returns the SHA-256 digest of b in hexadecimal.
-func Digest(b []byte) string {
-	sum := sha256.Sum256(b)
-	return hex.EncodeToString(sum[:])
+// unavailable wraps a fault of the store, and counts it.
+func (c *Committer) unavailable(err error) error {
+	if _, ok := err.(*CorruptError); ok {
+		c.count(EventCorrupt)
+		return err
+	}
+	c.count(EventUnavailable)
+	return &UnavailableError{Err: err}
 }
