--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -136,6 +136,9 @@
 		c.cancelTry(st.Attempt)
 	case entry.StepAnswer:
 		c.answer, c.answered = *st, true
+		if c.inline != nil && !c.pending {
+			c.inline.cancel() // nothing waits for its reply
+		}
 	case entry.StepSend, entry.StepForward:
 		d.send(c, st)
 	}
@@ -143,10 +146,11 @@
 }
 
 // send gives an attempt to the call's own goroutine where that is free, else
-// to a new one.
+// to a new one. A recorded attempt may outlast its call's answer, and so has
+// a goroutine of its own; but a streamed body is read by the call's own.
 func (d *dispatcher) send(c *call, st *entry.Step) {
 	t := c.newTry(st)
-	if c.inline == nil {
+	if c.inline == nil && (!st.Record || c.ec.Streamed) {
 		c.inline, c.pending = t, true
 		return
 	}
@@ -158,12 +162,13 @@
 // take returns the next action of c's own goroutine.
 func (d *dispatcher) take(c *call) action {
 	switch {
-	case c.pending:
-		c.pending = false
-		return action{try: c.inline}
 	case c.answered:
+		d.dropPending(c)
 		delete(d.calls, c.id)
 		return action{answer: true}
+	case c.pending:
+		c.pending = false
+		return action{try: c.inline}
 	case c.gone:
 		delete(d.calls, c.id)
 		return action{gone: true}
@@ -172,6 +177,15 @@
 	return action{}
 }
 
+// dropPending ends an attempt that was not begun before the answer.
+func (d *dispatcher) dropPending(c *call) {
+	if !c.pending {
+		return
+	}
+	c.pending = false
+	d.end(c.inline, entry.Result{Err: errCancelled})
+}
+
 // next waits for an action of c's own goroutine.
 func (d *dispatcher) next(c *call) action {
 	<-c.wake
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -33,6 +33,7 @@
 	identityLength = -2
 	chunkedLength  = -1
 	maxInterim     = 16
+	maxRetryAfter  = 3600 // seconds
 )
 
 // exchange sends the call's request to the address of the attempt and reads
@@ -74,7 +75,7 @@
 	}
 	t.whole = true
 	readResult(&r, resp)
-	if t.step.Record {
+	if t.step.Record && len(resp.Body()) <= attempt.MaxReply {
 		r.Reply = recorded(resp)
 	}
 	return r
@@ -190,6 +191,9 @@
 	r.Load = parseLoad(string(h.Peek(headers.Load)))
 	r.Outcome = parseOutcome(string(h.Peek(headers.Outcome)))
 	r.Reason = attempt.Reason(h.Peek(headers.Reason))
+	if n, err := fasthttp.ParseUint(h.Peek(fasthttp.HeaderRetryAfter)); err == nil {
+		r.RetryAfter = time.Duration(min(n, maxRetryAfter)) * time.Second
+	}
 }
 
 func parseOutcome(s string) attempt.Outcome {
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/headers"
 )
 
@@ -103,16 +105,29 @@
 	length := h.ContentLength()
 	limit := s.maxBody(ec.Service)
 	if length > limit {
-		return newFault(reasonBodyTooLarge, "the body is larger than the service takes")
+		return newFault(attempt.ReasonBodyTooLarge, "the body is larger than the service takes")
 	}
 	body := ctx.Request.Body()
 	if len(body) > limit {
-		return newFault(reasonBodyTooLarge, "the body is larger than the service takes")
+		return newFault(attempt.ReasonBodyTooLarge, "the body is larger than the service takes")
 	}
 	c.req.body = append(c.req.body, body...)
 	ec.BodyBytes = len(body)
+	if ec.Key != "" {
+		ec.Digest = digest(h.RequestURI(), body)
+	}
 	if len(body) > 0 || ec.Method == fasthttp.MethodPost || ec.Method == fasthttp.MethodPut {
 		c.req.addInt(fasthttp.HeaderContentLength, len(body))
 	}
 	return nil
 }
+
+// digest tells requests under one key apart.
+func digest(uri, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.Write(uri)
+	d.Write([]byte{0})
+	d.Write(body)
+	return d.Sum64()
+}
--- a/proxy/lookup.go
+++ b/proxy/lookup.go
@@ -5,7 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/catkinrouter/catkinrouter/entry"
+	"github.com/catkinrouter/catkinrouter/attempt"
 )
 
 // LookupAnswer is the body of the address lookup's answer.
@@ -30,7 +30,7 @@
 	}
 	st := s.state.Load()
 	if st.doc == nil {
-		s.refuse(ctx, newFault(entry.ReasonNoConfiguration, "the entry has no configuration yet"))
+		s.refuse(ctx, newFault(attempt.ReasonNoConfiguration, "the entry has no configuration yet"))
 		return
 	}
 	service := string(ctx.QueryArgs().Peek("service"))
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -53,6 +53,9 @@
 	for why := range kinds {
 		m.refused(why)
 	}
+	for _, why := range attempt.Reasons() {
+		m.refused(why.Reason)
+	}
 	return m
 }
 
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -27,7 +27,6 @@
 	reasonBadLookup       attempt.Reason = "bad-lookup"
 	reasonMalformed       attempt.Reason = "malformed-request"
 	reasonHeaderTooLarge  attempt.Reason = "header-too-large"
-	reasonBodyTooLarge    attempt.Reason = "body-too-large"
 	reasonBodyCut         attempt.Reason = "body-cut"
 	reasonSlowRequest     attempt.Reason = "request-timeout"
 )
@@ -54,7 +53,7 @@
 }
 
 func newFault(why attempt.Reason, detail string) *fault {
-	return &fault{reason: why, detail: detail, remedy: kindOf(why).remedy}
+	return &fault{reason: why, detail: detail, remedy: kindOf(why, attempt.NotRun).remedy}
 }
 
 func badHeader(why attempt.Reason, name, remedy string) *fault {
@@ -80,33 +79,49 @@
 	reasonBadLookup:       {fasthttp.StatusBadRequest, "ask for " + headers.LookupPath + "?service=NAME with a configured service"},
 	reasonMalformed:       {fasthttp.StatusBadRequest, "send a well-formed HTTP/1.1 request"},
 	reasonHeaderTooLarge:  {fasthttp.StatusRequestHeaderFieldsTooLarge, "send fewer or shorter headers, or raise max_header in the entry's settings"},
-	reasonBodyTooLarge:    {fasthttp.StatusRequestEntityTooLarge, "send a smaller body, or raise max_body in the service's rules or the entry's settings"},
 	reasonBodyCut:         {fasthttp.StatusBadRequest, "send the whole body"},
 	reasonSlowRequest:     {fasthttp.StatusRequestTimeout, "send the whole request sooner"},
-
-	entry.ReasonNoConfiguration: {fasthttp.StatusServiceUnavailable, "use another entry from the lookup; this one has no configuration yet"},
-	entry.ReasonUnknownService:  {fasthttp.StatusNotFound, "send the name of a configured service in the Host header"},
-	entry.ReasonNoUpstream:      {fasthttp.StatusServiceUnavailable, "repeat later; no upstream of the service takes new work now"},
-	entry.ReasonLost:            {fasthttp.StatusGatewayTimeout, "check whether the call ran; repeat it with the same Catkin-Key and the next Catkin-Try"},
-	entry.ReasonConnect:         {fasthttp.StatusServiceUnavailable, "repeat the call; no upstream could be reached"},
-	entry.ReasonShed:            {fasthttp.StatusServiceUnavailable, "repeat the call later; the upstream is busy"},
 }
 
-func kindOf(why attempt.Reason) kind { return kinds[why] }
+// statuses are those of the Node's reasons that differ from their outcome's.
+var statuses = map[attempt.Reason]int{
+	attempt.ReasonUnknownService:  fasthttp.StatusNotFound,
+	attempt.ReasonBodyTooLarge:    fasthttp.StatusRequestEntityTooLarge,
+	attempt.ReasonDeadline:        fasthttp.StatusGatewayTimeout,
+	attempt.ReasonQueueFull:       fasthttp.StatusTooManyRequests,
+	attempt.ReasonTooManyRepeats:  fasthttp.StatusTooManyRequests,
+	attempt.ReasonMalformedKey:    fasthttp.StatusBadRequest,
+	attempt.ReasonPermitVersion:   fasthttp.StatusConflict,
+	attempt.ReasonPermitSigner:    fasthttp.StatusConflict,
+	attempt.ReasonPermitSignature: fasthttp.StatusConflict,
+	attempt.ReasonPermitExpired:   fasthttp.StatusConflict,
+	attempt.ReasonPermitTooLong:   fasthttp.StatusConflict,
+	attempt.ReasonHomeGone:        fasthttp.StatusConflict,
+	attempt.ReasonNotRunEarlier:   fasthttp.StatusConflict,
+	attempt.ReasonKeyReused:       fasthttp.StatusConflict,
+	attempt.ReasonReplyNotKept:    fasthttp.StatusConflict,
+}
 
-// statusOf returns the HTTP status and the remedy of an answer.
-func (k kind) withDefaults(o attempt.Outcome) kind {
+// kindOf returns the status and the remedy of an answer.
+func kindOf(why attempt.Reason, o attempt.Outcome) kind {
+	k := kinds[why]
 	unknown := o == attempt.Unknown
 	switch {
-	case k.status == 0 && unknown:
+	case k.status != 0:
+	case statuses[why] != 0:
+		k.status = statuses[why]
+	case unknown:
 		k.status = fasthttp.StatusGatewayTimeout
-	case k.status == 0:
+	default:
 		k.status = fasthttp.StatusServiceUnavailable
 	}
 	switch {
-	case k.remedy == "" && unknown:
+	case k.remedy != "":
+	case why.Remedy() != "":
+		k.remedy = why.Remedy()
+	case unknown:
 		k.remedy = "the call may have run: check, or repeat it with the same " + headers.Key
-	case k.remedy == "":
+	default:
 		k.remedy = "the call did not run: repeat it later"
 	}
 	return k
@@ -116,7 +131,7 @@
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, f *fault) {
 	s.m.outcome(attempt.NotRun).Inc(1)
 	s.m.refused(f.reason).Inc(1)
-	k := kindOf(f.reason).withDefaults(attempt.NotRun)
+	k := kindOf(f.reason, attempt.NotRun)
 	s.writeRefusal(ctx, k.status, 0, Refusal{
 		Outcome: attempt.NotRun.String(), Reason: string(f.reason), Remedy: f.remedy, Detail: f.detail,
 	})
@@ -125,7 +140,7 @@
 // refuseStep answers with an outcome that the Node decided.
 func (s *Server) refuseStep(ctx *fasthttp.RequestCtx, st *entry.Step) {
 	s.m.refused(st.Reason).Inc(1)
-	k := kindOf(st.Reason).withDefaults(st.Outcome)
+	k := kindOf(st.Reason, st.Outcome)
 	s.writeRefusal(ctx, k.status, st.RetryAfter, Refusal{
 		Outcome: st.Outcome.String(), Reason: string(st.Reason), Remedy: k.remedy,
 	})
--- a/proxy/refusal_test.go
+++ b/proxy/refusal_test.go
@@ -8,7 +8,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/attempt"
-	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/headers"
 )
 
@@ -24,7 +23,7 @@
 		reason attempt.Reason
 		status int
 	}{
-		{"service", "GET / HTTP/1.1\r\nHost: nobody:80\r\n\r\n", entry.ReasonUnknownService, 404},
+		{"service", "GET / HTTP/1.1\r\nHost: nobody:80\r\n\r\n", attempt.ReasonUnknownService, 404},
 		{"key", get("Catkin-Key: a b"), reasonBadKey, 400},
 		{"key twice", get("Catkin-Key: a", "Catkin-Key: b"), reasonBadKey, 400},
 		{"long key", get("Catkin-Key: " + strings.Repeat("k", maxKey+1)), reasonBadKey, 400},
@@ -40,8 +39,8 @@
 		{"method", request1("CONNECT /x", ""), reasonBadMethod, 405},
 		{"target", "GET http://tienda/clue HTTP/1.1\r\nHost: tienda\r\n\r\n", reasonBadTarget, 400},
 		{"header size", get("X-Long: " + strings.Repeat("x", DefaultMaxHeader)), reasonHeaderTooLarge, 431},
-		{"body size", request1("POST /buy", strings.Repeat("b", testMaxBody+1), "Content-Length: 1001"), reasonBodyTooLarge, 413},
-		{"declared body size", request1("POST /buy", "b", "Content-Length: 999999999"), reasonBodyTooLarge, 413},
+		{"body size", request1("POST /buy", strings.Repeat("b", testMaxBody+1), "Content-Length: 1001"), attempt.ReasonBodyTooLarge, 413},
+		{"declared body size", request1("POST /buy", "b", "Content-Length: 999999999"), attempt.ReasonBodyTooLarge, 413},
 		{"no request", "hello\r\n\r\n", reasonMalformed, 400},
 		{"lookup method", request1("POST "+headers.LookupPath, ""), reasonBadMethod, 405},
 		{"lookup service", request1("GET "+headers.LookupPath, ""), reasonBadLookup, 400},
@@ -66,11 +65,18 @@
 	}
 }
 
-// Every reason of the entry's edge has a status and a remedy.
+// Every reason has a status of a refusal and a remedy.
 func TestReasonsHaveRemedies(t *testing.T) {
-	for why, k := range kinds {
-		if k.status < 400 || k.remedy == "" {
+	for why := range kinds {
+		if k := kindOf(why, attempt.NotRun); k.status < 400 || k.remedy == "" {
 			t.Errorf("%s: %+v", why, k)
 		}
 	}
+	for _, r := range attempt.Reasons() {
+		for _, o := range []attempt.Outcome{attempt.NotRun, attempt.Unknown} {
+			if k := kindOf(r.Reason, o); k.status < 400 || k.remedy != r.Remedy {
+				t.Errorf("%s: %+v", r.Reason, k)
+			}
+		}
+	}
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
 )
@@ -83,7 +84,8 @@
 	g.Go(func() error {
 		<-ctx.Done()
 		s.closing.Store(true)
-		err := srv.Shutdown()
+		lns.data.Close() // also where Serve did not begin yet
+		err := ignoreClosed(srv.Shutdown())
 		ls.close()
 		lns.metrics.Close()
 		stopWork()
@@ -194,7 +196,7 @@
 	case errors.As(err, &small):
 		f = newFault(reasonHeaderTooLarge, "the headers are larger than the entry takes")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		f = newFault(reasonBodyTooLarge, "the body is larger than the entry takes")
+		f = newFault(attempt.ReasonBodyTooLarge, "the body is larger than the entry takes")
 	case errors.As(err, &ne) && ne.Timeout():
 		f = newFault(reasonSlowRequest, "the request did not arrive in time")
 	}
--- a/proxy/testsite_test.go
+++ b/proxy/testsite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"strings"
@@ -66,7 +67,7 @@
 	doc := &config.Document{
 		Site: "test", DataCentres: []config.DataCentre{{Name: "quito-centro", Region: "sierra-norte"}}, Services: []config.Service{svc},
 		MaxEntries: 2, Lookup: config.Lookup{Lifetime: config.Duration(time.Second), Addresses: 2},
-		PermitKeys: []config.PermitKey{{ID: "k1", Secret: []byte("test key")}},
+		PermitKeys: []config.PermitKey{{ID: "k1", Secret: bytes.Repeat([]byte("k"), 32)}},
 	}
 	if err := doc.Check(); err != nil {
 		site.t.Fatal(err)
@@ -144,6 +145,7 @@
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ln) }()
 	t.Cleanup(func() {
+		ln.Close() // a server that does not serve yet has nothing to shut down
 		srv.Shutdown()
 		<-done
 	})
