--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,8 @@
 	// Working is the number of requests running and queued.
 	Working int
 	Slots   int
+	// Leaving is set where the upstream says that it is draining.
+	Leaving bool
 }
 
 // Class tells short work from long work.
@@ -17,6 +19,7 @@
 const (
 	Short Class = iota
 	Long
+	classes = 2
 )
 
 // Query describes a request to pick an upstream for.
@@ -26,6 +29,16 @@
 	Exclude []string
 	// Depth is the number of calls above this one.
 	Depth int
+	// NonIdempotent calls are not sent to upstreams that are on trial.
+	NonIdempotent bool
+}
+
+// Upstream describes an upstream to a Table.
+type Upstream struct {
+	ID         string
+	DataCentre string
+	// Slots is the number of requests that it works on at once.
+	Slots int
 }
 
 // Done tells how a request to an upstream ended.
