Assemble admission, retries, hedges and keyed calls in the Node

Cause: the Node sent each call once, with no queue, retry or home. Change: package limit (learned limit, fair queue, long share), retry and hedge budgets, forwarding to the home, joins, deadlines by a timing wheel, counters for each reason, minting of permits.

--- a/attempt/reason.go
+++ b/attempt/reason.go
@@ -13,7 +13,7 @@
 	ReasonDeadline        Reason = "deadline"
 	ReasonOverload        Reason = "overload"
 	ReasonQueueFull       Reason = "queue-full"
-	ReasonStopping        Reason = "stopping"
+	ReasonCancelled       Reason = "cancelled"
 	ReasonConnect         Reason = "connect-failed"
 	ReasonShed            Reason = "upstream-shed"
 	ReasonLost            Reason = "reply-lost"
@@ -48,7 +48,7 @@
 	{ReasonDeadline, "the time left was too short: allow more time"},
 	{ReasonOverload, "the wait for a slot would pass the deadline: repeat after Retry-After"},
 	{ReasonQueueFull, "more calls of this caller wait than its share: repeat after Retry-After"},
-	{ReasonStopping, "the entry is stopping: look up addresses again"},
+	{ReasonCancelled, "the first try of this call was given up before it ran: raise Catkin-Try"},
 	{ReasonConnect, "no upstream accepted a connection: repeat later; operators check the upstreams"},
 	{ReasonShed, "the upstream refused the work: repeat after Retry-After"},
 	{ReasonLost, "the reply was lost after the request was sent: repeat it if it is idempotent; with a Catkin-Key ask the service whether it ran"},
--- a/entry/node.go
+++ b/entry/node.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/balance"
 	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/limit"
 	"github.com/catkinrouter/catkinrouter/link"
 )
 
@@ -16,128 +19,190 @@
 	DataCentre  string
 	Incarnation uint64
 	Seed        uint64
+	// Record bounds the record of keyed calls; the zero value takes
+	// attempt.DefaultRecordLimits.
+	Record attempt.RecordLimits
 }
 
 // Node is the state of one entry.
 type Node struct {
 	opt      Options
+	now      time.Duration
 	revision uint64
-	pools    map[string]*Pool
-	rules    map[string]config.Rules
-	attempts map[uint64]sent
+	doc      *config.Document
+	signer   *attempt.Signer
+	record   *attempt.Record
+	rng      *rand.Rand
+	services map[string]*service
+	// ordered holds the services in the document's order.
+	ordered []*service
+	members []string
+	heard   time.Duration
+
+	calls    map[uint64]*call
+	attempts map[uint64]*call
 	last     uint64
+	free     []*call
+	timers   wheel
+	due      []uint64
+	counts   counts
 }
 
-type sent struct {
-	call     Call
-	upstream string
-	at       time.Duration
+// service is the state of one service at this entry.
+type service struct {
+	name    string
+	rules   config.Rules
+	pool    *Pool
+	limiter *limit.Limiter
+	routes  limit.Routes
+	retries attempt.Budget
+	hedges  attempt.Budget
+	// tail follows the latency after which a call is hedged.
+	tail attempt.Quantile
+	// freed is set where a call may leave the queue.
+	freed bool
 }
 
 // New returns a Node without a configuration.
 func New(opt Options) *Node {
-	return &Node{opt: opt, pools: map[string]*Pool{}, rules: map[string]config.Rules{}, attempts: map[uint64]sent{}}
+	if opt.Record == (attempt.RecordLimits{}) {
+		opt.Record = attempt.DefaultRecordLimits
+	}
+	return &Node{
+		opt:      opt,
+		signer:   attempt.NewSigner(nil),
+		record:   attempt.NewRecord(opt.Record),
+		rng:      rand.New(rand.NewPCG(opt.Seed, opt.Incarnation)),
+		services: map[string]*service{},
+		calls:    map[uint64]*call{},
+		attempts: map[uint64]*call{},
+		counts:   newCounts(),
+	}
+}
+
+// advance keeps time from running backwards: a goroutine can read the clock,
+// wait for the Node, and come after one that read it later.
+func (n *Node) advance(now time.Duration) time.Duration {
+	n.now = max(n.now, now)
+	return n.now
 }
 
 // Configure puts a document in force. Lower and equal revisions are ignored.
+// Calls in progress end under the rules they began with.
 func (n *Node) Configure(now time.Duration, revision uint64, doc *config.Document) {
+	now = n.advance(now)
 	if revision <= n.revision {
 		return
 	}
-	n.revision = revision
-	site := Site{DataCentre: n.opt.DataCentre, Entries: doc.MaxEntries, EntryID: n.opt.ID}
+	n.revision, n.doc = revision, doc
+	n.signer = attempt.NewSigner(doc.PermitKeys)
+	before := n.services
+	n.services = make(map[string]*service, len(doc.Services))
+	n.ordered = n.ordered[:0]
 	for i, svc := range doc.Services {
-		n.rules[svc.Name] = svc.Rules.WithDefaults()
-		if p := n.pools[svc.Name]; p != nil {
-			p.Update(now, svc, site)
-			continue
+		s := before[svc.Name]
+		if s == nil {
+			s = n.newService(svc, uint64(i))
 		}
-		n.pools[svc.Name] = NewPool(svc, site, n.opt.Seed+uint64(i))
+		n.configure(now, s, svc)
+		n.services[svc.Name] = s
+		n.ordered = append(n.ordered, s)
 	}
 }
 
-// Members takes the live entries and the upstreams that others saw leaving.
-func (n *Node) Members(now time.Duration, members []link.Member, leaving []string) {}
-
-// Start begins a call. Steps are appended to out; the first may concern
-// other calls.
-func (n *Node) Start(now time.Duration, c Call, out []Step) []Step {
-	p := n.pools[c.Service]
-	switch {
-	case n.revision == 0:
-		return append(out, refuse(c.ID, attempt.ReasonNoConfiguration))
-	case p == nil:
-		return append(out, refuse(c.ID, attempt.ReasonUnknownService))
+func (n *Node) newService(svc config.Service, i uint64) *service {
+	rules := svc.Rules.WithDefaults()
+	return &service{
+		name:    svc.Name,
+		pool:    NewPool(svc, n.site(), n.opt.Seed+i),
+		limiter: limit.New(n.limits(svc, rules)),
+		retries: attempt.NewBudget(rules.RetryBudget),
+		hedges:  attempt.NewBudget(rules.HedgeBudget),
 	}
-	id, addr, ok := p.Pick(now, balance.Query{})
-	if !ok {
-		return append(out, refuse(c.ID, attempt.ReasonNoUpstream))
+}
+
+func (n *Node) configure(now time.Duration, s *service, svc config.Service) {
+	s.rules = svc.Rules.WithDefaults()
+	s.pool.Update(now, svc, n.site())
+	s.limiter.Update(n.limits(svc, s.rules))
+	s.retries.SetShare(s.rules.RetryBudget)
+	s.hedges.SetShare(s.rules.HedgeBudget)
+	s.freed = true
+}
+
+func (n *Node) site() Site {
+	return Site{DataCentre: n.opt.DataCentre, Entries: n.doc.MaxEntries, EntryID: n.opt.ID, EntryIDs: n.members}
+}
+
+// limits divides the service's slots among the entries known to be live.
+func (n *Node) limits(svc config.Service, rules config.Rules) limit.Options {
+	slots := 0
+	for _, u := range svc.Upstreams {
+		if !u.Leaving {
+			slots += u.Slots
+		}
 	}
-	n.last++
-	n.attempts[n.last] = sent{call: c, upstream: id, at: now}
-	p.Sent(now, id, balance.Short)
-	rules := n.rules[c.Service]
-	timeout := rules.Timeout.D()
-	if c.Timeout > 0 {
-		timeout = c.Timeout
+	entries := len(n.members)
+	if entries == 0 {
+		entries = max(n.doc.MaxEntries, 1)
+	}
+	return limit.Options{
+		Slots: (slots + entries - 1) / entries, MaxSlots: slots,
+		Queue: rules.Queue, LongShare: rules.LongShare,
 	}
-	idempotent := rules.Route(c.Path).IsIdempotent(c.Method)
-	return append(out, Step{
-		Kind: StepSend, Call: c.ID, Attempt: n.last, Service: c.Service, Upstream: id, Address: addr,
-		Fresh: !idempotent, Timeout: timeout,
-	})
 }
 
-// Finished takes the end of an attempt.
-func (n *Node) Finished(now time.Duration, id uint64, r Result, out []Step) []Step {
-	a, ok := n.attempts[id]
-	if !ok {
-		return out
+// Members takes the live entries and the upstreams that others saw leaving.
+func (n *Node) Members(now time.Duration, members []link.Member, leaving []string) {
+	now = n.advance(now)
+	n.heard = now
+	ids := make([]string, 0, len(members))
+	for _, m := range members {
+		ids = append(ids, m.ID)
 	}
-	delete(n.attempts, id)
-	n.pools[a.call.Service].Finished(now, a.upstream, balance.Done{
-		Latency: now - a.at, Failed: r.Err != nil || r.Status >= 500, Shed: r.Shed, Leaving: r.Leaving, Load: r.Load,
-	})
-	s := Step{Kind: StepAnswer, Call: a.call.ID, Attempt: id, Outcome: attempt.Answered}
-	switch {
-	case r.Shed:
-		s.Outcome, s.Reason = attempt.NotRun, attempt.ReasonShed
-	case r.Err != nil && !r.Wrote:
-		s.Outcome, s.Reason = attempt.NotRun, attempt.ReasonConnect
-	case r.Err != nil:
-		s.Outcome, s.Reason = attempt.Unknown, attempt.ReasonLost
+	slices.Sort(ids)
+	if n.doc != nil && !slices.Equal(ids, n.members) {
+		n.members = ids
+		for i, s := range n.ordered {
+			n.configure(now, s, n.doc.Services[i])
+		}
+	}
+	n.members = ids
+	for _, s := range n.ordered {
+		for _, id := range leaving {
+			s.pool.Leaving(now, id)
+		}
 	}
-	return append(out, s)
 }
 
-// Cancel takes the caller's leaving before its answer.
-func (n *Node) Cancel(now time.Duration, call uint64, out []Step) []Step { return out }
+// TickInterval is the longest time between two calls of Tick.
+const TickInterval = 5 * time.Millisecond
+
+// expireBatch bounds the keys that a Tick drops from the record.
+const expireBatch = 64
 
 // Tick does what is due: it must be called every TickInterval or sooner.
 func (n *Node) Tick(now time.Duration, out []Step) []Step {
-	for _, p := range n.pools {
-		for _, o := range p.Probes(now) {
-			out = append(out, Step{Kind: StepProbe, Service: p.service, Upstream: o.Upstream, Address: o.Address})
+	now = n.advance(now)
+	n.record.Expire(now, expireBatch)
+	n.due = n.timers.advance(now, n.due[:0])
+	for _, id := range n.due {
+		if c := n.calls[id]; c != nil {
+			out = n.attend(now, c, out)
+		}
+	}
+	for _, s := range n.ordered {
+		for _, o := range s.pool.Probes(now) {
+			out = append(out, Step{Kind: StepProbe, Service: s.name, Upstream: o.Upstream, Address: o.Address})
 		}
+		s.freed = true
 	}
-	return out
+	return n.release(now, out)
 }
 
-// TickInterval is the longest time between two calls of Tick.
-const TickInterval = 5 * time.Millisecond
-
 // Probed takes the answer to a probe; load is nil where it failed.
 func (n *Node) Probed(now time.Duration, service, upstream string, load *balance.Load, latency time.Duration) {
-	if p := n.pools[service]; p != nil {
-		p.Probed(now, upstream, load, latency)
+	if s := n.services[service]; s != nil {
+		s.pool.Probed(n.advance(now), upstream, load, latency)
 	}
 }
-
-// Status reports the Node's state to its agent.
-func (n *Node) Status(now time.Duration) link.Status {
-	return link.Status{Incarnation: n.opt.Incarnation, Uptime: now, Revision: n.revision, Spare: 1, InFlight: len(n.attempts)}
-}
-
-func refuse(call uint64, why attempt.Reason) Step {
-	return Step{Kind: StepAnswer, Call: call, Outcome: attempt.NotRun, Reason: why}
-}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/attempt"
+	"github.com/catkinrouter/catkinrouter/link"
+)
+
+// counts holds a counter for each refusal and retry reason.
+type counts struct {
+	refused map[attempt.Reason]int64
+	retries map[attempt.Retry]int64
+}
+
+func newCounts() counts {
+	return counts{refused: map[attempt.Reason]int64{}, retries: map[attempt.Retry]int64{}}
+}
+
+func (c *counts) answer(o attempt.Outcome, why attempt.Reason) {
+	if o != attempt.Answered {
+		c.refused[why]++
+	}
+}
+
+func (c *counts) retry(why attempt.Retry) { c.retries[why]++ }
+
+// list returns every counter that is not zero, in a fixed order.
+func (c *counts) list() []link.Counter {
+	var out []link.Counter
+	for _, r := range attempt.Reasons() {
+		if v := c.refused[r.Reason]; v > 0 {
+			out = append(out, link.Counter{Name: "refused." + string(r.Reason), Count: v})
+		}
+	}
+	for _, r := range attempt.Retries() {
+		if v := c.retries[r.Retry]; v > 0 {
+			out = append(out, link.Counter{Name: string(r.Retry), Count: v})
+		}
+	}
+	return out
+}
+
+// Status reports the Node's state to its agent.
+func (n *Node) Status(now time.Duration) link.Status {
+	return link.Status{
+		Incarnation: n.opt.Incarnation, Uptime: n.advance(now), Revision: n.revision,
+		Spare: n.spare(), InFlight: len(n.calls), Counters: n.counts.list(),
+	}
+}
+
+// spare is the share of the services' limits that is free.
+func (n *Node) spare() float64 {
+	limits, taken := 0, 0
+	for _, s := range n.ordered {
+		limits += s.limiter.Limit()
+		taken += s.limiter.Running() + s.limiter.Waiting()
+	}
+	if limits == 0 {
+		return 0
+	}
+	return max(0, 1-float64(taken)/float64(limits))
+}
