Exchange heartbeats and configuration between agents

Cause: an agent knew only its own entry, and each read the store. Seen: go test -race ./agent: lookups of 3 entries hand out all 3, and a killed one no more.

--- /dev/null
+++ b/agent/entrysync.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/link"
+	"github.com/catkinrouter/catkinrouter/membership"
+)
+
+// entrySync is what an agent knows of its entry.
+type entrySync struct {
+	status link.Status
+	// at is when status was got.
+	at      time.Duration
+	next    time.Duration
+	busy    bool
+	leaving leavingUpstreams
+}
+
+func newEntrySync() entrySync {
+	return entrySync{at: never, leaving: leavingUpstreams{}}
+}
+
+func (e *entrySync) due(now time.Duration) bool {
+	if e.busy || now < e.next {
+		return false
+	}
+	e.busy, e.next = true, now+syncInterval
+	return true
+}
+
+func (e *entrySync) urgent() { e.next = 0 }
+
+func (e *entrySync) alive(now time.Duration) bool { return now-e.at < entryLimit }
+
+func (e *entrySync) done(now time.Duration, st *link.Status) {
+	e.busy = false
+	if st == nil {
+		return
+	}
+	e.status, e.at = *st, now
+	for _, id := range st.LeavingUpstreams {
+		e.leaving.saw(now, id)
+	}
+}
+
+// leavingUpstreams are upstreams that some entry saw leaving, by ID.
+type leavingUpstreams map[string]*leavingWord
+
+type leavingWord struct {
+	until time.Duration
+	sends int
+}
+
+const (
+	// leavingTTL is how long the word of an entry holds.
+	leavingTTL = 10 * time.Second
+	// leavingRefresh is the least gain in time that is passed on again.
+	leavingRefresh = 3 * time.Second
+	maxLeaving     = 128
+	leavingSends   = 6
+)
+
+// saw takes the own entry's word.
+func (l leavingUpstreams) saw(now time.Duration, id string) { l.set(now, id, now+leavingTTL) }
+
+// heard takes a peer's words.
+func (l leavingUpstreams) heard(now time.Duration, words []membership.LeavingUpstream) {
+	for _, w := range words {
+		l.set(now, w.ID, now+min(time.Duration(w.TTL)*time.Millisecond, leavingTTL))
+	}
+}
+
+func (l leavingUpstreams) set(now time.Duration, id string, until time.Duration) {
+	w := l[id]
+	switch {
+	case w == nil && len(l) < maxLeaving:
+		l[id] = &leavingWord{until: until}
+	case w != nil && until-w.until >= leavingRefresh:
+		w.until, w.sends = until, 0
+	}
+}
+
+// ids returns the upstreams whose word holds, and forgets the others.
+func (l leavingUpstreams) ids(now time.Duration) []string {
+	var out []string
+	for id, w := range l {
+		if now >= w.until {
+			delete(l, id)
+			continue
+		}
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// message returns the words passed on the fewest times.
+func (l leavingUpstreams) message(now time.Duration) []membership.LeavingUpstream {
+	var due []string
+	for id, w := range l {
+		if w.sends < leavingSends && now < w.until {
+			due = append(due, id)
+		}
+	}
+	slices.SortFunc(due, func(a, b string) int { return cmp.Or(cmp.Compare(l[a].sends, l[b].sends), cmp.Compare(a, b)) })
+	var out []membership.LeavingUpstream
+	for _, id := range due[:min(len(due), membership.MaxLeaving)] {
+		l[id].sends++
+		out = append(out, membership.LeavingUpstream{ID: id, TTL: uint32((l[id].until - now).Milliseconds())})
+	}
+	return out
+}
--- /dev/null
+++ b/agent/site_test.go
@@ -0,0 +1,54 @@
+package agent_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/headers"
+	"github.com/catkinrouter/catkinrouter/internal/fixedseed"
+	"github.com/catkinrouter/catkinrouter/internal/proctest"
+	"github.com/catkinrouter/catkinrouter/proxy"
+	"github.com/catkinrouter/catkinrouter/standin"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+func services() []standin.ServiceSettings {
+	return []standin.ServiceSettings{
+		{Name: "pistas", Count: 3, Slots: 6, Queue: 10, Connections: 250, Work: config.Duration(time.Millisecond)},
+	}
+}
+
+// lookup asks the entry at addr for addresses.
+func lookup(addr string) (proxy.LookupAnswer, error) {
+	var a proxy.LookupAnswer
+	code, b, err := fasthttp.GetTimeout(nil, "http://"+addr+headers.LookupPath+"?service=pistas", time.Second)
+	if err != nil || code != fasthttp.StatusOK {
+		return a, err
+	}
+	return a, json.Unmarshal(b, &a)
+}
+
+// Every entry's lookups hand out all live entries; a killed one is out.
+func TestLookupHandsOutLiveEntries(t *testing.T) {
+	const n = 3
+	s := proctest.New(t, proctest.Options{Entries: n, Lifetime: time.Second, Services: services()})
+	s.StartAll()
+	handsOut := func(i, want int) func() bool {
+		return func() bool {
+			a, err := lookup(s.EntryAddress(i))
+			return err == nil && len(a.Addresses) == want
+		}
+	}
+	for i := range n {
+		s.Eventually(15*time.Second, "all entries handed out", handsOut(i, n))
+	}
+	s.Entry(2).Kill()
+	for i := range n - 1 {
+		s.Eventually(15*time.Second, "killed entry handed out no more", handsOut(i, n-1))
+	}
+}
