Keep the spread configuration in config.Keeper

Cause: the check of a fetched head stood in the agent, apart from the Keeper's. Change: spread holds a Keeper; heads seen by operators' calls go to the Node at once through an observed store. Seen: go test -race ./agent ./internal/proctest and make demo pass.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -44,7 +44,7 @@
 	log     log.Logger
 	metrics gometrics.Registry
 	store   *platform.Client
-	commit  *config.Committer
+	reader  *config.Committer
 	started time.Time
 	node    *Node // owned by the loop
 	events  chan event
@@ -65,7 +65,7 @@
 	r := gometrics.NewRegistry()
 	now := time.Now()
 	return &Daemon{
-		set: set, log: l, metrics: r, store: c, commit: config.NewCommitter(c), started: now,
+		set: set, log: l, metrics: r, store: c, reader: config.NewCommitter(c), started: now,
 		node: NewNode(Options{
 			ID: set.ID, DataCentre: set.DataCentre, Region: set.Region, PeerAddress: set.PeerAddress,
 			EntryAddress: set.EntryAddress, Incarnation: uint64(now.UnixMilli()), Seed: uint64(now.UnixNano()),
@@ -92,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	srv := &fasthttp.Server{Handler: operator.Handler(d.commit), NoDefaultDate: true, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	srv := &fasthttp.Server{Handler: operator.Handler(config.NewCommitter(&observedStore{Store: d.store, d: d})), NoDefaultDate: true, NoDefaultServerHeader: true, CloseOnShutdown: true}
 	level.Info(d.log).Log("msg", "serving operators", "address", d.set.OperatorAddress)
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -242,7 +242,7 @@
 	bounded, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	d.count("store.reads")
-	h, key, err := d.commit.Head(bounded)
+	h, key, err := d.reader.Head(bounded)
 	if err != nil {
 		d.count("store.failed.read")
 	}
--- a/agent/node.go
+++ b/agent/node.go
@@ -74,7 +74,7 @@
 }
 
 // Head returns the newest configuration that the Node accepted.
-func (n *Node) Head() config.Head { return n.spread.head }
+func (n *Node) Head() config.Head { return n.spread.keeper.Head() }
 
 // Table returns the Node's view of the instances.
 func (n *Node) Table() *membership.Table { return n.table }
@@ -103,7 +103,8 @@
 
 func (n *Node) message(now time.Duration, request bool, want []membership.Key) membership.Message {
 	m := n.table.Message(now, request, want)
-	m.Revision, m.Digest = n.spread.head.Revision, shortDigest(n.spread.head.Digest)
+	held := n.spread.keeper.Version()
+	m.Revision, m.Digest = held.Revision, shortDigest(held.Digest)
 	m.ReadAge = n.duty.age(now)
 	m.Leaving = n.sync.leaving.message(now)
 	return m
@@ -251,12 +252,13 @@
 
 // linkState returns the message to the entry.
 func (n *Node) linkState(now time.Duration) link.State {
+	head := n.Head()
 	st := link.State{
-		Revision: n.spread.head.Revision, Digest: n.spread.head.Digest,
+		Revision: head.Revision, Digest: head.Digest,
 		Members: n.linkMembers(now), LeavingUpstreams: n.sync.leaving.ids(now),
 	}
-	if n.sync.status.Revision != n.spread.head.Revision || !n.sync.alive(now) {
-		st.Document = n.spread.head.Document
+	if n.sync.status.Revision != head.Revision || !n.sync.alive(now) {
+		st.Document = head.Document
 	}
 	return st
 }
--- a/agent/spread.go
+++ b/agent/spread.go
@@ -6,13 +6,16 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
+	"errors"
 	"io"
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
 )
 
+// errNoConfiguration is answered to a PartRequest by an agent without one.
+var errNoConfiguration = errors.New("agent: no configuration held: ask another instance")
+
 // PartRequest asks a peer for a part of the configuration that it holds.
 type PartRequest struct {
 	// Revision is the one whose parts are being gathered.
@@ -41,8 +44,8 @@
 // spread holds the newest accepted configuration and fetches newer ones from
 // peers, one at a time.
 type spread struct {
-	head   config.Head
-	packed []byte // head, compressed; nil until asked for
+	keeper config.Keeper
+	packed []byte // the head held, compressed; nil until asked for
 	// from is the peer of the fetch in progress; empty for none.
 	from     string
 	began    time.Duration
@@ -51,43 +54,35 @@
 	counts   SpreadCounts
 }
 
-// SpreadCounts tells what became of configurations offered to an agent.
+// SpreadCounts tells what became of an agent's fetches.
 type SpreadCounts struct {
-	// Accepted counts higher revisions taken, Lower those refused.
-	Accepted, Lower int64
-	// Conflicting counts the revision in force offered with another digest.
-	Conflicting int64
-	// Corrupt counts bodies whose digest or form was wrong.
+	// Fetches counts parts asked for, Failed those that failed.
+	Fetches, Failed int64
+	// Corrupt counts bodies that could not be unpacked.
 	Corrupt int64
-	// Fetches counts parts asked for, FetchFailed those that failed.
-	Fetches, FetchFailed int64
+	// Conflicting counts peers that hold the revision with another digest.
+	Conflicting int64
 }
 
 // accept takes a head that is higher than the one held.
 func (s *spread) accept(h config.Head) bool {
-	switch {
-	case h.Revision < s.head.Revision:
-		s.counts.Lower++
-		return false
-	case h.Revision == s.head.Revision:
-		if h.Digest != s.head.Digest {
-			s.counts.Conflicting++
-		}
+	taken, err := s.keeper.Offer(h)
+	if err != nil || !taken {
 		return false
 	}
-	s.counts.Accepted++
-	s.head, s.packed = h, nil
+	s.packed = nil
 	return true
 }
 
 // offer takes the word of the peer at address that it holds a revision, and
 // begins a fetch where that is higher.
 func (s *spread) offer(now time.Duration, address string, revision, digest uint64) []Action {
+	held := s.keeper.Version()
 	switch {
-	case revision == s.head.Revision && digest != shortDigest(s.head.Digest):
+	case revision == held.Revision && digest != shortDigest(held.Digest):
 		s.counts.Conflicting++
 		return nil
-	case revision <= s.head.Revision || address == "":
+	case revision <= held.Revision || address == "":
 		return nil
 	case s.from != "" && now-s.began < fetchTimeout:
 		return nil
@@ -107,7 +102,7 @@
 		return h, false, nil
 	}
 	if err != nil || p.Revision < s.revision || len(p.Data) == 0 || p.Total > maxBody {
-		s.counts.FetchFailed++
+		s.counts.Failed++
 		s.from, s.parts = "", nil
 		return h, false, nil
 	}
@@ -130,21 +125,22 @@
 
 // part answers a peer's PartRequest.
 func (s *spread) part(r PartRequest) (Part, error) {
-	if s.head.Revision == 0 {
-		return Part{}, fmt.Errorf("no configuration held: ask another instance")
+	held := s.keeper.Version().Revision
+	if held == 0 {
+		return Part{}, errNoConfiguration
 	}
 	if s.packed == nil {
-		b, err := pack(s.head)
+		b, err := pack(s.keeper.Head())
 		if err != nil {
 			return Part{}, err
 		}
 		s.packed = b
 	}
-	if r.Revision != s.head.Revision || r.Offset < 0 || r.Offset > len(s.packed) {
+	if r.Revision != held || r.Offset < 0 || r.Offset > len(s.packed) {
 		r.Offset = 0
 	}
 	end := min(len(s.packed), r.Offset+maxPart)
-	return Part{Revision: s.head.Revision, Total: len(s.packed), Data: s.packed[r.Offset:end]}, nil
+	return Part{Revision: held, Total: len(s.packed), Data: s.packed[r.Offset:end]}, nil
 }
 
 func pack(h config.Head) ([]byte, error) {
@@ -166,21 +162,13 @@
 	return out.Bytes(), nil
 }
 
-// unpack checks the digest and the form of the document too.
 func unpack(b []byte) (config.Head, error) {
 	var h config.Head
 	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxBody))
 	if err != nil {
 		return h, err
 	}
-	if err := json.Unmarshal(raw, &h); err != nil {
-		return h, err
-	}
-	if config.Digest(h.Document) != h.Digest {
-		return h, fmt.Errorf("digest of revision %d does not fit its document", h.Revision)
-	}
-	var doc config.Document
-	return h, json.Unmarshal(h.Document, &doc)
+	return h, json.Unmarshal(raw, &h)
 }
 
 // shortDigest returns the first bytes of a digest in hexadecimal.
