--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 SITE ?= ecuador
 
-.PHONY: bench-policies all build format lint test bench demo up capacity
+.PHONY: bench-added bench-policies all build format lint test bench demo up capacity
 
 all: build
 
@@ -32,5 +32,9 @@
 bench-policies: build
 	sh scripts/bench.sh bench scenarios/policy-*.json
 
+# The latency that one entry on two cores adds to direct calls.
+bench-added: build
+	ENTRY_CPUS=2 sh scripts/bench.sh added scenarios/added-latency.json
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/load/compare.go
+++ b/load/compare.go
@@ -26,6 +26,9 @@
 	P99      int64   `json:"p99_us"`
 	P999     int64   `json:"p999_us"`
 	Noise99  int64   `json:"noise_p99_us"`
+	// Added50 and Added99 are the differences to the base's medians.
+	Added50  int64   `json:"added_p50_us"`
+	Added99  int64   `json:"added_p99_us"`
 	Ratio    float64 `json:"ratio"`
 	RatioMin float64 `json:"ratio_min"`
 	RatioMax float64 `json:"ratio_max"`
@@ -87,8 +90,10 @@
 	var p50, p99, p999, noise []int64
 	var ratios []float64
 	var calls, answered, tries int
+	var base50, base99 []int64
 	for t, res := range runs {
 		row := res.Rows[i]
+		base50, base99 = append(base50, base[t].Rows[i].P50), append(base99, base[t].Rows[i].P99)
 		p50, p99, p999 = append(p50, row.P50), append(p99, row.P99), append(p999, row.P999)
 		noise = append(noise, row.Noise99)
 		calls += row.Calls
@@ -99,6 +104,7 @@
 		}
 	}
 	c.P50, c.P99, c.P999, c.Noise99 = median(p50), median(p99), median(p999), median(noise)
+	c.Added50, c.Added99 = c.P50-median(base50), c.P99-median(base99)
 	c.Answered = float64(answered) / float64(max(1, calls))
 	c.Tries = float64(tries) / float64(max(1, calls))
 	if len(ratios) > 0 {
@@ -115,10 +121,10 @@
 // Table writes the comparison as text.
 func (c *Comparison) Table(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "calls of\tvariant\tanswered\tp50 ms\tp99 ms\tp99.9 ms\tp99 to %s\tspread\tstart noise p99 ms\t\n", c.Base)
+	fmt.Fprintf(t, "calls of\tvariant\tanswered\tp50 ms\tp99 ms\tp99.9 ms\tp99 to %s\tspread\tadded p50\tadded p99\tstart noise p99 ms\t\n", c.Base)
 	for _, x := range c.Cells {
-		fmt.Fprintf(t, "%s\t%s\t%.2f%%\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f-%.2f\t%.2f\t\n", x.Mix, x.Variant, 100*x.Answered,
-			ms(x.P50), ms(x.P99), ms(x.P999), x.Ratio, x.RatioMin, x.RatioMax, ms(x.Noise99))
+		fmt.Fprintf(t, "%s\t%s\t%.2f%%\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f-%.2f\t%+.2f\t%+.2f\t%.2f\t\n", x.Mix, x.Variant, 100*x.Answered,
+			ms(x.P50), ms(x.P99), ms(x.P999), x.Ratio, x.RatioMin, x.RatioMax, ms(x.Added50), ms(x.Added99), ms(x.Noise99))
 	}
 	t.Flush()
 }
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -20,9 +20,14 @@
 	sed -n "s/.*\"$1\": \"\([^\"]*\)\".*/\1/p" "$2" | head -n 1
 }
 
-# site_start_one BINARY FILE starts one process.
+# site_start_one BINARY FILE starts one process. Entries run on $ENTRY_CPUS
+# processors where that is set.
 site_start_one() {
-	"bin/$1" -settings "$dir/$2.json" 2>"$run/$2.log" &
+	cpus=${GOMAXPROCS:-}
+	if [ "$1" = catkin-entry ]; then
+		cpus=${ENTRY_CPUS:-$cpus}
+	fi
+	GOMAXPROCS=$cpus "bin/$1" -settings "$dir/$2.json" 2>"$run/$2.log" &
 	pids="$! $pids"
 }
 
