Stream large bodies and refuse replies whose end is in doubt

Requests above 64 KiB, and replies above it, are streamed; a reply that is cut closes the caller's connection short of its length or last chunk.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -61,8 +61,10 @@
 	// resp holds the reply of an attempt that is not the newest of the
 	// call's own goroutine.
 	resp *fasthttp.Response
-	// whole is set where the reply is whole.
+	// whole is set where the reply is whole, or streamed to the caller.
 	whole bool
+	// streamed replies are read while they are sent to the caller.
+	streamed bool
 
 	mu        sync.Mutex // guards conn and cancelled
 	conn      *conn
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -77,7 +77,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, old := range c.tries {
-		if old != t && !old.side && old.whole && old.resp == nil {
+		if old != t && !old.side && old.whole && !old.streamed && old.resp == nil {
 			return old
 		}
 	}
@@ -225,3 +225,24 @@
 	d.node.Members(now, in.Members, in.LeavingUpstreams)
 	return d.node.Status(now)
 }
+
+// status returns the Node's state.
+func (d *dispatcher) status() link.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Status(d.now())
+}
+
+// permits returns the members that may be handed out, each with a permit.
+func (d *dispatcher) permits(members []link.Member) []LookupAddress {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	var out []LookupAddress
+	for _, m := range members {
+		if !m.Leaving {
+			out = append(out, LookupAddress{Address: m.Address, Weight: 1, Permit: d.node.Permit(now, m)})
+		}
+	}
+	return out
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -55,10 +55,11 @@
 		r.Err = errCancelled
 		return r
 	}
+	var rest *replyStream
 	r.Wrote, r.Err = cn.send(c, t, began)
 	if r.Err == nil {
 		sent := time.Now()
-		r.Err = cn.receive(resp, c.req.headOnly)
+		rest, r.Err = cn.receive(resp, c.req.headOnly, !t.side && !t.step.Record)
 		if !t.side {
 			c.upstream += time.Since(sent)
 		}
@@ -66,15 +67,18 @@
 	t.drop()
 	if r.Err != nil {
 		s.pool.discard(cn)
+		if r.Wrote {
+			s.m.cutReplies.Inc(1)
+		}
 		return r
 	}
-	if resp.ConnectionClose() {
-		s.pool.discard(cn)
-	} else {
-		s.pool.put(cn)
-	}
 	t.whole = true
 	readResult(&r, resp)
+	if rest != nil {
+		s.stream(rest, cn, t, resp)
+		return r
+	}
+	s.pool.done(cn, resp)
 	if t.step.Record && len(resp.Body()) <= attempt.MaxReply {
 		r.Reply = recorded(resp)
 	}
@@ -97,7 +101,7 @@
 	c.used = true
 	c.out = append(c.out[:0], req.head...)
 	c.out = req.appendTail(c.out, &cl.ec, &t.step, left)
-	if len(req.body) > 0 && len(req.body) <= maxInlineBody {
+	if req.rest == nil && len(req.body) > 0 && len(req.body) <= maxInlineBody {
 		c.out = append(c.out, req.body...)
 		_, err = c.Write(c.out)
 		return true, err
@@ -106,13 +110,11 @@
 		_, err = c.Write(c.out)
 		return true, err
 	}
-	bufs := net.Buffers{c.out, req.body}
-	if _, err = bufs.WriteTo(c.Conn); err != nil {
-		return true, err
-	}
 	if req.rest != nil {
-		err = c.sendRest(req)
+		return true, c.sendStream(req)
 	}
+	bufs := net.Buffers{c.out, req.body}
+	_, err = bufs.WriteTo(c.Conn)
 	return true, err
 }
 
@@ -120,29 +122,33 @@
 // written with them.
 const maxInlineBody = 16 << 10 // bytes
 
-func (c *conn) sendRest(req *request) error { return errors.ErrUnsupported }
-
-// receive reads a whole reply.
-func (c *conn) receive(resp *fasthttp.Response, headOnly bool) error {
+// receive reads a reply: the whole of it, or where it may be streamed and is
+// large, its header and the first part. The rest comes from the stream.
+func (c *conn) receive(resp *fasthttp.Response, headOnly, mayStream bool) (*replyStream, error) {
 	resp.ResetBody()
 	resp.SkipBody = headOnly
 	if err := readHeader(c, resp); err != nil {
-		return err
+		return nil, err
 	}
 	if hasNoBody(resp, headOnly) {
-		return nil
+		return nil, nil
 	}
 	length := resp.Header.ContentLength()
-	if length == identityLength {
-		return errUnframed
+	switch {
+	case length == identityLength:
+		return nil, errUnframed
+	case mayStream && length > streamAbove:
+		return newReplyStream(c, resp, length), nil
+	case mayStream && length == chunkedLength:
+		return c.receiveChunks(resp)
 	}
 	if err := resp.ReadBody(c.r, maxReply); err != nil {
-		return err
+		return nil, err
 	}
 	if length == chunkedLength {
-		return unexpected(resp.Header.ReadTrailer(c.r))
+		return nil, unexpected(resp.Header.ReadTrailer(c.r))
 	}
-	return nil
+	return nil, nil
 }
 
 // readHeader reads the header of the final reply.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/catkinrouter/catkinrouter/attempt"
+	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/headers"
 )
 
@@ -58,7 +57,7 @@
 		switch {
 		case a.try != nil:
 			s.setAside(ctx, c, a.try)
-			r := s.exchange(c, a.try, &ctx.Response)
+			r := s.attempt(ctx, c, a.try)
 			a = s.d.finished(c, a.try, r)
 		case a.answer:
 			return true
@@ -72,12 +71,11 @@
 }
 
 // setAside keeps the whole reply of an earlier attempt, since the answer may
-// name it, and counts the reason for a further one.
+// name it.
 func (s *Server) setAside(ctx *fasthttp.RequestCtx, c *call, t *try) {
 	if t == &c.first[0] {
 		return
 	}
-	s.m.retried(t.step.Reason).Inc(1)
 	if old := s.d.earlier(c, t); old != nil {
 		old.resp = fasthttp.AcquireResponse()
 		ctx.Response.CopyTo(old.resp)
@@ -86,7 +84,6 @@
 
 // runSide carries out an attempt beside another of the same call.
 func (s *Server) runSide(c *call, t *try) {
-	s.m.retried(t.step.Reason).Inc(1)
 	t.resp = fasthttp.AcquireResponse()
 	t.resp.Header.SetNoDefaultContentType(true)
 	go func() {
@@ -97,37 +94,12 @@
 	}()
 }
 
-// readBody takes the body of a request that is small enough to be sent more
-// than once.
-func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *call) *fault {
-	ec := &c.ec
-	h := &ctx.Request.Header
-	length := h.ContentLength()
-	limit := s.maxBody(ec.Service)
-	if length > limit {
-		return newFault(attempt.ReasonBodyTooLarge, "the body is larger than the service takes")
-	}
-	body := ctx.Request.Body()
-	if len(body) > limit {
-		return newFault(attempt.ReasonBodyTooLarge, "the body is larger than the service takes")
-	}
-	c.req.body = append(c.req.body, body...)
-	ec.BodyBytes = len(body)
-	if ec.Key != "" {
-		ec.Digest = digest(h.RequestURI(), body)
-	}
-	if len(body) > 0 || ec.Method == fasthttp.MethodPost || ec.Method == fasthttp.MethodPut {
-		c.req.addInt(fasthttp.HeaderContentLength, len(body))
+// attempt carries out an attempt of the call's own goroutine.
+func (s *Server) attempt(ctx *fasthttp.RequestCtx, c *call, t *try) entry.Result {
+	if c.ec.Streamed {
+		if err := bodyDeadline(ctx, &t.step); err != nil {
+			return entry.Result{Err: err}
+		}
 	}
-	return nil
-}
-
-// digest tells requests under one key apart.
-func digest(uri, body []byte) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	d.Write(uri)
-	d.Write([]byte{0})
-	d.Write(body)
-	return d.Sum64()
+	return s.exchange(c, t, &ctx.Response)
 }
--- a/proxy/lookup.go
+++ b/proxy/lookup.go
@@ -38,11 +38,9 @@
 		s.refuse(ctx, newFault(reasonBadLookup, "the query names no configured service"))
 		return
 	}
-	a := LookupAnswer{Service: service, LifeMs: st.doc.Lookup.Lifetime.D().Milliseconds()}
-	for _, m := range st.members {
-		if !m.Leaving {
-			a.Addresses = append(a.Addresses, LookupAddress{Address: m.Address, Weight: 1})
-		}
+	a := LookupAnswer{
+		Service: service, LifeMs: st.doc.Lookup.Lifetime.D().Milliseconds(),
+		Addresses: s.d.permits(st.members),
 	}
 	b, err := json.Marshal(a)
 	if err != nil {
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"maps"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -8,6 +10,7 @@
 
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
+	"github.com/catkinrouter/catkinrouter/link"
 )
 
 // counters are the metrics of the data path. Those of the hot path are
@@ -28,9 +31,8 @@
 	cutReplies    gometrics.Counter
 	lookups       gometrics.Counter
 
-	mu       sync.Mutex // guards writes of byReason and byRetry
+	mu       sync.Mutex // guards writes of byReason
 	byReason atomic.Pointer[map[attempt.Reason]gometrics.Counter]
-	byRetry  atomic.Pointer[map[attempt.Reason]gometrics.Counter]
 }
 
 func newCounters(r gometrics.Registry) *counters {
@@ -49,13 +51,15 @@
 		panic(err) // the registry is new
 	}
 	m.byReason.Store(&map[attempt.Reason]gometrics.Counter{})
-	m.byRetry.Store(&map[attempt.Reason]gometrics.Counter{})
 	for why := range kinds {
 		m.refused(why)
 	}
 	for _, why := range attempt.Reasons() {
 		m.refused(why.Reason)
 	}
+	for _, why := range attempt.Retries() {
+		gometrics.GetOrRegisterGauge(string(why.Retry), r)
+	}
 	return m
 }
 
@@ -63,31 +67,29 @@
 
 // refused returns the counter of refusals for a reason, "refused.REASON".
 func (m *counters) refused(why attempt.Reason) gometrics.Counter {
-	return m.named(&m.byReason, "refused.", why)
-}
-
-// retried returns the counter of further attempts for a reason,
-// "retried.REASON".
-func (m *counters) retried(why attempt.Reason) gometrics.Counter {
-	return m.named(&m.byRetry, "retried.", why)
-}
-
-func (m *counters) named(p *atomic.Pointer[map[attempt.Reason]gometrics.Counter], prefix string, why attempt.Reason) gometrics.Counter {
-	if c := (*p.Load())[why]; c != nil {
+	if c := (*m.byReason.Load())[why]; c != nil {
 		return c
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	old := *p.Load()
+	old := *m.byReason.Load()
 	if c := old[why]; c != nil {
 		return c
 	}
-	c := gometrics.GetOrRegisterCounter(prefix+string(why), m.registry)
-	fresh := make(map[attempt.Reason]gometrics.Counter, len(old)+1)
-	for k, v := range old {
-		fresh[k] = v
-	}
+	c := gometrics.GetOrRegisterCounter("refused."+string(why), m.registry)
+	fresh := maps.Clone(old)
 	fresh[why] = c
-	p.Store(&fresh)
+	m.byReason.Store(&fresh)
 	return c
 }
+
+// node shows the Node's own counts of retries as gauges.
+func (m *counters) node(st *link.Status) {
+	gometrics.GetOrRegisterGauge("calls.in_flight", m.registry).Update(int64(st.InFlight))
+	gometrics.GetOrRegisterGauge("configuration.revision", m.registry).Update(int64(st.Revision))
+	for _, c := range st.Counters {
+		if strings.HasPrefix(c.Name, "retry") {
+			gometrics.GetOrRegisterGauge(c.Name, m.registry).Update(c.Count)
+		}
+	}
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // errConnLimit is returned where an upstream has as many connections as this
@@ -144,6 +146,15 @@
 	c.Close()
 }
 
+// done takes back a connection whose reply resp was read whole.
+func (p *pool) done(c *conn, resp *fasthttp.Response) {
+	if resp.ConnectionClose() {
+		p.discard(c)
+		return
+	}
+	p.put(c)
+}
+
 // discard closes c.
 func (p *pool) discard(c *conn) {
 	c.Close()
--- a/proxy/probe.go
+++ b/proxy/probe.go
@@ -73,11 +73,7 @@
 		p.pool.discard(cn)
 		return nil, err
 	}
-	if resp.ConnectionClose() {
-		p.pool.discard(cn)
-	} else {
-		p.pool.put(cn)
-	}
+	p.pool.done(cn, resp)
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, errProbeStatus
 	}
@@ -95,5 +91,6 @@
 	if _, err := c.Write(c.out); err != nil {
 		return err
 	}
-	return c.receive(resp, false)
+	_, err := c.receive(resp, false, false)
+	return err
 }
--- a/proxy/refusal_test.go
+++ b/proxy/refusal_test.go
@@ -46,22 +46,23 @@
 		{"lookup service", request1("GET "+headers.LookupPath, ""), reasonBadLookup, 400},
 		{"lookup unknown service", request1("GET "+headers.LookupPath+"?service=nobody", ""), reasonBadLookup, 400},
 	} {
-		before := site.s.m.refused(tc.reason).Count()
-		resp := site.ask(tc.raw)
-		var body Refusal
-		if err := json.Unmarshal(resp.Body(), &body); err != nil {
-			t.Errorf("%s: body %q: %v", tc.name, resp.Body(), err)
-			continue
-		}
-		if resp.StatusCode() != tc.status || body.Reason != string(tc.reason) || body.Outcome != "not-run" || body.Remedy == "" {
-			t.Errorf("%s: status %d, body %+v; want %d, %s", tc.name, resp.StatusCode(), body, tc.status, tc.reason)
-		}
-		if header(resp, headers.Outcome) != "not-run" || header(resp, headers.Reason) != string(tc.reason) {
-			t.Errorf("%s: headers %s", tc.name, resp.Header.String())
-		}
-		if site.s.m.refused(tc.reason).Count() != before+1 {
-			t.Errorf("%s: not counted", tc.name)
-		}
+		t.Run(tc.name, func(t *testing.T) {
+			before := site.s.m.refused(tc.reason).Count()
+			resp := site.ask(tc.raw)
+			var body Refusal
+			if err := json.Unmarshal(resp.Body(), &body); err != nil {
+				t.Fatalf("body %q: %v", resp.Body(), err)
+			}
+			if resp.StatusCode() != tc.status || body.Reason != string(tc.reason) || body.Outcome != "not-run" || body.Remedy == "" {
+				t.Errorf("status %d, body %+v; want %d, %s", resp.StatusCode(), body, tc.status, tc.reason)
+			}
+			if header(resp, headers.Outcome) != "not-run" || header(resp, headers.Reason) != string(tc.reason) {
+				t.Errorf("headers %s", resp.Header.String())
+			}
+			if site.s.m.refused(tc.reason).Count() != before+1 {
+				t.Error("not counted")
+			}
+		})
 	}
 }
 
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -25,12 +25,14 @@
 	// rest is the remainder of a streamed body; nil otherwise.
 	rest io.Reader
 	// restLen is the number of bytes in rest; -1 where it is not known.
-	restLen  int
+	restLen int
+	// limit bounds a streamed body, in bytes.
+	limit    int
 	headOnly bool
 }
 
 func (r *request) reset() {
-	r.head, r.body, r.rest, r.restLen, r.headOnly = r.head[:0], r.body[:0], nil, 0, false
+	*r = request{head: r.head[:0], body: r.body[:0]}
 }
 
 // Bounds of header values.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -78,6 +78,7 @@
 	g.Go(func() error { return ignoreClosed(metrics.Serve(lns.metrics, s.registry)) })
 	g.Go(func() error { return s.tick(work) })
 	g.Go(func() error { return s.watch(work) })
+	g.Go(func() error { return s.upkeep(work) })
 	for range probeWorkers {
 		g.Go(func() error { return s.prober.run(work) })
 	}
@@ -146,13 +147,23 @@
 func (s *Server) newHTTP() *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.malformed,
-		ReadBufferSize: s.set.MaxHeader, MaxRequestBodySize: s.set.MaxBody,
+		ReadBufferSize: s.set.MaxHeader, StreamRequestBody: true, MaxRequestBodySize: streamAbove,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ExpectHandler: s.expect, HeaderReceived: s.headerReceived,
 		NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, LazyRequestTime: true,
 		CloseOnShutdown: true, Logger: quiet{},
 	}
 }
 
+const (
+	// readTimeout bounds the time in which a request's headers and the
+	// first part of its body arrive.
+	readTimeout = 30 * time.Second
+	// idleTimeout is how long a caller's connection may wait for its next
+	// request.
+	idleTimeout = 90 * time.Second
+)
+
 type quiet struct{}
 
 func (quiet) Printf(string, ...any) {}
--- a/proxy/testsite_test.go
+++ b/proxy/testsite_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/headers"
 	"github.com/catkinrouter/catkinrouter/link"
 )
 
@@ -57,7 +59,9 @@
 }
 
 func (site *testSite) configure(rules config.Rules, upstreams []string) {
-	rules.MaxBody = testMaxBody
+	if rules.MaxBody == 0 {
+		rules.MaxBody = testMaxBody
+	}
 	svc := config.Service{Name: testService, Rules: rules}
 	for i, a := range upstreams {
 		svc.Upstreams = append(svc.Upstreams, config.Upstream{
@@ -127,21 +131,29 @@
 }
 
 // get is a request line with the service's Host header and more headers.
-func get(headers ...string) string { return request1("GET /clue", "", headers...) }
+func get(lines ...string) string { return request1("GET /clue", "", lines...) }
 
-func request1(line, body string, headers ...string) string {
+func request1(line, body string, lines ...string) string {
 	head := line + " HTTP/1.1\r\nHost: " + testService + "\r\n"
-	if len(headers) > 0 {
-		head += strings.Join(headers, "\r\n") + "\r\n"
+	if len(lines) > 0 {
+		head += strings.Join(lines, "\r\n") + "\r\n"
 	}
 	return head + "\r\n" + body
 }
 
-// upstream serves handler as an upstream and returns its address.
+// upstream serves handler as an upstream, which also answers probes, and
+// returns its address.
 func upstream(t testing.TB, handler fasthttp.RequestHandler) string {
 	t.Helper()
 	ln := listenTest(t)
-	srv := &fasthttp.Server{Handler: handler, NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: quiet{}}
+	answer := func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == headers.ProbePath {
+			ctx.Response.Header.Set(headers.Load, "0/6")
+			return
+		}
+		handler(ctx)
+	}
+	srv := &fasthttp.Server{Handler: answer, NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: quiet{}}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ln) }()
 	t.Cleanup(func() {
@@ -153,3 +165,56 @@
 }
 
 func header(r *fasthttp.Response, k string) string { return string(r.Header.Peek(k)) }
+
+// script answers request n, from 1, of a connection with raw bytes; after the
+// last of them the connection is closed where end is set.
+type script func(n int, req *fasthttp.Request) (raw string, end bool)
+
+// rawUpstream serves an upstream that answers with raw bytes, and returns its
+// address. Probes do not reach the script.
+func rawUpstream(t testing.TB, answer script) string {
+	t.Helper()
+	ln := listenTest(t)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			wg.Go(func() { serveRaw(c, answer) })
+		}
+	})
+	t.Cleanup(wg.Wait)
+	t.Cleanup(func() { ln.Close() })
+	return ln.Addr().String()
+}
+
+func serveRaw(c net.Conn, answer script) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		var req fasthttp.Request
+		if err := req.Read(r); err != nil {
+			return
+		}
+		raw, end := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCatkin-Load: 0/6\r\n\r\n", false
+		if string(req.URI().Path()) != headers.ProbePath {
+			raw, end = answer(n, &req)
+		}
+		if _, err := c.Write([]byte(raw)); err != nil || end {
+			return
+		}
+	}
+}
+
+// eventually polls ok until it holds.
+func (site *testSite) eventually(what string, ok func() bool) {
+	site.t.Helper()
+	for end := time.Now().Add(testTimeout); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			site.t.Fatal("never: " + what)
+		}
+	}
+}
--- a/proxy/watch.go
+++ b/proxy/watch.go
@@ -35,6 +35,24 @@
 			}
 		}
 		clear(list)
+	}
+}
+
+// upkeepInterval is the time between two rounds of upkeep.
+const upkeepInterval = time.Second
+
+// upkeep closes idle connections and shows the Node's counts, until ctx ends.
+func (s *Server) upkeep(ctx context.Context) error {
+	t := time.NewTicker(upkeepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
 		s.pool.sweep()
+		st := s.d.status()
+		s.m.node(&st)
 	}
 }
