--- a/entry/expire.go
+++ b/entry/expire.go
@@ -17,10 +17,10 @@
 
 // attend looks at a call whose timer was due.
 func (n *Node) attend(now time.Duration, c *call, out []Step) []Step {
-	if c.hedgeAt != 0 && c.hedgeAt <= now {
-		out = n.hedge(now, c, out)
-	}
 	if now < c.deadline {
+		if c.hedgeAt != 0 && c.hedgeAt <= now {
+			out = n.hedge(now, c, out)
+		}
 		return out
 	}
 	switch c.stage {
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -114,7 +114,7 @@
 		return Decision{Verdict: Run}
 	}
 	wait := l.wait(q, r)
-	if now+wait+l.latency[r.Class] > r.Deadline {
+	if now+wait+l.latency[r.Class] >= r.Deadline {
 		return Decision{Verdict: Refuse, Reason: attempt.ReasonOverload, RetryAfter: wait}
 	}
 	var evicted uint64
@@ -197,7 +197,7 @@
 		return Released{}, false
 	}
 	r := l.queue(c).pop()
-	if now+l.latency[c] > r.Deadline {
+	if now+l.latency[c] >= r.Deadline {
 		return Released{ID: r.ID, Late: true}, true
 	}
 	l.take(c)
