--- a/entry/node.go
+++ b/entry/node.go
@@ -161,13 +161,11 @@
 		ids = append(ids, m.ID)
 	}
 	slices.Sort(ids)
-	if n.doc != nil && !slices.Equal(ids, n.members) {
-		n.members = ids
-		for i, s := range n.ordered {
-			n.configure(now, s, n.doc.Services[i])
-		}
-	}
 	n.members = ids
+	for i, s := range n.ordered {
+		s.pool.Members(now, ids)
+		s.limiter.Update(n.limits(n.doc.Services[i], s.rules))
+	}
 	for _, s := range n.ordered {
 		for _, id := range leaving {
 			s.pool.Leaving(now, id)
--- a/entry/start.go
+++ b/entry/start.go
@@ -99,7 +99,9 @@
 
 // try picks an upstream that the call was not sent to before.
 func (n *Node) try(now time.Duration, c *call) (Step, bool) {
-	id, addr, ok := c.svc.pool.Pick(now, balance.Query{Class: c.class, Exclude: c.tried, Depth: c.Depth})
+	id, addr, ok := c.svc.pool.Pick(now, balance.Query{
+		Class: c.class, Exclude: c.tried, Depth: c.Depth, NonIdempotent: !c.idempotent,
+	})
 	if !ok {
 		return Step{}, false
 	}
--- a/entry/status.go
+++ b/entry/status.go
@@ -43,10 +43,16 @@
 
 // Status reports the Node's state to its agent.
 func (n *Node) Status(now time.Duration) link.Status {
-	return link.Status{
+	st := link.Status{
 		Incarnation: n.opt.Incarnation, Uptime: n.advance(now), Revision: n.revision,
 		Spare: n.spare(), InFlight: len(n.calls), Counters: n.counts.list(),
 	}
+	for _, s := range n.ordered {
+		st.LeavingUpstreams = s.pool.SaidLeaving(st.LeavingUpstreams)
+		st.Upstreams = s.pool.States(st.Upstreams)
+		st.Shares = s.pool.Shares(st.Shares)
+	}
+	return st
 }
 
 // spare is the share of the services' limits that is free.
