Show what each entry spends, and its held time, beside the load's results

Cause: capacity and added latency need the entry's own figures from the run. Change: process gauges on every daemon's metrics, scraped before and after.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -9,7 +9,9 @@
 )
 
 // Serve answers GET /metrics on ln with the registry as JSON until ln closes.
+// It adds the gauges of the process itself.
 func Serve(ln net.Listener, r gometrics.Registry) error {
+	registerProcess(r)
 	s := &fasthttp.Server{Handler: handler(r), Name: "catkin", NoDefaultDate: true}
 	return s.Serve(ln)
 }
--- a/load/compare.go
+++ b/load/compare.go
@@ -127,4 +127,9 @@
 			ms(x.P50), ms(x.P99), ms(x.P999), x.Ratio, x.RatioMin, x.RatioMax, ms(x.Added50), ms(x.Added99), ms(x.Noise99))
 	}
 	t.Flush()
+	for i := range c.Turns {
+		for _, e := range c.Turns[i].Entries {
+			fmt.Fprintf(w, "%s: %s\n", c.Turns[i].Variant, e)
+		}
+	}
 }
--- a/load/result.go
+++ b/load/result.go
@@ -19,6 +19,8 @@
 	// ProbeShare is the largest share of an upstream's slot time that
 	// probes took.
 	ProbeShare float64 `json:"probe_share"`
+	// Entries are the processor time and memory of each entry.
+	Entries []EntryCost `json:"entries,omitempty"`
 	// Ledger compares what callers were told with what ran.
 	Ledger LedgerCheck `json:"ledger"`
 
--- a/load/run.go
+++ b/load/run.go
@@ -40,6 +40,7 @@
 	}
 	r.upstreams = before
 	callers := r.callers(v, before)
+	spent := scrape(r.s.Metrics)
 	res := newResult(r.s, v, before)
 	start := time.Now()
 	stop := make(chan struct{})
@@ -61,6 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
+	res.Entries = costs(spent, scrape(r.s.Metrics), res.Seconds)
 	res.finish(after)
 	return res, nil
 }
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -27,6 +27,8 @@
 	// Operator is an agent's operator address, for variants that change
 	// rules.
 	Operator string `json:"operator,omitempty"`
+	// Metrics are the entries' metrics addresses, for their processor time.
+	Metrics []string `json:"metrics,omitempty"`
 	// Warmup is load whose results are not counted.
 	Warmup   config.Duration `json:"warmup,omitempty"`
 	Duration config.Duration `json:"duration"`
@@ -147,6 +149,9 @@
 			errs = append(errs, settings.CheckAddress("variants "+v.Name, a))
 		}
 	}
+	for _, a := range s.Metrics {
+		errs = append(errs, settings.CheckAddress("metrics", a))
+	}
 	if s.Control != "" {
 		errs = append(errs, settings.CheckAddress("control", s.Control))
 	}
--- a/load/table.go
+++ b/load/table.go
@@ -24,6 +24,9 @@
 			fmt.Fprintf(w, "%s not answered: %s %d\n", r.Name, why.Name, why.Count)
 		}
 	}
+	for _, e := range res.Entries {
+		fmt.Fprintln(w, e)
+	}
 	res.shareTable(w)
 }
 
@@ -56,3 +59,9 @@
 	}
 	return ""
 }
+
+// String writes the cost as one line of text.
+func (e EntryCost) String() string {
+	return fmt.Sprintf("entry %s: %.1f%% of a core, %.0f us of it a call, %.1f MB resident; held calls p50 %.0f us, p99 %.0f us",
+		e.Address, 100*e.Cores, e.MicrosPerCall, e.ResidentMB, e.Held50, e.Held99)
+}
