--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"sync"
@@ -11,27 +12,15 @@
 	"github.com/catkinrouter/catkinrouter/platform"
 )
 
-// PlatformFaults are the faults that a Platform shows, as JSON over HTTP.
-type PlatformFaults struct {
-	// Down refuses every call.
-	Down bool `json:"down"`
-	// SlowMillis delays every answer.
-	SlowMillis int `json:"slow_ms"`
-	// LoseAnswers drops the answers of the next writes after they took
-	// effect.
-	LoseAnswers int `json:"lose_answers"`
-	// ListLagMillis is the age of the list's answers.
-	ListLagMillis int `json:"list_lag_ms"`
-}
-
 // Platform serves a Store and a list over HTTP. FaultsPath and SetListPath
 // take a POST that switches faults or replaces the list.
 type Platform struct {
 	store  *Store
 	mu     sync.Mutex
 	faults PlatformFaults
+	cut    chan struct{} // closed when the store goes down
 	lists  []datedList
-	calls  int64
+	calls  CallCount
 	now    func() time.Time
 }
 
@@ -47,9 +36,12 @@
 	CallsPath   = "/standin/calls"
 )
 
+// maxLists bounds the lists kept for the list's lag.
+const maxLists = 1024
+
 // NewPlatform returns a Platform whose list holds instances.
 func NewPlatform(instances []platform.Instance) *Platform {
-	p := &Platform{store: NewStore(time.Now), now: time.Now}
+	p := &Platform{store: NewStore(time.Now), now: time.Now, cut: make(chan struct{})}
 	p.SetList(instances)
 	return p
 }
@@ -58,6 +50,10 @@
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if f.Down && !p.faults.Down {
+		close(p.cut)
+		p.cut = make(chan struct{})
+	}
 	p.faults = f
 }
 
@@ -66,13 +62,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lists = append(p.lists, datedList{at: p.now(), instances: instances})
+	p.lists = p.lists[max(0, len(p.lists)-maxLists):]
 }
 
 // list returns the newest list older than the lag, else the oldest.
 func (p *Platform) list() []platform.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limit := p.now().Add(-time.Duration(p.faults.ListLagMillis) * time.Millisecond)
+	limit := p.now().Add(-millis(p.faults.ListLagMillis))
 	best := p.lists[0]
 	for _, l := range p.lists {
 		if l.at.Before(limit) {
@@ -101,7 +98,7 @@
 	case CallsPath:
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		reply(ctx, fasthttp.StatusOK, CallCount{Calls: p.calls})
+		reply(ctx, fasthttp.StatusOK, p.calls)
 		return
 	}
 	p.serve(ctx, path)
@@ -109,45 +106,94 @@
 
 // CallCount is the body of CallsPath's answer.
 type CallCount struct {
+	// Calls counts every call, a watch as one.
 	Calls int64 `json:"calls"`
+	// Writes and List count those that change the store or read the list.
+	Writes int64 `json:"writes"`
+	List   int64 `json:"list"`
 }
 
 func (p *Platform) serve(ctx *fasthttp.RequestCtx, path string) {
-	p.mu.Lock()
-	f := p.faults
-	p.calls++
-	write := path == platform.PutPath || path == platform.DeletePath
-	lose := write && f.LoseAnswers > 0 && !f.Down
-	if lose {
-		p.faults.LoseAnswers--
-	}
-	p.mu.Unlock()
-	if f.Down {
-		reply(ctx, fasthttp.StatusServiceUnavailable, platform.Answer{Error: "down"})
+	f, cut := p.take(path)
+	time.Sleep(millis(f.SlowMillis))
+	switch {
+	case f.Down, f.ListDown && path == platform.ListPath:
+		refuse(ctx, fasthttp.StatusServiceUnavailable, "down")
 		return
-	}
-	time.Sleep(time.Duration(f.SlowMillis) * time.Millisecond)
-	if path == platform.ListPath {
+	case path == platform.ListPath:
 		reply(ctx, fasthttp.StatusOK, platform.InstanceList{Instances: p.list()})
 		return
+	case f.LoseCalls > 0:
+		hangUp(ctx)
+		return
 	}
 	var req platform.Request
 	if !decode(ctx, &req) {
 		return
 	}
-	a, err := p.apply(path, req)
-	if lose {
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(closeConn)
+	if f.LateWrites > 0 {
+		time.AfterFunc(millis(f.LateMillis), func() { p.apply(path, req, cut) })
+		hangUp(ctx)
 		return
 	}
-	if err != nil {
-		a.Error = err.Error()
+	a, err := p.apply(path, req, cut)
+	switch {
+	case f.LoseAnswers > 0:
+		hangUp(ctx)
+	case platform.IsKind(err, platform.Unchanged):
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+	case err != nil:
+		refuse(ctx, statusOf(err), err.Error())
+	default:
+		reply(ctx, fasthttp.StatusOK, a)
+	}
+}
+
+// take counts a call and returns the faults that it meets; its counted ones
+// are used up.
+func (p *Platform) take(path string) (PlatformFaults, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Calls++
+	f := p.faults
+	if path == platform.ListPath {
+		p.calls.List++
+	}
+	if !writes(path) {
+		f.LoseAnswers, f.LoseCalls, f.LateWrites = 0, 0, 0
+		return f, p.cut
+	}
+	p.calls.Writes++
+	if f.Down {
+		return f, p.cut
+	}
+	switch {
+	case f.LoseCalls > 0:
+		p.faults.LoseCalls--
+	case f.LateWrites > 0:
+		p.faults.LateWrites--
+	case f.LoseAnswers > 0:
+		p.faults.LoseAnswers--
+	}
+	return f, p.cut
+}
+
+func writes(path string) bool {
+	switch path {
+	case platform.PutPath, platform.DeletePath, platform.GrantPath:
+		return true
 	}
-	reply(ctx, statusOf(err), a)
+	return false
+}
+
+func hangUp(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(closeConn)
 }
 
-func (p *Platform) apply(path string, r platform.Request) (a platform.Answer, err error) {
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (p *Platform) apply(path string, r platform.Request, cut <-chan struct{}) (a platform.Answer, err error) {
 	var v platform.Value
 	switch path {
 	case platform.GetPath:
@@ -160,11 +206,11 @@
 		a.Keys = p.store.Keys(r.Key)
 		return a, nil
 	case platform.GrantPath:
-		v.Lease = p.store.Grant(time.Duration(r.TTL) * time.Millisecond)
+		v.Lease = p.store.Grant(millis(int(r.TTL)))
 	case platform.KeepAlivePath:
 		err = p.store.KeepAlive(r.Lease)
 	case platform.WatchPath:
-		v, err = p.watch(r)
+		v, err = p.watch(r, cut)
 	default:
 		err = errors.New("unknown path")
 	}
@@ -172,15 +218,25 @@
 	return a, err
 }
 
-func (p *Platform) watch(r platform.Request) (platform.Value, error) {
-	done := make(chan struct{})
-	t := time.AfterFunc(time.Duration(r.Wait)*time.Millisecond, func() { close(done) })
-	defer t.Stop()
-	v, ok := p.store.Watch(r.Key, r.After, done)
-	if !ok {
-		return v, &platform.Error{Kind: platform.NotFound, Op: "watch", Key: r.Key}
+// watch ends after the time that the request names, or when the store goes
+// down.
+func (p *Platform) watch(r platform.Request, cut <-chan struct{}) (platform.Value, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), millis(int(r.Wait)))
+	defer cancel()
+	go func() {
+		select {
+		case <-cut:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if v, ok := p.store.Watch(r.Key, r.After, ctx.Done()); ok {
+		return v, nil
+	}
+	if ctx.Err() == context.Canceled {
+		return platform.Value{}, &platform.Error{Kind: platform.Unavailable, Op: "watch", Key: r.Key}
 	}
-	return v, nil
+	return platform.Value{}, &platform.Error{Kind: platform.Unchanged, Op: "watch", Key: r.Key}
 }
 
 func statusOf(err error) int {
@@ -191,18 +247,25 @@
 		return fasthttp.StatusNotFound
 	case platform.IsKind(err, platform.Conflict):
 		return fasthttp.StatusConflict
+	case platform.IsKind(err, platform.Unavailable):
+		return fasthttp.StatusServiceUnavailable
 	}
 	return fasthttp.StatusBadRequest
 }
 
 func decode(ctx *fasthttp.RequestCtx, v any) bool {
 	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
-		reply(ctx, fasthttp.StatusBadRequest, platform.Answer{Error: err.Error()})
+		refuse(ctx, fasthttp.StatusBadRequest, err.Error())
 		return false
 	}
 	return true
 }
 
+// refuse answers that the call changed nothing.
+func refuse(ctx *fasthttp.RequestCtx, status int, why string) {
+	reply(ctx, status, platform.Answer{Error: why, Refused: true})
+}
+
 func reply(ctx *fasthttp.RequestCtx, status int, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
--- /dev/null
+++ b/standin/platformfaults.go
@@ -0,0 +1,22 @@
+package standin
+
+// PlatformFaults are the faults that a Platform shows, as JSON over HTTP.
+type PlatformFaults struct {
+	// Down refuses every call and ends the watches that wait.
+	Down bool `json:"down"`
+	// ListDown refuses reads of the list.
+	ListDown bool `json:"list_down,omitempty"`
+	// SlowMillis delays every call, in milliseconds.
+	SlowMillis int `json:"slow_ms"`
+	// LoseAnswers drops the answers of the next writes after they took
+	// effect.
+	LoseAnswers int `json:"lose_answers"`
+	// LoseCalls drops the next writes before they take effect.
+	LoseCalls int `json:"lose_calls,omitempty"`
+	// LateWrites drops the answers of the next writes, which take effect
+	// LateMillis later.
+	LateWrites int `json:"late_writes,omitempty"`
+	LateMillis int `json:"late_ms,omitempty"`
+	// ListLagMillis is the age of the list's answers, in milliseconds.
+	ListLagMillis int `json:"list_lag_ms"`
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -48,6 +48,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
+	if len(data) > platform.MaxValue {
+		return 0, &platform.Error{Kind: platform.Invalid, Op: "put", Key: key}
+	}
 	if s.keys[key].Revision != expect {
 		return 0, &platform.Error{Kind: platform.Conflict, Op: "put", Key: key}
 	}
