--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 SITE ?= ecuador
 
-.PHONY: all build format lint test bench demo up capacity
+.PHONY: bench-added bench-policies all build format lint test bench demo up capacity
 
 all: build
 
@@ -28,5 +28,13 @@
 up: build
 	sh scripts/demo.sh -up $(SITE)
 
+# The policies side by side, under each of the scenarios.
+bench-policies: build
+	sh scripts/bench.sh bench scenarios/policy-*.json
+
+# The latency that one entry on two cores adds to direct calls.
+bench-added: build
+	ENTRY_CPUS=2 sh scripts/bench.sh added scenarios/added-latency.json
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
