--- a/config/check.go
+++ b/config/check.go
@@ -9,6 +9,8 @@
 	"regexp"
 	"strings"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/balance"
 )
 
 // Bounds of a document's values.
@@ -32,9 +34,6 @@
 	maxHost   = 253 // bytes
 )
 
-// Policies are the picking policies that rules may name.
-var Policies = []string{"hotcold", "leastrequest", "p2c", "random", "roundrobin"}
-
 // CheckError is one fault of a document.
 type CheckError struct {
 	// Path names the place, such as "services[0].upstreams[2].address".
@@ -46,6 +45,9 @@
 // Error names the place, the fault and the remedy.
 func (e *CheckError) Error() string { return e.Path + ": " + e.Fault + ": " + e.Remedy }
 
+// Place returns the path, for settings.Locate.
+func (e *CheckError) Place() string { return e.Path }
+
 // CheckErrors returns the *CheckError that err joins.
 func CheckErrors(err error) []*CheckError {
 	var one *CheckError
@@ -73,9 +75,9 @@
 	c.permitKeys(d.PermitKeys)
 	c.services(d.Services, dcs)
 	if b, err := json.Marshal(d); err != nil {
-		c.fault("", err.Error(), "correct the value")
+		c.fault("document", err.Error(), "correct the value")
 	} else if len(b) > MaxDocument {
-		c.fault("", fmt.Sprintf("document of %d bytes is larger than %d", len(b), MaxDocument), "shorten names or split the site")
+		c.fault("document", fmt.Sprintf("size of %d bytes is larger than %d", len(b), MaxDocument), "shorten names or split the site")
 	}
 	return c.err()
 }
@@ -199,8 +201,8 @@
 }
 
 func (c *checker) rules(path string, r *Rules) {
-	if r.Policy != "" && !knownPolicy(r.Policy) {
-		c.fault(path+".policy", fmt.Sprintf("unknown policy %q", r.Policy), "use one of "+strings.Join(Policies, ", "))
+	if r.Policy != "" && !balance.Known(r.Policy) {
+		c.fault(path+".policy", fmt.Sprintf("unknown policy %q", r.Policy), "use one of "+strings.Join(balance.Names(), ", "))
 	}
 	c.duration(path+".timeout", r.Timeout, 0, MaxTimeout, "set the time for a call, such as \"2s\"")
 	c.whole(path+".max_body", r.MaxBody, 0, MaxRequestBody, "set the greatest body in bytes")
@@ -217,12 +219,3 @@
 		c.unique(seen, at, rt.Prefix)
 	}
 }
-
-func knownPolicy(name string) bool {
-	for _, p := range Policies {
-		if p == name {
-			return true
-		}
-	}
-	return false
-}
--- a/config/head.go
+++ b/config/head.go
@@ -14,6 +14,8 @@
 	MaxDocument = 600_000
 	// MaxRecent is the number of newest commits that a Head lists.
 	MaxRecent = 128
+	// PlanIDLength is the length of a plan's ID, in hexadecimal digits.
+	PlanIDLength = 16
 	// maxSummary bounds the summary of a commit, in bytes.
 	maxSummary = 160
 )
@@ -102,7 +104,7 @@
 
 // planID identifies an intent: the same document on the same base.
 func planID(base uint64, doc []byte) string {
-	return Digest(fmt.Appendf(nil, "%d %s", base, doc))[:16]
+	return Digest(fmt.Appendf(nil, "%d %s", base, doc))[:PlanIDLength]
 }
 
 // Digest returns the SHA-256 digest of b in hexadecimal.
