--- a/operator/operator.go
+++ b/operator/operator.go
@@ -40,9 +40,9 @@
 
 // Kinds of refusals.
 const (
-	KindInvalid     Kind = "invalid"     // the document or intent has faults
-	KindMalformed   Kind = "malformed"   // the request can't be read
-	KindStale       Kind = "stale"       // another plan took the revision
+	KindInvalid     Kind = "invalid"   // the document or intent has faults
+	KindMalformed   Kind = "malformed" // the request can't be read
+	KindStale       Kind = "stale"     // another plan took the revision
 	KindUnknownPlan Kind = "unknown-plan"
 	KindUnsettled   Kind = "unsettled"   // too old to tell
 	KindUnavailable Kind = "unavailable" // this request put nothing in force
--- a/settings/errors.go
+++ b/settings/errors.go
@@ -9,7 +9,7 @@
 // FileError is a fault in a settings file.
 type FileError struct {
 	Path   string
-	Line   int // from 1; 0 where the whole file is meant
+	Line   int    // from 1; 0 where the whole file is meant
 	Remedy string // empty where Err names it
 	Err    error
 }
