--- a/settings/decode.go
+++ b/settings/decode.go
@@ -101,7 +101,7 @@
 		field, known := fields[name]
 		switch {
 		case !known:
-			w.fault(m.Name, at, "unknown key", "remove it or correct its spelling")
+			w.fault(m.Name, at, "unknown key", "remove the key or correct its spelling")
 		case seen[name]:
 			w.fault(m.Name, at, "given twice", "keep one")
 		default:
