--- a/entry/atmostonce_test.go
+++ b/entry/atmostonce_test.go
@@ -48,7 +48,11 @@
 }
 
 func play(t *rapid.T, b broken, seen map[string]int) {
-	w := newWorld(b, rapid.IntRange(2, 3).Draw(t, "entries"))
+	w := newWorld(b,
+		rapid.IntRange(2, 3).Draw(t, "entries"),
+		rapid.SampledFrom([]int{1, 2, 6}).Draw(t, "keys"),
+		rapid.SampledFrom([]float64{-1, 1}).Draw(t, "retry budget"),
+	)
 	t.Repeat(w.actions())
 	w.settle(t)
 	for k, n := range w.ledger.seen {
@@ -119,12 +123,11 @@
 
 // repeat sends a request again, under its number or another, anywhere.
 func (w *world) repeat(t *rapid.T) {
-	var keyed []*request
-	for _, r := range w.requests {
-		if r.kind == keyedCall {
-			keyed = append(keyed, r)
-		}
-	}
+	refused := rapid.Bool().Draw(t, "refused")
+	keyed := slices.DeleteFunc(slices.Clone(w.requests), func(r *request) bool {
+		_, told := w.ledger.notRun[r.key]
+		return r.kind != keyedCall || refused && !told
+	})
 	if len(keyed) == 0 {
 		return
 	}
@@ -146,7 +149,11 @@
 		c.Method = "GET"
 	}
 	c.Caller = fmt.Sprint("caller", r.id%2)
-	w.push(&message{kind: toEntry, address: w.entry(t).address, call: c, request: r, try: n})
+	address := w.entry(t).address
+	if p, err := w.entry(t).node.signer.ParseKey(r.key); err == nil && rapid.Bool().Draw(t, "direct") {
+		address = p.Address
+	}
+	w.push(&message{kind: toEntry, address: address, call: c, request: r, try: n})
 }
 
 func (w *world) any(t *rapid.T) int {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -49,6 +49,10 @@
 	requests []*request
 	tries    map[*request]int
 	last     uint64
+	// keys bounds each entry's record.
+	keys int
+	// retryBudget is that of every revision.
+	retryBudget float64
 }
 
 // instance is one incarnation of an entry, with its fake proxy.
@@ -105,8 +109,8 @@
 	copied bool
 }
 
-func newWorld(b broken, entries int) *world {
-	w := &world{broken: b, ledger: newLedger(), tries: map[*request]int{}}
+func newWorld(b broken, entries, keys int, retryBudget float64) *world {
+	w := &world{broken: b, keys: keys, retryBudget: retryBudget, ledger: newLedger(), tries: map[*request]int{}}
 	w.publish(true, true)
 	for i := range entries {
 		w.entries = append(w.entries, nil)
@@ -126,14 +130,14 @@
 		doc.PermitKeys = append(doc.PermitKeys, config.PermitKey{ID: fmt.Sprint("k", i), Secret: fmt.Append(nil, "secret", i)})
 	}
 	if service {
-		doc.Services = []config.Service{shop(idempotent)}
+		doc.Services = []config.Service{shop(idempotent, w.retryBudget)}
 	}
 	w.docs = append(w.docs, doc)
 }
 
-func shop(idempotent bool) config.Service {
+func shop(idempotent bool, retryBudget float64) config.Service {
 	s := config.Service{Name: "shop", Rules: config.Rules{
-		Timeout: config.Duration(time.Second), Queue: 2, RetryBudget: 1, HedgeBudget: 1,
+		Timeout: config.Duration(time.Second), Queue: 2, RetryBudget: retryBudget, HedgeBudget: 1,
 		Routes: []config.Route{{Prefix: "/buy", Idempotent: &idempotent}},
 	}}
 	for i := range 3 {
@@ -159,7 +163,7 @@
 	}
 	e.node = New(Options{
 		ID: id, Address: id, Incarnation: e.incarnation, Seed: w.last,
-		Record: attempt.RecordLimits{Keys: 4, ReplyBytes: 60, Waiters: 2},
+		Record: attempt.RecordLimits{Keys: w.keys, ReplyBytes: 60, Waiters: 2},
 	})
 	e.node.Configure(0, uint64(len(w.docs)), w.docs[len(w.docs)-1])
 	w.entries[i] = e
--- a/limit/learner.go
+++ b/limit/learner.go
@@ -45,7 +45,7 @@
 func (l *learner) bounds(low, high float64) {
 	l.low, l.high = low, high
 	if l.limit == 0 {
-		l.limit = 2 * low
+		l.limit = low
 	}
 	l.limit = min(max(l.limit, low), high)
 }
