Stop in phases: serve until every lookup answer has expired, then finish

An entry that is asked to stop is no longer handed out, serves for the hand-out limit of 12 s, the longest lookup lifetime and a second of margin, then asks callers to close, closes its listener and waits for calls in flight, all within stop_timeout. A second signal changes nothing.

--- a/internal/proctest/proc.go
+++ b/internal/proctest/proc.go
@@ -76,6 +76,9 @@
 // Resume lets a paused process go on.
 func (p *Proc) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
 
+// Terminate asks for a planned stop, and does not wait for it.
+func (p *Proc) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+
 // Stop asks for a planned stop, and returns how the process ended. A process
 // that is still running after the timeout is killed.
 func (p *Proc) Stop(timeout time.Duration) error {
--- a/internal/proctest/site.go
+++ b/internal/proctest/site.go
@@ -31,6 +31,8 @@
 	Entries  int
 	Services []standin.ServiceSettings
 	Lifetime time.Duration // of lookup answers
+	// StopTimeout bounds the entries' planned stops; 0 takes the default.
+	StopTimeout time.Duration
 	// EntryArgs are further arguments of the entries.
 	EntryArgs []string
 	AgentArgs []string
@@ -161,6 +163,7 @@
 	s.write(fmt.Sprintf("entry-%d", i), proxy.Settings{
 		ID: id, DataCentre: dc, Region: Region, Address: s.EntryAddress(i),
 		LinkAddress: s.Addr(s.instancePort(i, 1)), MetricsAddress: s.MetricsAddress(i), LogLevel: "warn",
+		StopTimeout: config.Duration(s.opt.StopTimeout),
 	})
 	peer := s.Addr(s.instancePort(i, 3))
 	s.write(fmt.Sprintf("agent-%d", i), agent.Settings{
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -233,16 +233,14 @@
 	return d.node.Status(d.now())
 }
 
-// permits returns the members that may be handed out, each with a permit.
+// permits returns the members with a permit each.
 func (d *dispatcher) permits(members []link.Member) []LookupAddress {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
 	var out []LookupAddress
 	for _, m := range members {
-		if !m.Leaving {
-			out = append(out, LookupAddress{Address: m.Address, Weight: 1, Permit: d.node.Permit(now, m)})
-		}
+		out = append(out, LookupAddress{Address: m.Address, Weight: 1, Permit: d.node.Permit(now, m)})
 	}
 	return out
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -18,7 +18,7 @@
 	} else {
 		s.forward(ctx)
 	}
-	if s.closing.Load() {
+	if s.at() >= closing {
 		ctx.SetConnectionClose()
 	}
 }
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -104,7 +104,10 @@
 	if doc != nil {
 		fresh = newState(doc)
 		fresh.members = in.Members
+		s.life = max(s.life, doc.Lookup.Lifetime.D())
 	}
 	s.state.Store(fresh)
-	return s.d.sync(in, doc)
+	out := s.d.sync(in, doc)
+	out.Leaving = s.at() >= leaving
+	return out
 }
--- a/proxy/lookup.go
+++ b/proxy/lookup.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/attempt"
+	"github.com/catkinrouter/catkinrouter/link"
 )
 
 // LookupAnswer is the body of the address lookup's answer.
@@ -40,7 +41,7 @@
 	}
 	a := LookupAnswer{
 		Service: service, LifeMs: st.doc.Lookup.Lifetime.D().Milliseconds(),
-		Addresses: s.d.permits(st.members),
+		Addresses: s.d.permits(s.handedOut()),
 	}
 	b, err := json.Marshal(a)
 	if err != nil {
@@ -51,3 +52,15 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(b)
 }
+
+// handedOut returns the members that lookups may name.
+func (s *Server) handedOut() []link.Member {
+	var out []link.Member
+	for _, m := range s.state.Load().members {
+		if m.Leaving || m.ID == s.set.ID && s.at() >= leaving {
+			continue
+		}
+		out = append(out, m)
+	}
+	return out
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -33,9 +33,13 @@
 	d        *dispatcher
 	prober   *prober
 
-	syncMu  sync.Mutex // serialises writes of state
-	state   atomic.Pointer[state]
-	closing atomic.Bool
+	syncMu sync.Mutex // serialises writes of state, and guards life
+	state  atomic.Pointer[state]
+	// life is the longest lifetime of lookup answers that was in force.
+	life time.Duration
+
+	times stopTimes
+	phase atomic.Uint32 // a phase of the planned stop
 }
 
 // New returns a Server without a configuration.
@@ -44,6 +48,7 @@
 	r := gometrics.NewRegistry()
 	m := newCounters(r)
 	s := &Server{set: set, log: l, started: time.Now(), registry: r, m: m, pool: newPool(m)}
+	s.times = stopTimes{handOut: handOutLimit, margin: stopMargin, grace: closeGrace, limit: set.StopTimeout.D()}
 	s.d = &dispatcher{
 		now: s.now, side: s.runSide, calls: map[uint64]*call{},
 		node: entry.New(entry.Options{ID: set.ID, Address: set.Address, DataCentre: set.DataCentre, Incarnation: inc, Seed: inc}),
@@ -72,7 +77,7 @@
 	level.Info(s.log).Log("msg", "serving", "address", s.set.Address)
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	g, ctx := errgroup.WithContext(ctx)
+	g, failed := errgroup.WithContext(work)
 	g.Go(func() error { return srv.Serve(lns.data) })
 	g.Go(ls.serve)
 	g.Go(func() error { return ignoreClosed(metrics.Serve(lns.metrics, s.registry)) })
@@ -83,10 +88,7 @@
 		g.Go(func() error { return s.prober.run(work) })
 	}
 	g.Go(func() error {
-		<-ctx.Done()
-		s.closing.Store(true)
-		lns.data.Close() // also where Serve did not begin yet
-		err := ignoreClosed(srv.Shutdown())
+		err := s.stopInTurn(ctx, failed, srv, lns.data)
 		ls.close()
 		lns.metrics.Close()
 		stopWork()
--- a/proxy/testsite_test.go
+++ b/proxy/testsite_test.go
@@ -52,7 +52,9 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	site := &testSite{t: t, s: New(set, log.NewNopLogger()), addr: set.Address, stop: stop, done: make(chan error, 1)}
+	site.s.times = stopTimes{limit: time.Minute}
 	site.configure(rules, upstreams)
+	site.s.life = 0 // nobody looked the entry up
 	go func() { site.done <- site.s.serve(ctx, lns) }()
 	t.Cleanup(site.close)
 	return site
