Learn whether load reports are fresh, and tune hot-cold

Cause: with reports 500 ms old hot-cold sent all to the upstreams that had looked idle; at 80% load it was behind least request. Change: the load by others is smoothed over 100 ms, and counts only as far as reports show to follow the entry's own requests; 8 candidates in place of 4; an upstream with 70% of its slots busy is hot whatever the quantile.

--- a/balance/hotcold/hotcold.go
+++ b/balance/hotcold/hotcold.go
@@ -1,6 +1,6 @@
 // Package hotcold picks among random candidates: those with more load than
-// most are hot and ranked by load, the others are cold, go before hot ones and
-// are ranked by latency. The rule follows B. Wydrowski and others, "Load is
+// most, or nearly all slots busy, are hot and ranked by load; the others are
+// cold, go before hot ones and are ranked by latency. The rule follows B. Wydrowski and others, "Load is
 // not what you should balance: Introducing Prequal", NSDI 2024. Beyond it, each
 // data centre's share of work is kept near its share of capacity; locality
 // only breaks ties.
@@ -15,9 +15,12 @@
 
 const (
 	// candidates is the number of upstreams that a pick compares.
-	candidates = 4
+	candidates = 8
 	// draws bounds the draws of one pick.
 	draws = 2 * candidates
+	// busyLoad is the load per slot from which a request is likely to wait:
+	// above it an upstream is hot whatever the others' load.
+	busyLoad = 0.7
 	// likeLatency and likeLoad are the differences, as a share and per
 	// slot, within which two candidates tie.
 	likeLatency = 0.1
@@ -79,7 +82,7 @@
 	return candidate{
 		upstream: i,
 		over:     p.table.Over(i),
-		hot:      load > p.loads.value,
+		hot:      load > min(p.loads.value, busyLoad),
 		local:    p.table.Local(i),
 		load:     load,
 		latency:  p.table.Latency(now, i, class),
--- a/balance/signals.go
+++ b/balance/signals.go
@@ -5,11 +5,11 @@
 // Time constants of the signals.
 const (
 	// loadWindow smooths the load that others cause.
-	loadWindow = 30 * time.Millisecond
+	loadWindow = 100 * time.Millisecond
 	// loadTrust is the age at which half of a load report's weight is gone.
 	loadTrust = 500 * time.Millisecond
 	// latencyWindow smooths an upstream's latency.
-	latencyWindow = 100 * time.Millisecond
+	latencyWindow = 200 * time.Millisecond
 	// latencyTrust is the age at which half of a latency's weight is gone.
 	latencyTrust = time.Second
 	// failureWindow is the time after which a failure counts half.
@@ -56,6 +56,8 @@
 	// requests in flight when it came.
 	others   ewma
 	reported time.Duration // when the last report came
+	working  int           // in the last report
+	own      int           // in flight when it came
 	probed   time.Duration
 	latency  [classes]ewma // seconds
 	failures ewma          // share of requests that failed or were shed
@@ -89,19 +91,20 @@
 func (s *signals) report(now time.Duration, l Load, own int) float64 {
 	v := max(0, float64(l.Working-own))
 	s.others.add(now, v, loadWindow)
-	s.reported = now
+	s.reported, s.working, s.own = now, l.Working, own
 	return v
 }
 
 // Load estimates the requests that upstream i works on, per slot: the
 // entry's own in flight, and those of others by the last reports, whose
-// weight falls with their age towards the mean of all upstreams. Recent
-// failures count as load.
+// weight falls towards the mean of all upstreams with their age, and where
+// reports show to be old when they come. Recent failures count as load.
 func (t *Table) Load(now time.Duration, i int) float64 {
 	r := &t.rows[i]
 	s := &r.signals
 	slots := float64(r.Slots)
-	others := s.others.faded(now, t.others.value*slots, loadTrust)
+	mean := t.others.value * slots
+	others := mean + t.trust.value*(s.others.faded(now, mean, loadTrust)-mean)
 	load := (float64(t.InFlight(i)) + others) / slots
 	if r.weight > 0 {
 		load /= r.weight
--- a/balance/table.go
+++ b/balance/table.go
@@ -17,6 +17,7 @@
 	stale    bool // sampler is out of date
 	costs    [classes]ewma
 	others   ewma // mean load per slot by others, over all upstreams
+	trust    trust
 	observer Observer
 }
 
@@ -44,7 +45,7 @@
 		t.rows = append(t.rows, r)
 	}
 	if prev != nil {
-		t.costs, t.others = prev.costs, prev.others
+		t.costs, t.others, t.trust = prev.costs, prev.others, prev.trust
 		t.shares.keep(&prev.shares)
 	}
 	return t
@@ -180,7 +181,9 @@
 
 func (t *Table) report(now time.Duration, i int, l Load) {
 	r := &t.rows[i]
-	others := r.signals.report(now, l, t.InFlight(i))
+	own := t.InFlight(i)
+	t.trust.add(&r.signals, l.Working, own)
+	others := r.signals.report(now, l, own)
 	t.others.add(now, others/float64(r.Slots), othersWindow)
 }
 
