--- a/health/leaving.go
+++ b/health/leaving.go
@@ -51,6 +51,7 @@
 	u.word = word{last: now, own: own || u.state == Leaving && u.word.own}
 	if u.state != Leaving {
 		t.set(now, i, Leaving)
+		t.relax(now)
 	}
 }
 
@@ -64,6 +65,7 @@
 	u.listed = leaving
 	u.word = word{}
 	t.set(now, i, Cold)
+	t.relax(now)
 }
 
 // SaidLeaving tells whether upstream i told this entry itself that it leaves.
@@ -90,6 +92,7 @@
 		*w = word{returned: now, back: true}
 		u.until = now
 		t.set(now, i, Trial)
+		t.relax(now)
 	}
 }
 
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -231,16 +231,37 @@
 
 // eject takes upstream i out, unless too many are out already.
 func (t *Tracker) eject(now time.Duration, i int) {
-	active := 0
-	for k := range t.upstreams {
-		if t.State(k) != Leaving {
-			active++
+	if t.trials < ejectable(t.active()) {
+		t.startEjection(now, i)
+	}
+}
+
+// active is the number of upstreams that are not leaving.
+func (t *Tracker) active() int {
+	n := 0
+	for i := range t.upstreams {
+		if t.State(i) != Leaving {
+			n++
 		}
 	}
-	if t.trials >= ejectable(active) {
-		return
+	return n
+}
+
+// relax takes back ejections that are too many since others left, the one
+// that ends first before the others.
+func (t *Tracker) relax(now time.Duration) {
+	for t.trials > ejectable(t.active()) {
+		first := -1
+		for i := range t.upstreams {
+			if s := t.State(i); s != Ejected && s != Trial {
+				continue
+			}
+			if first < 0 || t.upstreams[i].until < t.upstreams[first].until {
+				first = i
+			}
+		}
+		t.set(now, first, Cold)
 	}
-	t.startEjection(now, i)
 }
 
 // ejectable is the number of upstreams, of n that are not leaving, that may be
