--- a/balance/connections_test.go
+++ b/balance/connections_test.go
@@ -16,15 +16,24 @@
 		allowed := rapid.IntRange(1, 300).Draw(t, "allowed")
 		upstream := rapid.StringMatching("[a-z]{1,8}").Draw(t, "upstream")
 		seen := rapid.Float64Range(0, 1).Draw(t, "chance to see another")
+		// In a replacement the others still see the entries that are gone.
+		replaced := rapid.Bool().Draw(t, "replacement")
+		if replaced {
+			running, seen = size, 1
+		}
 		sum := 0
 		for e := range running {
 			f := Fleet{Self: entryID(e), Max: size}
+			gone := rapid.IntRange(0, replacedUnseen).Draw(t, "gone")
 			for o := range running {
-				if o == e || rapid.Float64Range(0, 1).Draw(t, "see") <= seen {
+				switch {
+				case o == e, replaced && o >= gone:
+					f.Live = append(f.Live, entryID(o))
+				case !replaced && rapid.Float64Range(0, 1).Draw(t, "see") <= seen:
 					f.Live = append(f.Live, entryID(o))
 				}
 			}
-			for g := range rapid.IntRange(0, replacedUnseen).Draw(t, "gone") {
+			for g := range gone {
 				f.Live = append(f.Live, entryID(1000+g))
 			}
 			n, _ := f.ConnectionLimit(upstream, allowed)
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -30,6 +30,7 @@
 	ticked    time.Duration // when upkeep was last done
 	inSubset  []bool
 	due       []int // reused by Probes
+	begun     bool  // the time is known
 }
 
 // ProbeOrder asks for one probe of an upstream.
@@ -59,9 +60,11 @@
 const upkeepInterval = 100 * time.Millisecond
 
 // NewPool returns a Pool for a service that was checked by package config.
+// Its measuring budget starts empty with the first Update.
 func NewPool(svc config.Service, site Site, seed uint64) *Pool {
 	p := &Pool{service: svc.Name, rng: rand.New(rand.NewPCG(seed, 1))}
 	p.Update(0, svc, site)
+	p.begun = false
 	return p
 }
 
@@ -69,6 +72,9 @@
 // about the upstreams that stay.
 func (p *Pool) Update(now time.Duration, svc config.Service, site Site) {
 	rules := svc.Rules.WithDefaults()
+	if !p.begun {
+		p.planner, p.begun = nil, true
+	}
 	site.EntryIDs = keepIDs(site.EntryIDs, p.site.EntryIDs)
 	described := describe(svc.Upstreams)
 	table := balance.NewTable(described, site.DataCentre, p.table)
