Prove membership and spread over whole Nodes; bound ages and bytes

Cause: at 160 instances views never met (oldest heartbeat 17.9 s, 37067 drops in 2 min): answers echoed the request, freshest-first starved some. Change: nothing is sent back to its teller, stale instances are asked for by key, heartbeats are 14 bytes and slow down with the fleet's size. An instance started fresh with the list out was never called back (TestFreshInstanceWithStoreDown).

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"runtime/debug"
 	"time"
@@ -257,7 +256,7 @@
 	v, err := d.store.Watch(bounded, config.HeadKey, w.After)
 	changed := err == nil
 	if changed {
-		err = json.Unmarshal(v.Data, &h)
+		h, err = config.DecodeHead(v.Data)
 	}
 	if platform.IsKind(err, platform.NotFound) {
 		err = nil // the time passed
--- a/agent/node.go
+++ b/agent/node.go
@@ -96,13 +96,13 @@
 func (n *Node) exchanges(now time.Duration, addresses []string) []Action {
 	var out []Action
 	for _, a := range addresses {
-		out = append(out, Exchange{Address: a, Message: n.message(now, true, nil)})
+		out = append(out, Exchange{Address: a, Message: n.fill(now, n.table.Request(now, a))})
 	}
 	return out
 }
 
-func (n *Node) message(now time.Duration, request bool, want []membership.Key) membership.Message {
-	m := n.table.Message(now, request, want)
+// fill adds to a message what the Table does not know.
+func (n *Node) fill(now time.Duration, m membership.Message) membership.Message {
 	held := n.spread.keeper.Version()
 	m.Revision, m.Digest = held.Revision, shortDigest(held.Digest)
 	m.ReadAge = n.duty.age(now)
@@ -115,8 +115,8 @@
 	if err := n.table.Receive(now, m); err != nil {
 		return membership.Message{}, nil, err
 	}
-	out := n.heard(now, n.table.Peer(m), m)
-	return n.message(now, false, m.Want), out, nil
+	out := n.heard(now, m.Address.String(), m)
+	return n.fill(now, n.table.Answer(now, m)), out, nil
 }
 
 // Exchanged takes the end of an Exchange; answer is nil where it failed.
@@ -234,7 +234,7 @@
 		Entry: st.Incarnation, Uptime: st.Uptime + now - n.sync.at, Revision: st.Revision, Spare: st.Spare,
 		Ready:   live && n.settled && st.Revision > 0,
 		Leaving: st.Leaving || n.stopping > 0,
-		Store:   now-n.duty.ownRead < storeFresh,
+		Store:   n.readsStore(now),
 	}
 	n.table.Set(now, s)
 }
--- a/agent/observe.go
+++ b/agent/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
@@ -35,8 +34,8 @@
 }
 
 func (s *observedStore) accept(data []byte) {
-	var h config.Head
-	if json.Unmarshal(data, &h) != nil {
+	h, err := config.DecodeHead(data)
+	if err != nil {
 		s.d.count("config.refused.undecodable")
 		return
 	}
--- a/locate/locate.go
+++ b/locate/locate.go
@@ -21,9 +21,9 @@
 	MaxTableAge = 3 * time.Second
 	// HandOutLimit is how long after the begin of its planned stop an entry
 	// may still be handed out by another that is cut off from its agent's
-	// word: the silence that drops an instance, and the age of a Table. An
+	// word: the time that drops a silent instance, and the age of a Table. An
 	// entry may end once HandOutLimit and the lookup's lifetime have passed.
-	HandOutLimit = 10 * time.Second
+	HandOutLimit = 15 * time.Second
 	// minLifetime is the shortest lifetime of an answer, as a share of the
 	// one configured, which is the longest.
 	minLifetime = 0.75
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -19,7 +19,8 @@
 // the instance itself raises them.
 type Beat struct {
 	Key Key
-	// Incarnation identifies one run of the agent; a later run has a higher one.
+	// Incarnation identifies one run of the agent; a later run has a higher
+	// one, such as the time of day in milliseconds at its start.
 	Incarnation uint64
 	// Count rises with every heartbeat of an incarnation.
 	Count uint64
@@ -76,7 +77,8 @@
 	return f
 }
 
-// Beats is a list of heartbeats; it encodes itself in about 15 bytes each.
+// Beats is a list of heartbeats; it encodes itself in about 14 bytes each.
+// Revisions are written as the difference to the first one's.
 type Beats []Beat
 
 // errBeats marks a list that was cut or is too long.
@@ -85,13 +87,15 @@
 // MarshalBinary implements encoding.BinaryMarshaler.
 func (l Beats) MarshalBinary() ([]byte, error) {
 	out := make([]byte, 0, 20*len(l))
+	base := uint64(0)
 	for _, b := range l {
 		out = binary.BigEndian.AppendUint32(out, uint32(b.Key))
-		out = append(out, b.flags(), byte(min(b.Age/ageStep, maxAgeSteps)))
+		out = append(out, b.flags(), byte(max(0, min(b.Age/ageStep, maxAgeSteps))))
 		out = binary.AppendUvarint(out, b.Incarnation)
 		out = binary.AppendUvarint(out, b.Count)
 		out = binary.AppendUvarint(out, b.Version)
-		out = binary.AppendUvarint(out, b.Revision)
+		out = binary.AppendVarint(out, int64(b.Revision-base))
+		base = l[0].Revision
 	}
 	return out, nil
 }
@@ -109,13 +113,22 @@
 			Spare: f & MaxSpare, Ready: f&readyBit != 0, Leaving: f&leavingBit != 0, Store: f&storeBit != 0,
 		}
 		in = in[6:]
-		for _, v := range []*uint64{&b.Incarnation, &b.Count, &b.Version, &b.Revision} {
+		for _, v := range []*uint64{&b.Incarnation, &b.Count, &b.Version} {
 			n := 0
 			if *v, n = binary.Uvarint(in); n <= 0 {
 				return errBeats
 			}
 			in = in[n:]
 		}
+		d, n := binary.Varint(in)
+		if n <= 0 {
+			return errBeats
+		}
+		in = in[n:]
+		b.Revision = uint64(d)
+		if len(*l) > 0 {
+			b.Revision += (*l)[0].Revision
+		}
 		*l = append(*l, b)
 	}
 	return nil
--- a/membership/message.go
+++ b/membership/message.go
@@ -24,11 +24,16 @@
 
 // Message is one half of an exchange: the request and the answer alike.
 type Message struct {
+	// Address is the sender's peer address.
+	Address netip.AddrPort
 	// Beats holds the sender's own heartbeat first.
 	Beats Beats
 	Infos []Info
 	// Want asks for the Infos of instances; a request alone carries it.
 	Want []Key
+	// Stale asks for newer heartbeats of instances that the sender has not
+	// heard of for a while; a request alone carries it.
+	Stale []Key
 	// Revision and Digest identify the newest configuration that the sender
 	// holds; Digest holds the first bytes of the document's digest.
 	Revision uint64
@@ -49,9 +54,10 @@
 
 // Bounds of a Message.
 const (
-	MaxBeats   = 16
+	MaxBeats   = 24
 	MaxInfos   = 16
 	MaxLeaving = 16
+	maxStale   = 8
 	maxText    = 64 // bytes
 )
 
@@ -68,9 +74,11 @@
 // Check returns a *MalformedError where the message breaks a bound.
 func (m *Message) Check() error {
 	switch {
+	case !m.Address.IsValid():
+		return &MalformedError{"no address"}
 	case len(m.Beats) == 0 || len(m.Beats) > MaxBeats:
 		return &MalformedError{fmt.Sprintf("%d heartbeats", len(m.Beats))}
-	case len(m.Infos) > MaxInfos || len(m.Want) > MaxInfos:
+	case len(m.Infos) > MaxInfos || len(m.Want) > MaxInfos || len(m.Stale) > maxStale:
 		return &MalformedError{"too many instances"}
 	case len(m.Leaving) > MaxLeaving:
 		return &MalformedError{"too many leaving upstreams"}
--- a/membership/rounds.go
+++ b/membership/rounds.go
@@ -18,6 +18,10 @@
 	// reviveInterval is the time between two tries of an instance that is
 	// listed or remembered but silent.
 	reviveInterval = 2500 * time.Millisecond
+	// maxCallers bounds the unknown peers that are called back.
+	maxCallers = 4
+	// askAgain is the time between two direct exchanges with a suspect.
+	askAgain = 1500 * time.Millisecond
 	// busyLimit is when an exchange without a result is given up.
 	busyLimit = 10 * time.Second
 )
@@ -30,6 +34,8 @@
 	contacts []Key
 	turn     int
 	round    int
+	// callers are peers that asked this instance and are not known yet.
+	callers []string
 	// busy holds the peers with an exchange in flight, since when.
 	busy map[string]time.Duration
 }
@@ -42,7 +48,7 @@
 func (t *Table) Tick(now time.Duration) []string {
 	t.skipPause(now)
 	t.drop(now)
-	if now-t.raised >= BeatInterval {
+	if now-t.raised >= max(BeatInterval, time.Duration(t.Live())*beatStep) {
 		t.raise(now)
 	}
 	for a, since := range t.rounds.busy {
@@ -79,7 +85,8 @@
 }
 
 // skipPause keeps a pause of this process from counting as the others'
-// silence.
+// silence: they are dropped once they stay silent for a while after it. Their
+// heartbeats are as old as they are, so that the pause reaches no other view.
 func (t *Table) skipPause(now time.Duration) {
 	gap := now - t.ticked
 	t.ticked = now
@@ -88,17 +95,13 @@
 	}
 	t.counts.Pauses++
 	clear(t.rounds.busy)
-	for _, m := range t.members {
-		if !m.silent {
-			m.sent += gap
-		}
-	}
+	t.graceEnd, t.lateEnd = now+pauseGrace, now+lateLimit
 }
 
 func (t *Table) drop(now time.Duration) {
 	for k, m := range t.members {
 		age := now - m.sent
-		if age >= SilenceLimit && !m.silent {
+		if age >= SilenceLimit && !m.silent && now >= t.graceEnd {
 			m.silent = true
 			t.counts.Silent++
 		}
@@ -130,6 +133,8 @@
 			out = append(out, a)
 		}
 	}
+	out = append(out, r.callers...)
+	r.callers = nil
 	if now >= r.revive || len(r.contacts) == 0 {
 		r.revive = now + reviveInterval
 		out = append(out, t.silentPeers(max(1, fanout-len(r.contacts)))...)
@@ -141,7 +146,7 @@
 func (t *Table) suspect(now time.Duration) string {
 	var worst *member
 	for _, m := range t.members {
-		if m.silent || !m.known || now-m.sent < suspectAge || now-m.asked < suspectAge/2 {
+		if m.silent || !m.known || now-m.sent < suspectAge || now-m.asked < askAgain {
 			continue
 		}
 		if worst == nil || m.sent < worst.sent || m.sent == worst.sent && m.beat.Key < worst.beat.Key {
--- a/membership/table.go
+++ b/membership/table.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -17,25 +18,34 @@
 const (
 	// RoundInterval is the time between two rounds of exchanges.
 	RoundInterval = 500 * time.Millisecond
-	// BeatInterval is the time between two heartbeats of an instance.
+	// BeatInterval is the time between two heartbeats of an instance, in a
+	// fleet that beatStep times its size does not exceed it.
 	BeatInterval = time.Second
+	beatStep     = 12500 * time.Microsecond
 	// SilenceLimit is the age of the newest heartbeat at which an instance
 	// is dropped.
-	SilenceLimit = 6 * time.Second
+	SilenceLimit = 8 * time.Second
+	// staleAge is the age at which newer heartbeats are asked for.
+	staleAge = 3 * time.Second
 	// suspectAge is the age at which an instance is asked directly.
-	suspectAge = SilenceLimit / 2
+	suspectAge = 5 * time.Second
 	// forgetAge is how long a silent instance's address is remembered.
 	forgetAge = 3 * time.Hour
 	// pauseLimit is the gap between two ticks that counts as a pause of
 	// this process.
-	pauseLimit = 2 * time.Second
+	pauseLimit = time.Second
+	// lateLimit is the time after a pause in which messages that waited for
+	// this process arrive.
+	lateLimit = time.Second
+	// pauseGrace is the time after a pause in which none is dropped.
+	pauseGrace = 4 * time.Second
 )
 
 const (
 	// maxMembers bounds the instances that a Table knows.
 	maxMembers = 1024
 	// maxSends bounds how often one heartbeat is passed on by one instance.
-	maxSends = 4
+	maxSends = 3
 	// infoSends is how often a changed Info is sent unasked.
 	infoSends = 12
 )
@@ -56,6 +66,8 @@
 	Mismatched int64
 	// Malformed counts messages that broke a bound.
 	Malformed int64
+	// Late counts messages that may have waited while this process paused.
+	Late int64
 	// Pauses counts pauses of this process.
 	Pauses int64
 }
@@ -65,6 +77,7 @@
 	// sent is when the newest heartbeat was sent, by this clock.
 	sent  time.Duration
 	sends int
+	from  Key // the peer that told of the newest heartbeat
 	info  Info
 	// infoAt is when info.Uptime was right; known is set once info fits beat.
 	infoAt time.Duration
@@ -81,22 +94,29 @@
 	info      Info
 	infoAt    time.Duration
 	infoSends int
-	raised    time.Duration
-	members   map[Key]*member
-	listed    map[string]Key // peer addresses of the platform's list
-	rng       *rand.Rand
-	rounds    rounds
-	ticked    time.Duration
-	counts    Counts
+	// peerAddress is info's, parsed.
+	peerAddress netip.AddrPort
+	raised      time.Duration
+	members     map[Key]*member
+	listed      map[string]Key // peer addresses of the platform's list
+	rng         *rand.Rand
+	rounds      rounds
+	ticked      time.Duration
+	graceEnd    time.Duration // none is dropped until then
+	lateEnd     time.Duration // messages may have waited for this process until then
+	counts      Counts
 }
 
-// New returns a Table of the instance that info describes. Its incarnation
+// New returns a Table of the instance that info describes, whose addresses
+// were checked. Its incarnation
 // must be above those of earlier runs; the time of day in milliseconds will do.
 func New(info Info, incarnation, seed uint64) *Table {
 	info.Incarnation, info.Version = incarnation, 1
+	addr, _ := netip.ParseAddrPort(info.PeerAddress)
 	return &Table{
-		self: Beat{Key: KeyOf(info.ID), Incarnation: incarnation, Count: 1, Version: 1},
-		info: info, members: map[Key]*member{}, listed: map[string]Key{},
+		peerAddress: addr,
+		self:        Beat{Key: KeyOf(info.ID), Incarnation: incarnation, Count: 1, Version: 1},
+		info:        info, members: map[Key]*member{}, listed: map[string]Key{},
 		rng: rand.New(rand.NewPCG(seed, incarnation)), rounds: rounds{busy: map[string]time.Duration{}},
 	}
 }
@@ -173,16 +193,24 @@
 		t.counts.Malformed++
 		return err
 	}
+	if now-t.ticked >= pauseLimit || now < t.lateEnd {
+		t.counts.Late++
+		return nil // its heartbeats may be older than they say
+	}
+	from := m.Beats[0].Key
 	for _, b := range m.Beats {
-		t.merge(now, b)
+		t.merge(now, b, from)
 	}
 	for _, i := range m.Infos {
 		t.mergeInfo(now, i)
 	}
+	if t.address(from) == "" && len(t.rounds.callers) < maxCallers {
+		t.rounds.callers = append(t.rounds.callers, m.Address.String())
+	}
 	return nil
 }
 
-func (t *Table) merge(now time.Duration, b Beat) {
+func (t *Table) merge(now time.Duration, b Beat, from Key) {
 	if b.Key == t.self.Key {
 		t.refute(now, b)
 		return
@@ -205,7 +233,7 @@
 	if b.Leaving && !m.beat.Leaving {
 		t.counts.Left++
 	}
-	m.beat, m.sends = b, 0
+	m.beat, m.sends, m.from = b, 0, from
 	m.sent = max(m.sent, now-b.Age)
 	if m.silent && now-m.sent < SilenceLimit {
 		m.silent = false
@@ -264,10 +292,21 @@
 	m.info, m.infoAt, m.known = i, now, true
 }
 
-// Message returns the next message to send, as a request or an answer to one
-// that wants the keys given.
-func (t *Table) Message(now time.Duration, request bool, want []Key) Message {
-	out := Message{Beats: t.beats(now)}
+// Request returns the next message to begin an exchange with the peer at
+// address.
+func (t *Table) Request(now time.Duration, address string) Message {
+	out := t.message(now, t.keyAt(address), nil, nil)
+	out.Want, out.Stale = t.want(now), t.stale(now)
+	return out
+}
+
+// Answer returns the answer to a peer's request.
+func (t *Table) Answer(now time.Duration, request *Message) Message {
+	return t.message(now, request.Beats[0].Key, request.Want, request.Stale)
+}
+
+func (t *Table) message(now time.Duration, to Key, want, stale []Key) Message {
+	out := Message{Address: t.peerAddress, Beats: t.beats(now, to, stale)}
 	if t.infoSends < infoSends || slices.Contains(want, t.self.Key) {
 		t.infoSends++
 		out.Infos = append(out.Infos, t.ownInfo(now))
@@ -279,24 +318,36 @@
 			out.Infos = append(out.Infos, i)
 		}
 	}
-	if request {
-		out.Want = t.want(now)
-	}
 	return out
 }
 
+// keyAt returns the key of the contact at address; 0 for none.
+func (t *Table) keyAt(address string) Key {
+	for _, k := range t.rounds.contacts {
+		if t.address(k) == address {
+			return k
+		}
+	}
+	return 0
+}
+
 func (t *Table) ownInfo(now time.Duration) Info {
 	i := t.info
 	i.Uptime += now - t.infoAt
 	return i
 }
 
-// beats returns the own heartbeat and those passed on the fewest times,
-// the youngest first.
-func (t *Table) beats(now time.Duration) Beats {
+// beats returns the own heartbeat, those that the receiver lacks and those
+// passed on the fewest times, the youngest first; without what the receiver
+// sent or said itself.
+func (t *Table) beats(now time.Duration, to Key, stale []Key) Beats {
 	var due []*member
-	for _, m := range t.members {
-		if m.sends < maxSends && now-m.sent < SilenceLimit {
+	for k, m := range t.members {
+		fresh := now-m.sent < staleAge && slices.Contains(stale, k)
+		if fresh {
+			m.sends = 0
+		}
+		if fresh || k != to && m.from != to && m.sends < maxSends && now-m.sent < SilenceLimit {
 			due = append(due, m)
 		}
 	}
@@ -315,6 +366,24 @@
 	return out
 }
 
+// stale returns the live instances not heard of for longest.
+func (t *Table) stale(now time.Duration) []Key {
+	var old []*member
+	for _, m := range t.members {
+		if !m.silent && now-m.sent >= staleAge {
+			old = append(old, m)
+		}
+	}
+	slices.SortFunc(old, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.beat.Key, b.beat.Key))
+	})
+	var out []Key
+	for _, m := range old[:min(len(old), maxStale)] {
+		out = append(out, m.beat.Key)
+	}
+	return out
+}
+
 func (t *Table) want(now time.Duration) []Key {
 	var out []Key
 	for k, m := range t.members {
--- a/membership/view.go
+++ b/membership/view.go
@@ -36,14 +36,6 @@
 	return out
 }
 
-// Peer returns the peer address of the sender of m; empty where it is unknown.
-func (t *Table) Peer(m *Message) string {
-	if len(m.Beats) == 0 {
-		return ""
-	}
-	return t.address(m.Beats[0].Key)
-}
-
 // Region returns the region of the instance with key k; empty where unknown.
 func (t *Table) Region(k Key) string {
 	if m := t.members[k]; m != nil && m.known {
