--- a/load/run.go
+++ b/load/run.go
@@ -52,7 +52,7 @@
 		if v.omits(r.s.Calls[i].Name) {
 			continue
 		}
-		wg.Go(func() { r.mix(i, start, callers, res) })
+		wg.Go(func() { r.mix(i, v, start, callers, res) })
 	}
 	wg.Wait()
 	res.Seconds = time.Since(start).Seconds()
@@ -109,11 +109,11 @@
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
 // mix starts the calls of one mix at their intended times and waits for all.
-func (r *Runner) mix(i int, start time.Time, callers []*caller, res *Result) {
+func (r *Runner) mix(i int, v Variant, start time.Time, callers []*caller, res *Result) {
 	m := &r.s.Calls[i]
 	row := res.Rows[i]
 	rng := rand.New(rand.NewPCG(r.s.Seed, uint64(i+1)*callNameStep))
-	rate := res.rate(m)
+	rate := res.rate(m) * defaultTo(v.RateFactor, 1)
 	warm, end := r.s.Warmup.D(), r.s.Warmup.D()+r.s.Duration.D()
 	var wg sync.WaitGroup
 	n := 0
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -97,6 +97,8 @@
 	// ProbeBudget and HedgeBudget are put in force for every service.
 	ProbeBudget *float64 `json:"probe_budget,omitempty"`
 	HedgeBudget *float64 `json:"hedge_budget,omitempty"`
+	// RateFactor multiplies every rate; 1 by default.
+	RateFactor float64 `json:"rate_factor,omitempty"`
 	// Entries replaces the scenario's, for another build of the daemons.
 	Entries []string `json:"entries,omitempty"`
 	// Direct sends to the upstreams themselves, in turn.
