--- a/attempt/permit.go
+++ b/attempt/permit.go
@@ -34,10 +34,12 @@
 	// MaxLifetime is the longest time that a home accepts until a permit's
 	// expiry. It is no setting: homes must agree with their own past.
 	MaxLifetime = time.Hour
+	// MaxKey is the longest Catkin-Key, in bytes.
+	MaxKey = 512
 	// MaxName is the longest caller's part of a Catkin-Key, in bytes.
 	MaxName = 128
 	// MaxToken is the longest permit in text, in bytes.
-	MaxToken = 512
+	MaxToken = MaxKey - MaxName - 1
 	// maxPart is the longest ID or address in a permit, in bytes.
 	maxPart = 64
 
--- a/attempt/retry.go
+++ b/attempt/retry.go
@@ -1,5 +1,7 @@
 package attempt
 
+import "strings"
+
 // Retry names why a call was sent once more, or why it was not. Each has a
 // counter.
 type Retry string
@@ -43,5 +45,12 @@
 	{DeniedBudget, "the service's retry_budget is used up"},
 }
 
+// Reason returns why the call was sent once more, without the prefix that
+// sorts the counters.
+func (r Retry) Reason() Reason {
+	_, why, _ := strings.Cut(string(r), ".")
+	return Reason(why)
+}
+
 // Retries lists every Retry, in a fixed order.
 func Retries() []RetryInfo { return append([]RetryInfo(nil), retries...) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,7 +85,9 @@
 	// RetriesSpent is to be marked on the request, or on the answer.
 	RetriesSpent bool
 	Outcome      attempt.Outcome
-	Reason       attempt.Reason
+	// Reason says why a call was not answered, or why StepSend sends it once
+	// more; empty for a first attempt.
+	Reason attempt.Reason
 	// RetryAfter is a hint to the caller; 0 for none.
 	RetryAfter time.Duration
 	// Reply is a stored reply to send; nil where Attempt holds it.
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -55,7 +55,8 @@
 		return out // the other attempt may still be answered
 	}
 	if how != good && n.mayRetry(now, c, how, r) {
-		if step, ok := n.try(now, c); ok {
+		if step, ok := n.try(now, c, retryReason(how)); ok {
+			n.counts.retry(retryReason(how))
 			return append(out, step)
 		}
 	}
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -17,7 +17,6 @@
 		n.counts.retry(why)
 		return false
 	}
-	n.counts.retry(retryReason(how))
 	return true
 }
 
@@ -77,7 +76,7 @@
 	if len(c.live) != 1 || !c.svc.hedges.Take() {
 		return out
 	}
-	step, ok := n.try(now, c)
+	step, ok := n.try(now, c, attempt.RetryHedge)
 	if !ok {
 		return out
 	}
--- a/entry/start.go
+++ b/entry/start.go
@@ -88,7 +88,7 @@
 
 // send sends the call to one more upstream, or ends it where there is none.
 func (n *Node) send(now time.Duration, c *call, out []Step) []Step {
-	if step, ok := n.try(now, c); ok {
+	if step, ok := n.try(now, c, ""); ok {
 		return append(out, step)
 	}
 	if c.mayHaveRun {
@@ -97,8 +97,9 @@
 	return n.end(now, c, refusal(attempt.NotRun, attempt.ReasonNoUpstream), out)
 }
 
-// try picks an upstream that the call was not sent to before.
-func (n *Node) try(now time.Duration, c *call) (Step, bool) {
+// try picks an upstream that the call was not sent to before; why is empty for
+// the first attempt.
+func (n *Node) try(now time.Duration, c *call, why attempt.Retry) (Step, bool) {
 	id, addr, ok := c.svc.pool.Pick(now, balance.Query{
 		Class: c.class, Exclude: c.tried, Depth: c.Depth, NonIdempotent: !c.idempotent,
 	})
@@ -115,6 +116,6 @@
 	return Step{
 		Kind: StepSend, Call: c.ID, Attempt: n.last, Service: c.svc.name, Upstream: id, Address: addr,
 		Fresh: !c.idempotent, Record: c.keyed, Timeout: c.deadline - now,
-		RetriesSpent: c.RetriesSpent || c.sends > 1,
+		RetriesSpent: c.RetriesSpent || c.sends > 1, Reason: why.Reason(),
 	}, true
 }
