--- a/attempt/reason.go
+++ b/attempt/reason.go
@@ -1,5 +1,7 @@
 package attempt
 
+import "slices"
+
 // Reason names why a call was refused or ended without an answer, in the form
 // of the Catkin-Reason header. Each has a counter and a remedy.
 type Reason string
@@ -36,47 +38,60 @@
 // ReasonInfo describes one Reason for callers, operators and counters.
 type ReasonInfo struct {
 	Reason Reason
+	// Outcomes are those that the reason is given with.
+	Outcomes []Outcome
 	// Remedy says what the caller or the operator can do.
 	Remedy string
 }
 
+var (
+	notRun  = []Outcome{NotRun}
+	unknown = []Outcome{Unknown}
+	either  = []Outcome{NotRun, Unknown}
+)
+
 var reasons = []ReasonInfo{
-	{ReasonNoConfiguration, "the entry has no configuration yet: use another entry"},
-	{ReasonUnknownService, "no service has this Host: correct the name, or confirm a configuration that has it"},
-	{ReasonNoUpstream, "no upstream takes new work: repeat later; operators check the upstreams' states"},
-	{ReasonBodyTooLarge, "the body is above the service's max_body: send less, or raise max_body"},
-	{ReasonDeadline, "the time left was too short: allow more time"},
-	{ReasonOverload, "the wait for a slot would pass the deadline: repeat after Retry-After"},
-	{ReasonQueueFull, "more calls of this caller wait than its share: repeat after Retry-After"},
-	{ReasonCancelled, "the first try of this call was given up before it ran: raise Catkin-Try"},
-	{ReasonConnect, "no upstream accepted a connection: repeat later; operators check the upstreams"},
-	{ReasonShed, "the upstream refused the work: repeat after Retry-After"},
-	{ReasonLost, "the reply was lost after the request was sent: repeat it if it is idempotent; with a Catkin-Key ask the service whether it ran"},
-	{ReasonUnkeyedLost, "the reply was lost and the call has no Catkin-Key: it may have run, so ask the service before sending it again; send a key next time"},
-	{ReasonMalformedKey, "Catkin-Key is not \"<permit>/<name>\": take a permit from the address lookup and a name of 1 to 128 visible characters"},
-	{ReasonPermitVersion, "this entry is older than the permit: use another entry, or ask the service whether the call ran"},
-	{ReasonPermitSigner, "the permit's signing key is not in force here: ask the service whether the call ran, then look up a new permit"},
-	{ReasonPermitSignature, "the permit is not genuine: ask the service whether the call ran, then look up a new permit"},
-	{ReasonPermitExpired, "the permit has expired and its record is gone: ask the service whether the call ran, then look up a new permit"},
-	{ReasonPermitTooLong, "the permit outlasts what its home allows: ask the service whether the call ran, then look up a new permit"},
-	{ReasonHomeGone, "the entry that held the record has restarted: ask the service whether the call ran, then look up a new permit"},
-	{ReasonHomeUnreachable, "the entry that holds the record gives no answer: repeat with the same key, or ask the service whether the call ran"},
-	{ReasonNotRunEarlier, "this try was told not-run before and stays so: raise Catkin-Try or use a new key"},
-	{ReasonRecordFull, "the home's record is full: look up a new permit and use a new key"},
-	{ReasonKeyReused, "another request was sent under this key: use a new name for each request"},
-	{ReasonTooManyRepeats, "enough repeats of this call wait for its answer already: repeat later with the same key"},
-	{ReasonReplyNotKept, "the call ran and was answered once; its reply is not kept: ask the service for the result"},
+	{ReasonNoConfiguration, notRun, "the entry has no configuration yet: use another entry"},
+	{ReasonUnknownService, notRun, "no service has this Host: correct the name, or confirm a configuration that has it"},
+	{ReasonNoUpstream, notRun, "no upstream takes new work: repeat later; operators check the upstreams' states"},
+	{ReasonBodyTooLarge, notRun, "the body is above the service's max_body: send less, or raise max_body"},
+	{ReasonDeadline, either, "the time left was too short: allow more time"},
+	{ReasonOverload, notRun, "the wait for a slot would pass the deadline: repeat after Retry-After"},
+	{ReasonQueueFull, notRun, "more calls of this caller wait than its share: repeat after Retry-After"},
+	{ReasonCancelled, notRun, "the first try of this call was given up before it ran: raise Catkin-Try"},
+	{ReasonConnect, notRun, "no upstream accepted a connection: repeat later; operators check the upstreams"},
+	{ReasonShed, notRun, "the upstream refused the work: repeat after Retry-After"},
+	{ReasonLost, unknown, "the reply was lost after the request was sent: repeat it if it is idempotent; with a Catkin-Key ask the service whether it ran"},
+	{ReasonUnkeyedLost, unknown, "the reply was lost and the call has no Catkin-Key: it may have run, so ask the service before sending it again; send a key next time"},
+	{ReasonMalformedKey, notRun, "Catkin-Key is not \"<permit>/<name>\": take a permit from the address lookup and a name of 1 to 128 visible characters"},
+	{ReasonPermitVersion, unknown, "this entry is older than the permit: use another entry, or ask the service whether the call ran"},
+	{ReasonPermitSigner, unknown, "the permit's signing key is not in force here: ask the service whether the call ran, then look up a new permit"},
+	{ReasonPermitSignature, unknown, "the permit is not genuine: ask the service whether the call ran, then look up a new permit"},
+	{ReasonPermitExpired, unknown, "the permit has expired and its record is gone: ask the service whether the call ran, then look up a new permit"},
+	{ReasonPermitTooLong, unknown, "the permit outlasts what its home allows: ask the service whether the call ran, then look up a new permit"},
+	{ReasonHomeGone, unknown, "the entry that held the record has restarted: ask the service whether the call ran, then look up a new permit"},
+	{ReasonHomeUnreachable, unknown, "the entry that holds the record gives no answer: repeat with the same key, or ask the service whether the call ran"},
+	{ReasonNotRunEarlier, notRun, "this try was told not-run before and stays so: raise Catkin-Try or use a new key"},
+	{ReasonRecordFull, notRun, "the home's record is full: look up a new permit and use a new key"},
+	{ReasonKeyReused, unknown, "another request was sent under this key: use a new name for each request"},
+	{ReasonTooManyRepeats, unknown, "enough repeats of this call wait for its answer already: repeat later with the same key"},
+	{ReasonReplyNotKept, unknown, "the call ran and was answered once; its reply is not kept: ask the service for the result"},
 }
 
 // Reasons lists every Reason, in a fixed order.
-func Reasons() []ReasonInfo { return append([]ReasonInfo(nil), reasons...) }
+func Reasons() []ReasonInfo { return slices.Clone(reasons) }
 
 // Remedy says what to do about r; empty for a Reason that is not listed.
-func (r Reason) Remedy() string {
+func (r Reason) Remedy() string { return r.info().Remedy }
+
+// Allows tells whether r is given with the outcome.
+func (r Reason) Allows(o Outcome) bool { return slices.Contains(r.info().Outcomes, o) }
+
+func (r Reason) info() ReasonInfo {
 	for i := range reasons {
 		if reasons[i].Reason == r {
-			return reasons[i].Remedy
+			return reasons[i]
 		}
 	}
-	return ""
+	return ReasonInfo{}
 }
