--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,11 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+# Measures again and rewrites the tables of docs/CAPACITY.md. Takes minutes.
+capacity: build
+	mkdir -p tmp
+	OUT=tmp ENTRY_CPUS=2 sh scripts/bench.sh added scenarios/rates.json
+	$(GO) test -run '^$$' -bench BenchmarkSize -benchtime 1s ./attempt ./entry ./config >tmp/size.txt
+	$(GO) test -run '^$$' -bench BenchmarkSize -benchtime 1x ./agent >>tmp/size.txt
+	$(GO) run ./tools/capacity -page docs/CAPACITY.md -rates tmp/rates.json <tmp/size.txt
