Finish the queued calls of a service that was taken out

Cause: calls queued for a removed service waited until their deadlines. Change: such services are kept until nothing of theirs runs or waits. The fleet machine also checks that an entry without calls holds no attempt, slot, place in a queue or request at an upstream.

--- a/entry/atmostonce_test.go
+++ b/entry/atmostonce_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/catkinrouter/catkinrouter/balance"
 )
 
 // TestAtMostOnce drives several entries through kills, pauses, lost, late and
@@ -297,6 +299,7 @@
 		if n := len(e.node.calls); n > 0 {
 			t.Fatalf("%d calls never ended at %s", n, e.id)
 		}
+		e.checkFreed(t)
 		for id, c := range e.calls {
 			if !c.over {
 				t.Fatalf("call %d was never answered at %s", id, e.id)
@@ -304,3 +307,20 @@
 		}
 	}
 }
+
+// checkFreed checks that an entry without calls holds nothing for any.
+func (e *instance) checkFreed(t *rapid.T) {
+	if n := len(e.node.attempts); n > 0 {
+		t.Fatalf("%s holds %d attempts", e.id, n)
+	}
+	for _, s := range slices.Concat(e.node.ordered, e.node.retired) {
+		if s.limiter.Running()+s.limiter.Waiting() > 0 {
+			t.Fatalf("%s holds %d slots and %d places", e.id, s.limiter.Running(), s.limiter.Waiting())
+		}
+		for _, u := range []string{"u0", "u1", "u2"} {
+			if k := s.pool.InFlight(u, balance.Short) + s.pool.InFlight(u, balance.Long); k != 0 {
+				t.Fatalf("%s has %d requests to %s", e.id, k, u)
+			}
+		}
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -36,6 +36,8 @@
 	services map[string]*service
 	// ordered holds the services in the document's order.
 	ordered []*service
+	// retired services are no longer configured but have calls to finish.
+	retired []*service
 	members []string
 	heard   time.Duration
 
@@ -96,7 +98,7 @@
 	}
 	n.revision, n.doc = revision, doc
 	n.signer = attempt.NewSigner(doc.PermitKeys)
-	before := n.services
+	before, old := n.services, slices.Clone(n.ordered)
 	n.services = make(map[string]*service, len(doc.Services))
 	n.ordered = n.ordered[:0]
 	for i, svc := range doc.Services {
@@ -108,6 +110,11 @@
 		n.services[svc.Name] = s
 		n.ordered = append(n.ordered, s)
 	}
+	for _, s := range old {
+		if n.services[s.name] != s {
+			n.retired = append(n.retired, s)
+		}
+	}
 }
 
 func (n *Node) newService(svc config.Service, i uint64) *service {
@@ -195,6 +202,10 @@
 		}
 		s.freed = true
 	}
+	n.retired = slices.DeleteFunc(n.retired, func(s *service) bool {
+		s.freed = true
+		return s.limiter.Running()+s.limiter.Waiting() == 0
+	})
 	return n.release(now, out)
 }
 
--- a/entry/start.go
+++ b/entry/start.go
@@ -67,21 +67,29 @@
 // release starts the calls that may leave their service's queue.
 func (n *Node) release(now time.Duration, out []Step) []Step {
 	for _, s := range n.ordered {
-		for s.freed {
-			r, ok := s.limiter.Next(now)
-			if !ok {
-				s.freed = false
-				break
-			}
-			c := n.calls[r.ID]
-			c.stage = sending
-			if r.Late {
-				out = n.end(now, c, refusal(attempt.NotRun, attempt.ReasonDeadline), out)
-				continue
-			}
-			c.holds = true
-			out = n.send(now, c, out)
+		out = n.releaseFrom(now, s, out)
+	}
+	for _, s := range n.retired {
+		out = n.releaseFrom(now, s, out)
+	}
+	return out
+}
+
+func (n *Node) releaseFrom(now time.Duration, s *service, out []Step) []Step {
+	for s.freed {
+		r, ok := s.limiter.Next(now)
+		if !ok {
+			s.freed = false
+			break
+		}
+		c := n.calls[r.ID]
+		c.stage = sending
+		if r.Late {
+			out = n.end(now, c, refusal(attempt.NotRun, attempt.ReasonDeadline), out)
+			continue
 		}
+		c.holds = true
+		out = n.send(now, c, out)
 	}
 	return out
 }
