--- a/entry/start.go
+++ b/entry/start.go
@@ -67,28 +67,36 @@
 // release starts the calls that may leave their service's queue.
 func (n *Node) release(now time.Duration, out []Step) []Step {
 	for _, s := range n.ordered {
-		for s.freed {
-			r, ok := s.limiter.Next(now)
-			if !ok {
-				s.freed = false
-				break
-			}
-			c := n.calls[r.ID]
-			c.stage = sending
-			if r.Late {
-				out = n.end(now, c, refusal(attempt.NotRun, attempt.ReasonDeadline), out)
-				continue
-			}
-			c.holds = true
-			out = n.send(now, c, out)
+		out = n.releaseFrom(now, s, out)
+	}
+	for _, s := range n.retired {
+		out = n.releaseFrom(now, s, out)
+	}
+	return out
+}
+
+func (n *Node) releaseFrom(now time.Duration, s *service, out []Step) []Step {
+	for s.freed {
+		r, ok := s.limiter.Next(now)
+		if !ok {
+			s.freed = false
+			break
+		}
+		c := n.calls[r.ID]
+		c.stage = sending
+		if r.Late {
+			out = n.end(now, c, refusal(attempt.NotRun, attempt.ReasonDeadline), out)
+			continue
 		}
+		c.holds = true
+		out = n.send(now, c, out)
 	}
 	return out
 }
 
 // send sends the call to one more upstream, or ends it where there is none.
 func (n *Node) send(now time.Duration, c *call, out []Step) []Step {
-	if step, ok := n.try(now, c); ok {
+	if step, ok := n.try(now, c, ""); ok {
 		return append(out, step)
 	}
 	if c.mayHaveRun {
@@ -97,8 +105,9 @@
 	return n.end(now, c, refusal(attempt.NotRun, attempt.ReasonNoUpstream), out)
 }
 
-// try picks an upstream that the call was not sent to before.
-func (n *Node) try(now time.Duration, c *call) (Step, bool) {
+// try picks an upstream that the call was not sent to before; why is empty for
+// the first attempt.
+func (n *Node) try(now time.Duration, c *call, why attempt.Retry) (Step, bool) {
 	id, addr, ok := c.svc.pool.Pick(now, balance.Query{
 		Class: c.class, Exclude: c.tried, Depth: c.Depth, NonIdempotent: !c.idempotent,
 	})
@@ -115,6 +124,6 @@
 	return Step{
 		Kind: StepSend, Call: c.ID, Attempt: n.last, Service: c.svc.name, Upstream: id, Address: addr,
 		Fresh: !c.idempotent, Record: c.keyed, Timeout: c.deadline - now,
-		RetriesSpent: c.RetriesSpent || c.sends > 1,
+		RetriesSpent: c.RetriesSpent || c.sends > 1, Reason: why.Reason(),
 	}, true
 }
