Close the test site's control connections after each call

Cause: sites of one test process share addresses, and the default client kept connections to the stand-in of the site before, which had been killed: about every other run of TestPlannedStopWithoutAgent after TestPlannedStopCutsNothing failed with 'the server closed connection' from the counts, not from the entry (go test -count=8 -run TestPlannedStop: 4 of 8). Change: each control call asks for its connection to be closed. Conclusion: the harness was at fault, the check stays as it was.

--- a/internal/proctest/site.go
+++ b/internal/proctest/site.go
@@ -259,6 +259,8 @@
 	}
 	req.SetRequestURI(url)
 	req.Header.SetMethod(fasthttp.MethodPost)
+	// A later site has the same addresses: no connection outlives its call.
+	req.SetConnectionClose()
 	req.SetBody(b)
 	if err := fasthttp.DoTimeout(req, resp, 10*time.Second); err != nil {
 		return err
