--- /dev/null
+++ b/proxy/bench_test.go
@@ -0,0 +1,203 @@
+package proxy
+
+import (
+	"bufio"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/entry"
+	"github.com/catkinrouter/catkinrouter/headers"
+	"github.com/catkinrouter/catkinrouter/internal/metrics"
+)
+
+// benchConn sends the same request again and again.
+type benchConn struct {
+	net.Conn
+	r    *bufio.Reader
+	resp fasthttp.Response
+}
+
+func dialBench(b *testing.B, addr string) *benchConn {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { c.Close() })
+	return &benchConn{Conn: c, r: bufio.NewReader(c)}
+}
+
+func (c *benchConn) ask(b *testing.B, raw []byte) {
+	if _, err := c.Write(raw); err != nil {
+		b.Error(err)
+		return
+	}
+	if err := c.resp.Read(c.r); err != nil {
+		b.Error(err)
+		return
+	}
+	if c.resp.StatusCode() != fasthttp.StatusOK {
+		b.Errorf("%s", c.resp.String())
+	}
+}
+
+func quickUpstream(b *testing.B) string {
+	return upstream(b, func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set(headers.Load, "1/6")
+		ctx.SetBodyString("clue 7 is under the bridge")
+	})
+}
+
+// BenchmarkCall is one caller's call at a time: to the upstream itself, and
+// through an entry, idempotent, not idempotent and keyed.
+func BenchmarkCall(b *testing.B) {
+	for _, bc := range []struct {
+		name   string
+		line   string
+		direct bool
+	}{
+		{"direct", "GET /clue", true},
+		{"entry", "GET /clue", false},
+		{"entry-post", "POST /buy", false},
+	} {
+		b.Run(bc.name, func(b *testing.B) {
+			up := quickUpstream(b)
+			addr := up
+			if !bc.direct {
+				addr = newTestSite(b, config.Rules{ProbeBudget: 1e-9}, up).addr
+			}
+			c := dialBench(b, addr)
+			raw := []byte(request1(bc.line, "", "Content-Length: 0", "User-Agent: bench", "Accept: */*"))
+			c.ask(b, raw)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.ask(b, raw)
+			}
+		})
+	}
+}
+
+// BenchmarkAdded is the latency at a steady rate, to the upstream itself and
+// through an entry in the same turns, with the time that the entry held calls.
+func BenchmarkAdded(b *testing.B) {
+	b.Run("get-2000", func(b *testing.B) { benchAdded(b, "GET /clue", 2000) })
+	b.Run("post-200", func(b *testing.B) { benchAdded(b, "POST /buy", 200) })
+}
+
+func benchAdded(b *testing.B, line string, perSecond int) {
+	const (
+		conns = 32
+		turn  = 500 * time.Millisecond
+	)
+	up := quickUpstream(b)
+	site := newTestSite(b, config.Rules{ProbeBudget: 1e-9}, up)
+	raw := []byte(request1(line, "", "Content-Length: 0", "User-Agent: bench", "Accept: */*"))
+	direct, through := metrics.NewHistogram(), metrics.NewHistogram()
+	paceOn(b, up, raw, conns, perSecond, turn, metrics.NewHistogram())
+	paceOn(b, site.addr, raw, conns, perSecond, turn, metrics.NewHistogram())
+	site.s.m.held.Clear()
+	for b.Loop() {
+		paceOn(b, up, raw, conns, perSecond, turn, direct)
+		paceOn(b, site.addr, raw, conns, perSecond, turn, through)
+	}
+	for _, p := range []float64{0.5, 0.99} {
+		name := "p" + strconv.Itoa(int(100*p))
+		b.ReportMetric(direct.Percentile(p), "direct-"+name+"-us")
+		b.ReportMetric(through.Percentile(p)-direct.Percentile(p), "added-"+name+"-us")
+		b.ReportMetric(site.s.m.held.Percentile(p), "held-"+name+"-us")
+	}
+}
+
+// paceOn makes calls at a steady rate, spread over connections, each with an
+// intended time from which its latency counts.
+func paceOn(b *testing.B, addr string, raw []byte, conns, perSecond int, turn time.Duration, h *metrics.Histogram) {
+	var wg sync.WaitGroup
+	start := time.Now()
+	gap := time.Second * time.Duration(conns) / time.Duration(perSecond)
+	for i := range conns {
+		c := dialBench(b, addr)
+		wg.Go(func() {
+			at := start.Add(gap * time.Duration(i) / time.Duration(conns))
+			for ; at.Sub(start) < turn; at = at.Add(gap) {
+				time.Sleep(time.Until(at))
+				sent := time.Now()
+				c.ask(b, raw)
+				h.Update(time.Since(sent).Microseconds())
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// BenchmarkOwner is the begin and the end of a call at a Node that callers'
+// goroutines lock, and at one owned by a goroutine behind a bounded ring.
+func BenchmarkOwner(b *testing.B) {
+	site := newTestSite(b, config.Rules{ProbeBudget: 1e-9}, quickUpstream(b))
+	d := site.s.d
+	whole := entry.Result{Wrote: true, Status: fasthttp.StatusOK}
+	once := func(c *call) {
+		a := d.begin(c)
+		for !a.answer {
+			if a.try == nil {
+				a = d.next(c)
+				continue
+			}
+			a = d.finished(c, a.try, whole)
+		}
+		d.leave(c)
+		releaseCall(c)
+	}
+	newCall := func() *call {
+		c := acquireCall(nil)
+		c.ec = entry.Call{Service: testService, Method: "GET", Path: "/clue", Caller: "plaza"}
+		return c
+	}
+	b.Run("mutex", func(b *testing.B) {
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				once(newCall())
+			}
+		})
+	})
+	b.Run("ring", func(b *testing.B) {
+		type event struct {
+			c    *call
+			t    *try
+			done chan action
+		}
+		ring := make(chan event, 1024)
+		go func() {
+			for e := range ring {
+				if e.t == nil {
+					e.done <- d.begin(e.c)
+				} else {
+					e.done <- d.finished(e.c, e.t, whole)
+				}
+			}
+		}()
+		b.Cleanup(func() { close(ring) })
+		b.RunParallel(func(pb *testing.PB) {
+			done := make(chan action, 1)
+			for pb.Next() {
+				c := newCall()
+				ring <- event{c: c, done: done}
+				a := <-done
+				for !a.answer {
+					if a.try == nil {
+						a = d.next(c)
+						continue
+					}
+					ring <- event{c: c, t: a.try, done: done}
+					a = <-done
+				}
+				d.leave(c)
+				releaseCall(c)
+			}
+		})
+	})
+}
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -244,3 +244,10 @@
 	}
 	return out
 }
+
+// connLimit returns the most connections to an upstream.
+func (d *dispatcher) connLimit(service, upstream string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.ConnLimit(service, upstream)
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -45,7 +45,7 @@
 		r.Err = errNoTime
 		return r
 	}
-	cn, err := s.pool.get(t.step.Address, t.step.Fresh, t.step.Timeout)
+	cn, err := s.pool.get(&t.step, t.step.Timeout)
 	if err != nil {
 		r.Err = err
 		return r
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/entry"
 )
 
 // errConnLimit is returned where an upstream has as many connections as this
@@ -17,8 +19,14 @@
 	dialTimeout = time.Second
 	// maxIdle is how long a connection may wait for reuse.
 	maxIdle = 10 * time.Second
-	// connLimit is the most connections to one address.
-	connLimit = 64
+	// entryConnLimit is the most connections to another entry.
+	entryConnLimit = 64
+	// maxSpareAge is how long a spare connection counts as fresh.
+	maxSpareAge = time.Second
+	// spareRing bounds the spare connections on order; more are dropped.
+	spareRing = 256
+	// spareOpeners bounds the spare connections that are opened at once.
+	spareOpeners = 4
 )
 
 // pool keeps connections by address: a bounded number each, idle ones for
@@ -27,6 +35,11 @@
 	m     *counters
 	start time.Time
 
+	// orders holds the addresses that are to get a spare connection.
+	orders chan string
+	// limitOf returns the most connections to an upstream.
+	limitOf func(service, upstream string) int
+
 	mu    sync.Mutex
 	hosts map[string]*host
 }
@@ -34,20 +47,29 @@
 // host is the pool of one address.
 type host struct {
 	open int
-	idle []*conn // the one used last is at the end
+	// limit is the one last told.
+	limit int
+	idle  []*conn // the one used last is at the end
+	// spare is a connection that carried no request yet; nil for none.
+	spare *conn
+	// opening is set while a spare is on order.
+	opening bool
 }
 
 func newPool(m *counters) *pool {
-	return &pool{m: m, start: time.Now(), hosts: map[string]*host{}}
+	return &pool{m: m, start: time.Now(), hosts: map[string]*host{}, orders: make(chan string, spareRing)}
 }
 
 func (p *pool) now() time.Duration { return time.Since(p.start) }
 
-// get returns a connection to addr; a fresh one carried no request before.
+// get returns a connection for st; a fresh one carried no request before.
 // With an error no byte was written.
-func (p *pool) get(addr string, fresh bool, timeout time.Duration) (*conn, error) {
-	for !fresh {
-		c := p.pop(addr)
+func (p *pool) get(st *entry.Step, timeout time.Duration) (*conn, error) {
+	if st.Fresh {
+		return p.getFresh(st, timeout)
+	}
+	for {
+		c := p.pop(st.Address)
 		if c == nil {
 			break
 		}
@@ -58,11 +80,20 @@
 		p.m.stale.Inc(1)
 		p.discard(c)
 	}
-	return p.dial(addr, timeout)
+	return p.open(st, timeout)
+}
+
+// open opens a connection within the limit of the target.
+func (p *pool) open(st *entry.Step, timeout time.Duration) (*conn, error) {
+	limit := entryConnLimit
+	if st.Kind != entry.StepForward {
+		limit = p.limitOf(st.Service, st.Upstream)
+	}
+	return p.dial(st.Address, limit, timeout)
 }
 
-func (p *pool) dial(addr string, timeout time.Duration) (*conn, error) {
-	if err := p.reserve(addr); err != nil {
+func (p *pool) dial(addr string, limit int, timeout time.Duration) (*conn, error) {
+	if err := p.reserve(addr, limit); err != nil {
 		return nil, err
 	}
 	d := net.Dialer{Timeout: min(timeout, dialTimeout)}
@@ -77,7 +108,7 @@
 
 // reserve counts a connection that is to be opened. An idle one is closed
 // where there would be too many.
-func (p *pool) reserve(addr string) error {
+func (p *pool) reserve(addr string, limit int) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[addr]
@@ -85,7 +116,8 @@
 		h = &host{}
 		p.hosts[addr] = h
 	}
-	if h.open >= connLimit {
+	h.limit = limit
+	if h.open >= limit {
 		if len(h.idle) == 0 {
 			return errConnLimit
 		}
@@ -161,12 +193,17 @@
 	p.unreserve(c.addr)
 }
 
-// sweep closes the connections that were idle for too long.
+// sweep closes the connections that were idle for too long. Spare ones that
+// were not wanted in time serve calls that need no fresh one.
 func (p *pool) sweep() {
 	limit := p.now() - maxIdle
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, h := range p.hosts {
+		if h.spare != nil && h.spare.since < p.now()-maxSpareAge {
+			h.idle = append(h.idle, h.spare)
+			h.spare.since, h.spare = p.now(), nil
+		}
 		n := 0
 		for n < len(h.idle) && h.idle[n].since < limit {
 			h.idle[n].Close()
@@ -188,6 +225,11 @@
 			c.Close()
 		}
 		h.drop(len(h.idle))
+		if h.spare != nil {
+			h.spare.Close()
+			h.spare = nil
+			h.open--
+		}
 		if h.open == 0 {
 			delete(p.hosts, addr)
 		}
--- a/proxy/probe.go
+++ b/proxy/probe.go
@@ -65,7 +65,7 @@
 	if st.Timeout > 0 {
 		timeout = st.Timeout
 	}
-	cn, err := p.pool.get(st.Address, false, timeout)
+	cn, err := p.pool.get(st, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -55,6 +55,7 @@
 	}
 	s.prober = &prober{ring: make(chan entry.Step, probeRing), pool: s.pool, d: s.d, m: m}
 	s.d.probe = s.prober.push
+	s.pool.limitOf = s.d.connLimit
 	s.state.Store(newState(nil))
 	return s
 }
@@ -84,6 +85,9 @@
 	g.Go(func() error { return s.tick(work) })
 	g.Go(func() error { return s.watch(work) })
 	g.Go(func() error { return s.upkeep(work) })
+	for range spareOpeners {
+		g.Go(func() error { return s.pool.openSpares(work) })
+	}
 	for range probeWorkers {
 		g.Go(func() error { return s.prober.run(work) })
 	}
