Answer lookups by package locate, and say unknown at the edge for keyed calls

A keyed request that the edge refuses did not run, but not-run with a key says that no earlier try of it did, which only the key's home knows; it is told unknown now. Headers that were too large may have held a key.

--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/link"
+	"github.com/catkinrouter/catkinrouter/locate"
 )
 
 // errOrphan ends an attempt whose call is over.
@@ -27,6 +29,7 @@
 	calls map[uint64]*call
 	last  uint64
 	steps []entry.Step
+	rng   *rand.Rand
 }
 
 // begin starts a call and returns what its goroutine is to do first.
@@ -233,16 +236,23 @@
 	return d.node.Status(d.now())
 }
 
-// permits returns the members with a permit each.
-func (d *dispatcher) permits(members []link.Member) []LookupAddress {
+// choose answers a lookup: entries that the caller may use, each with a
+// permit, and how long.
+func (d *dispatcher) choose(q locate.Query, self link.Member, st *state) ([]LookupAddress, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	mine := d.node.Status(now)
+	self.Incarnation, self.Uptime, self.Spare = mine.Incarnation, now, mine.Spare
+	age := now - st.heard
+	a := locate.Choose(q, locate.Table{Self: self, Members: st.members, Age: age}, st.doc.Lookup, d.rng)
 	var out []LookupAddress
-	for _, m := range members {
-		out = append(out, LookupAddress{Address: m.Address, Weight: 1, Permit: d.node.Permit(now, m)})
+	for _, c := range a.Choices {
+		m := c.Member
+		m.Uptime -= age // Permit adds it
+		out = append(out, LookupAddress{Address: m.Address, Weight: c.Weight, Permit: d.node.Permit(now, m)})
 	}
-	return out
+	return out, a.Lifetime
 }
 
 // connLimit returns the most connections to an upstream.
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/link"
@@ -15,6 +16,8 @@
 type state struct {
 	doc     *config.Document
 	members []link.Member
+	// heard is when the agent sent members.
+	heard time.Duration
 	// maxBody is the bound of bodies by service, in bytes.
 	maxBody map[string]int
 }
@@ -100,12 +103,12 @@
 	s.syncMu.Lock()
 	defer s.syncMu.Unlock()
 	old := s.state.Load()
-	fresh := &state{doc: old.doc, maxBody: old.maxBody, members: in.Members}
+	fresh := &state{doc: old.doc, maxBody: old.maxBody}
 	if doc != nil {
 		fresh = newState(doc)
-		fresh.members = in.Members
 		s.life = max(s.life, doc.Lookup.Lifetime.D())
 	}
+	fresh.members, fresh.heard = in.Members, s.now()
 	s.state.Store(fresh)
 	out := s.d.sync(in, doc)
 	out.Leaving = s.at() >= leaving
--- a/proxy/lookup.go
+++ b/proxy/lookup.go
@@ -7,6 +7,7 @@
 
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/link"
+	"github.com/catkinrouter/catkinrouter/locate"
 )
 
 // LookupAnswer is the body of the address lookup's answer.
@@ -39,10 +40,14 @@
 		s.refuse(ctx, newFault(reasonBadLookup, "the query names no configured service"))
 		return
 	}
-	a := LookupAnswer{
-		Service: service, LifeMs: st.doc.Lookup.Lifetime.D().Milliseconds(),
-		Addresses: s.d.permits(s.handedOut()),
+	args := ctx.QueryArgs()
+	q := locate.Query{DataCentre: string(args.Peek("data_centre")), Region: string(args.Peek("region"))}
+	addresses, life := s.d.choose(q, s.self(), st)
+	if len(addresses) == 0 {
+		s.refuse(ctx, newFault(reasonStopping, "the entry is stopping and knows no other"))
+		return
 	}
+	a := LookupAnswer{Service: service, LifeMs: life.Milliseconds(), Addresses: addresses}
 	b, err := json.Marshal(a)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
@@ -53,14 +58,10 @@
 	ctx.SetBody(b)
 }
 
-// handedOut returns the members that lookups may name.
-func (s *Server) handedOut() []link.Member {
-	var out []link.Member
-	for _, m := range s.state.Load().members {
-		if m.Leaving || m.ID == s.set.ID && s.at() >= leaving {
-			continue
-		}
-		out = append(out, m)
+// self is this entry as its own lookups see it.
+func (s *Server) self() link.Member {
+	return link.Member{
+		ID: s.set.ID, Address: s.set.Address, DataCentre: s.set.DataCentre, Region: s.set.Region,
+		Leaving: s.at() >= leaving,
 	}
-	return out
 }
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -29,6 +29,7 @@
 	reasonHeaderTooLarge  attempt.Reason = "header-too-large"
 	reasonBodyCut         attempt.Reason = "body-cut"
 	reasonSlowRequest     attempt.Reason = "request-timeout"
+	reasonStopping        attempt.Reason = "stopping"
 )
 
 // Refusal is the body of an answer that is not an upstream's.
@@ -81,6 +82,7 @@
 	reasonHeaderTooLarge:  {fasthttp.StatusRequestHeaderFieldsTooLarge, "send fewer or shorter headers, or raise max_header in the entry's settings"},
 	reasonBodyCut:         {fasthttp.StatusBadRequest, "send the whole body"},
 	reasonSlowRequest:     {fasthttp.StatusRequestTimeout, "send the whole request sooner"},
+	reasonStopping:        {fasthttp.StatusServiceUnavailable, "ask another entry for addresses"},
 }
 
 // statuses are those of the Node's reasons that differ from their outcome's.
@@ -127,13 +129,25 @@
 	return k
 }
 
+// outcome is what a request that was refused at the edge is told. It did not
+// run, but not-run with a key says that no earlier try did, which only the
+// key's home knows; headers that were too large may have held a key.
+func (f *fault) outcome(h *fasthttp.RequestHeader) attempt.Outcome {
+	keyed := len(h.Peek(headers.Key)) > 0 && f.reason != reasonBadKey
+	if keyed || f.reason == reasonHeaderTooLarge {
+		return attempt.Unknown
+	}
+	return attempt.NotRun
+}
+
 // refuse answers a request that was refused at the edge.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, f *fault) {
-	s.m.outcome(attempt.NotRun).Inc(1)
+	o := f.outcome(&ctx.Request.Header)
+	s.m.outcome(o).Inc(1)
 	s.m.refused(f.reason).Inc(1)
-	k := kindOf(f.reason, attempt.NotRun)
+	k := kindOf(f.reason, o)
 	s.writeRefusal(ctx, k.status, 0, Refusal{
-		Outcome: attempt.NotRun.String(), Reason: string(f.reason), Remedy: f.remedy, Detail: f.detail,
+		Outcome: o.String(), Reason: string(f.reason), Remedy: f.remedy, Detail: f.detail,
 	})
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -20,6 +20,7 @@
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
+	"github.com/catkinrouter/catkinrouter/locate"
 )
 
 // Server runs one entry.
@@ -48,9 +49,9 @@
 	r := gometrics.NewRegistry()
 	m := newCounters(r)
 	s := &Server{set: set, log: l, started: time.Now(), registry: r, m: m, pool: newPool(m)}
-	s.times = stopTimes{handOut: handOutLimit, margin: stopMargin, grace: closeGrace, limit: set.StopTimeout.D()}
+	s.times = stopTimes{handOut: locate.HandOutLimit, margin: stopMargin, grace: closeGrace, limit: set.StopTimeout.D()}
 	s.d = &dispatcher{
-		now: s.now, side: s.runSide, calls: map[uint64]*call{},
+		now: s.now, side: s.runSide, calls: map[uint64]*call{}, rng: rand.New(rand.NewPCG(inc, 2)),
 		node: entry.New(entry.Options{ID: set.ID, Address: set.Address, DataCentre: set.DataCentre, Incarnation: inc, Seed: inc}),
 	}
 	s.prober = &prober{ring: make(chan entry.Step, probeRing), pool: s.pool, d: s.d, m: m}
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -33,12 +33,11 @@
 	limit time.Duration
 }
 
-// Times of a planned stop: an entry serves on for handOutLimit, the longest
-// lifetime of a lookup's answer and stopMargin.
+// Times of a planned stop: an entry serves on for locate.HandOutLimit, the
+// longest lifetime of a lookup's answer and stopMargin.
 const (
-	handOutLimit = 12 * time.Second
-	stopMargin   = time.Second
-	closeGrace   = 500 * time.Millisecond
+	stopMargin = time.Second
+	closeGrace = 500 * time.Millisecond
 	// finishShare of the limit is kept for calls in flight where the limit
 	// is too short for everything before.
 	finishShare = 4
