Reuse no connection of an earlier test site

TestPlannedStopWithoutAgent failed once in three runs: the test client sent on a connection that it had kept to an earlier site with the same address, whose processes were gone. Site.Post closes its connections now.

--- a/internal/proctest/site.go
+++ b/internal/proctest/site.go
@@ -259,6 +259,7 @@
 	}
 	req.SetRequestURI(url)
 	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetConnectionClose() // an earlier site may have had the same address
 	req.SetBody(b)
 	if err := fasthttp.DoTimeout(req, resp, 10*time.Second); err != nil {
 		return err
