--- a/proxy/server.go
+++ b/proxy/server.go
@@ -20,6 +20,7 @@
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
+	"github.com/catkinrouter/catkinrouter/locate"
 )
 
 // Server runs one entry.
@@ -48,13 +49,14 @@
 	r := gometrics.NewRegistry()
 	m := newCounters(r)
 	s := &Server{set: set, log: l, started: time.Now(), registry: r, m: m, pool: newPool(m)}
-	s.times = stopTimes{handOut: handOutLimit, margin: stopMargin, grace: closeGrace, limit: set.StopTimeout.D()}
+	s.times = stopTimes{handOut: locate.HandOutLimit, margin: stopMargin, grace: closeGrace, limit: set.StopTimeout.D()}
 	s.d = &dispatcher{
-		now: s.now, side: s.runSide, calls: map[uint64]*call{},
+		now: s.now, side: s.runSide, calls: map[uint64]*call{}, rng: rand.New(rand.NewPCG(inc, 2)),
 		node: entry.New(entry.Options{ID: set.ID, Address: set.Address, DataCentre: set.DataCentre, Incarnation: inc, Seed: inc}),
 	}
 	s.prober = &prober{ring: make(chan entry.Step, probeRing), pool: s.pool, d: s.d, m: m}
 	s.d.probe = s.prober.push
+	s.pool.limitOf = s.d.connLimit
 	s.state.Store(newState(nil))
 	return s
 }
@@ -84,6 +86,9 @@
 	g.Go(func() error { return s.tick(work) })
 	g.Go(func() error { return s.watch(work) })
 	g.Go(func() error { return s.upkeep(work) })
+	for range spareOpeners {
+		g.Go(func() error { return s.pool.openSpares(work) })
+	}
 	for range probeWorkers {
 		g.Go(func() error { return s.prober.run(work) })
 	}
