--- a/config/head.go
+++ b/config/head.go
@@ -13,7 +13,7 @@
 	// MaxDocument is the greatest size of an encoded document, in bytes.
 	MaxDocument = 600_000
 	// MaxRecent is the number of newest commits that a Head lists.
-	MaxRecent = 128
+	MaxRecent = 64
 	// PlanIDLength is the length of a plan's ID, in hexadecimal digits.
 	PlanIDLength = 16
 	// maxSummary bounds the summary of a commit, in bytes.
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -78,7 +78,8 @@
 
 // Offer takes h if its revision is above the one held and its parts belong
 // together. It returns true if the Keeper holds a new revision, and an
-// *OfferError for a refused head. The head held already is neither.
+// *OfferError for a refused head. The head held already is neither. The Keeper
+// keeps h's document, which must not be changed; Recent may be left out.
 func (k *Keeper) Offer(h Head) (bool, error) {
 	switch {
 	case h.Revision < k.head.Revision:
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -10,7 +10,7 @@
 	"github.com/catkinrouter/catkinrouter/config"
 )
 
-func headOf(t *testing.T, revision uint64, doc *config.Document) config.Head {
+func headOf(t testing.TB, revision uint64, doc *config.Document) config.Head {
 	t.Helper()
 	b, err := json.Marshal(doc)
 	if err != nil {
