Let a stale read settle no doubtful write

Cause: a confirm whose write was late, and whose read-back gave a value older than the one expected, took the write as settled and told not accepted; the write landed later.

Change: only a store revision above the one that the write expects settles it.

--- a/config/confirm.go
+++ b/config/confirm.go
@@ -55,7 +55,8 @@
 	// doubt is set once a write's answer was lost: that write may take
 	// effect until another write moves the key's revision.
 	doubt bool
-	// lost is the store revision that the doubtful write expects.
+	// lost is the highest store revision that a doubtful write expects. A
+	// read that gives a lower one is stale and settles nothing.
 	lost int64
 }
 
@@ -81,8 +82,8 @@
 			err = readErr
 			break
 		}
-		if m.doubt && rev != m.lost {
-			m.doubt = false // the doubtful write took effect, or never will
+		if rev > m.lost {
+			m.doubt = false // the doubtful writes took effect, or never will
 		}
 	}
 	return Accepted{}, m.failed(err)
@@ -113,7 +114,7 @@
 	_, err = m.c.store.Put(ctx, HeadKey, b, expect, 0)
 	switch {
 	case platform.IsKind(err, platform.Indefinite):
-		m.doubt, m.lost = true, expect
+		m.doubt, m.lost = true, max(m.lost, expect)
 		m.c.count(EventReadBack)
 	case platform.IsKind(err, platform.Conflict):
 		m.c.count(EventRetryConflict)
