Take a watch without news as such in the agent

Cause: the platform client has told watches without news by a kind of their own since the proof of the commit protocol; the agent still looked for not-found and counted each as a failed call of the store.

Change: the agent looks for that kind.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -258,7 +258,7 @@
 	if changed {
 		h, err = config.DecodeHead(v.Data)
 	}
-	if platform.IsKind(err, platform.NotFound) {
+	if platform.IsKind(err, platform.Unchanged) {
 		err = nil // the time passed
 	}
 	if err != nil {
