--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"runtime/debug"
 	"time"
 
@@ -21,6 +20,7 @@
 	"github.com/catkinrouter/catkinrouter/membership"
 	"github.com/catkinrouter/catkinrouter/operator"
 	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/settings"
 )
 
 // Bounds of a Daemon.
@@ -79,15 +79,15 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimit)
-	oln, err := net.Listen("tcp", d.set.OperatorAddress)
+	oln, err := settings.Listen("operator_address", d.set.OperatorAddress)
 	if err != nil {
 		return err
 	}
-	mln, err := net.Listen("tcp", d.set.MetricsAddress)
+	mln, err := settings.Listen("metrics_address", d.set.MetricsAddress)
 	if err != nil {
 		return err
 	}
-	pln, err := net.Listen("tcp", d.set.PeerAddress)
+	pln, err := settings.Listen("peer_address", d.set.PeerAddress)
 	if err != nil {
 		return err
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -107,6 +107,32 @@
 	}
 }
 
+func TestListenNamesTheRemedy(t *testing.T) {
+	ln, err := settings.Listen("address", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	tests := []struct{ address, says string }{
+		{ln.Addr().String(), `key "address": ` + ln.Addr().String() + " is in use: end the process"},
+		{"192.0.2.1:80", "no address of this machine"},
+		{"127.0.0.1:99999", "set an address and port that is free"},
+	}
+	for _, tt := range tests {
+		if _, err := settings.Listen("address", tt.address); err == nil || !strings.Contains(err.Error(), tt.says) {
+			t.Errorf("%s: %v", tt.address, err)
+		}
+	}
+}
+
+func TestCheckLevel(t *testing.T) {
+	for value, ok := range map[string]bool{"": true, "warn": true, "loud": false} {
+		if err := settings.CheckLevel("log_level", value); (err == nil) != ok {
+			t.Errorf("%q: %v", value, err)
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(whole))
 	f.Add([]byte(`{"parts": [null, {}], "on": null, "wait": null}`))
