--- a/config/confirm.go
+++ b/config/confirm.go
@@ -30,14 +30,14 @@
 func (c *Committer) Confirm(ctx context.Context, id string) (Accepted, error) {
 	h, rev, err := c.Head(ctx)
 	if err != nil {
-		return Accepted{}, c.unavailable(err)
+		return Accepted{}, c.unavailable(id, err)
 	}
 	if commit, ok := h.commitOf(id); ok {
 		return c.repeated(commit, h), nil
 	}
 	p, err := c.readPlan(ctx, id)
 	if err != nil {
-		return Accepted{}, c.unavailable(err)
+		return Accepted{}, c.unavailable(id, err)
 	}
 	if p == nil {
 		c.count(EventUnknownPlan)
@@ -128,7 +128,7 @@
 		m.c.count(EventIndefinite)
 		return &IndefiniteError{Plan: m.plan.ID, Err: err}
 	}
-	return m.c.unavailable(err)
+	return m.c.unavailable(m.plan.ID, err)
 }
 
 func (c *Committer) repeated(commit Commit, h Head) Accepted {
--- a/config/errors.go
+++ b/config/errors.go
@@ -51,11 +51,18 @@
 
 // UnavailableError says that the store could not be used. This request put
 // nothing in force, now or later.
-type UnavailableError struct{ Err error }
+type UnavailableError struct {
+	// Plan is the plan to confirm; empty for other requests.
+	Plan string
+	Err  error
+}
 
 // Error names the fault and the remedy.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("not accepted, the platform's store can't be used; this request put nothing in force: ask again with the same plan: %v", e.Err)
+	if e.Plan == "" {
+		return fmt.Sprintf("the platform's store can't be used, nothing was put in force: ask again: %v", e.Err)
+	}
+	return fmt.Sprintf("plan %s not accepted, the platform's store can't be used; this request put nothing in force: ask again with the same plan: %v", e.Plan, e.Err)
 }
 
 // Unwrap returns the store's fault.
--- a/config/history.go
+++ b/config/history.go
@@ -25,7 +25,7 @@
 func (c *Committer) Compare(ctx context.Context, from, to uint64) (Comparison, error) {
 	h, _, err := c.Head(ctx)
 	if err != nil {
-		return Comparison{}, c.unavailable(err)
+		return Comparison{}, c.unavailable("", err)
 	}
 	if to == 0 {
 		to = h.Revision
@@ -55,7 +55,7 @@
 	}
 	p, err := c.readPlan(ctx, commit.PlanID)
 	if err != nil {
-		return nil, c.unavailable(err)
+		return nil, c.unavailable("", err)
 	}
 	if p == nil {
 		return nil, &NotKeptError{Revision: revision}
--- a/config/store.go
+++ b/config/store.go
@@ -112,11 +112,11 @@
 func (c *Committer) plan(ctx context.Context, change func(*Document) (*Document, error)) (*Plan, error) {
 	h, _, err := c.Head(ctx)
 	if err != nil {
-		return nil, c.unavailable(err)
+		return nil, c.unavailable("", err)
 	}
 	from, err := h.document()
 	if err != nil {
-		return nil, c.unavailable(err)
+		return nil, c.unavailable("", err)
 	}
 	to, err := change(from)
 	if err == nil {
@@ -131,7 +131,7 @@
 		return nil, err
 	}
 	if err := c.storePlan(ctx, p); err != nil {
-		return nil, c.unavailable(err)
+		return nil, c.unavailable("", err)
 	}
 	c.count(EventPlanned)
 	return p, nil
@@ -188,11 +188,11 @@
 }
 
 // unavailable wraps a fault of the store, and counts it.
-func (c *Committer) unavailable(err error) error {
+func (c *Committer) unavailable(plan string, err error) error {
 	if _, ok := err.(*CorruptError); ok {
 		c.count(EventCorrupt)
 		return err
 	}
 	c.count(EventUnavailable)
-	return &UnavailableError{Err: err}
+	return &UnavailableError{Plan: plan, Err: err}
 }
