--- a/entry/pool_test.go
+++ b/entry/pool_test.go
@@ -51,11 +51,13 @@
 	}
 }
 
-// Reports that are 500 ms old, or wrong, do not make hot-cold slower than
-// twice round robin, which heeds none.
+// With reports that are 500 ms old hot-cold is no slower than the best
+// baseline, none of which heeds them, within the noise of one seed.
 func TestStaleReportsDrawNoHerd(t *testing.T) {
-	p99 := map[string]time.Duration{}
-	for _, policy := range []string{balance.RoundRobin, balance.HotCold} {
+	const noise = 1.05
+	var hotcold time.Duration
+	best := time.Hour
+	for _, policy := range balance.Names() {
 		s := newFakeSite(3, policy, 4)
 		for _, u := range s.ups {
 			u.lag = 500 * time.Millisecond
@@ -64,10 +66,15 @@
 		s.reset()
 		s.run(8*time.Second, 0.8, 0)
 		slices.Sort(s.latencies)
-		p99[policy] = s.latencies[len(s.latencies)*99/100]
+		p99 := s.latencies[len(s.latencies)*99/100]
+		if policy == balance.HotCold {
+			hotcold = p99
+			continue
+		}
+		best = min(best, p99)
 	}
-	if p99[balance.HotCold] > 2*p99[balance.RoundRobin] {
-		t.Errorf("p99 %v", p99)
+	if float64(hotcold) > noise*float64(best) {
+		t.Errorf("p99 of hot-cold %v, of the best baseline %v", hotcold, best)
 	}
 }
 
