Send the entry its members only when they changed; give operators a status

Cause: a whole member list and a whole status four times a second would take more than the control's bytes; the intent API had no status.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -49,6 +50,11 @@
 	events  chan event
 	peers   *clients
 	entry   *clients
+	status  atomic.Pointer[operator.Status]
+
+	// published is when the loop last took a snapshot, with which revision.
+	published         time.Duration
+	publishedRevision uint64
 
 	// One queue for each duty.
 	exchanges chan Action
@@ -91,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	srv := &fasthttp.Server{Handler: operator.Handler(config.NewCommitter(&observedStore{Store: d.store, d: d})), NoDefaultDate: true, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	srv := &fasthttp.Server{Handler: d.operators(), NoDefaultDate: true, NoDefaultServerHeader: true, CloseOnShutdown: true}
 	level.Info(d.log).Log("msg", "serving operators", "address", d.set.OperatorAddress)
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -135,6 +141,7 @@
 		case <-t.C:
 			out = d.node.Tick(d.now())
 		}
+		d.publish()
 		for _, a := range out {
 			if !d.start(a) {
 				return nil
--- a/agent/entrysync.go
+++ b/agent/entrysync.go
@@ -17,10 +17,50 @@
 	next    time.Duration
 	busy    bool
 	leaving leavingUpstreams
+	// detail is the last whole status, detailAt when it was asked for.
+	detail   link.Status
+	detailAt time.Duration
+	// told are the members that the entry was sent whole, toldAt when;
+	// toldTo is the incarnation that answered.
+	told    []link.Member
+	toldIDs []string
+	toldAt  time.Duration
+	toldTo  uint64
+	pending bool // the State in flight has members
+}
+
+const (
+	// detailInterval is the time between two whole statuses of the entry.
+	detailInterval = 10 * time.Second
+	// tellInterval is the time between two whole lists of members where no
+	// entry came or went; tellStep times their number where that is longer.
+	tellInterval = 4 * time.Second
+	tellStep     = 200 * time.Millisecond
+)
+
+// fill sets the members of st, or Same where the entry has them.
+func (e *entrySync) fill(now time.Duration, st *link.State, members []link.Member, leaving []string) {
+	if now-e.detailAt >= detailInterval {
+		st.Detail, e.detailAt = true, now
+	}
+	due := now-e.toldAt >= max(tellInterval, time.Duration(len(members))*tellStep)
+	fresh := e.toldTo != e.status.Incarnation || !e.alive(now)
+	if !due && !fresh && slices.Equal(leaving, e.toldIDs) && slices.EqualFunc(members, e.told, sameEntry) {
+		st.Same = true
+		return
+	}
+	st.Members, st.LeavingUpstreams = members, leaving
+	e.told, e.toldIDs, e.toldAt, e.toldTo = members, leaving, now, 0
+	e.pending = true
+}
+
+// sameEntry tells whether a lookup treats a and b alike but for spare capacity.
+func sameEntry(a, b link.Member) bool {
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && a.Address == b.Address
 }
 
 func newEntrySync() entrySync {
-	return entrySync{at: never, leaving: leavingUpstreams{}}
+	return entrySync{at: never, detailAt: never, toldAt: never, leaving: leavingUpstreams{}}
 }
 
 func (e *entrySync) due(now time.Duration) bool {
@@ -37,9 +77,18 @@
 
 func (e *entrySync) done(now time.Duration, st *link.Status) {
 	e.busy = false
+	whole := e.pending
+	e.pending = false
 	if st == nil {
+		e.toldTo = 0
 		return
 	}
+	if whole {
+		e.toldTo = st.Incarnation
+	}
+	if len(st.Upstreams) > 0 || len(st.Counters) > 0 {
+		e.detail = *st
+	}
 	e.status, e.at = *st, now
 	for _, id := range st.LeavingUpstreams {
 		e.leaving.saw(now, id)
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -74,6 +74,7 @@
 	leaving     bool
 	sees        []string // leaving upstreams
 	state       link.State
+	inbox       link.Inbox
 }
 
 type waiter struct {
@@ -373,6 +374,7 @@
 	if e.down {
 		return nil
 	}
+	e.inbox.Fill(h.f.now, &st)
 	e.state = st
 	if len(st.Document) > 0 {
 		e.revision = st.Revision
--- a/agent/node.go
+++ b/agent/node.go
@@ -253,16 +253,20 @@
 // linkState returns the message to the entry.
 func (n *Node) linkState(now time.Duration) link.State {
 	head := n.Head()
-	st := link.State{
-		Revision: head.Revision, Digest: head.Digest,
-		Members: n.linkMembers(now), LeavingUpstreams: n.sync.leaving.ids(now),
-	}
+	st := link.State{Revision: head.Revision, Digest: head.Digest}
+	n.sync.fill(now, &st, n.linkMembers(now), n.othersLeaving(now))
 	if n.sync.status.Revision != head.Revision || !n.sync.alive(now) {
 		st.Document = head.Document
 	}
 	return st
 }
 
+// othersLeaving returns the upstreams that other entries saw leaving.
+func (n *Node) othersLeaving(now time.Duration) []string {
+	own := n.sync.status.LeavingUpstreams
+	return slices.DeleteFunc(n.sync.leaving.ids(now), func(id string) bool { return slices.Contains(own, id) })
+}
+
 // linkMembers returns the entries that a lookup may hand out, and the own one.
 func (n *Node) linkMembers(now time.Duration) []link.Member {
 	var out []link.Member
@@ -275,5 +279,5 @@
 			Uptime: m.Uptime, Spare: float64(m.Beat.Spare) / membership.MaxSpare, Leaving: m.Beat.Leaving,
 		})
 	}
-	return slices.Clip(out)
+	return out
 }
--- a/agent/status.go
+++ b/agent/status.go
@@ -14,6 +14,9 @@
 	// Store tells whether this agent read the platform's store lately. Where
 	// it did not, the revision is the last that was accepted in its reach.
 	Store bool
+	// OwnReadAge is the time since this agent read the store; below 0 for
+	// never.
+	OwnReadAge time.Duration
 	// ReadAge is the time since any instance in reach read the store, as
 	// far as the agent knows; below 0 for none.
 	ReadAge time.Duration
@@ -32,7 +35,7 @@
 	v := n.spread.keeper.Version()
 	return Status{
 		Revision: v.Revision, Digest: v.Digest, Store: n.readsStore(now), Settled: n.settled,
-		ReadAge: age(now, n.duty.read), EntryAge: age(now, n.sync.at), Members: n.table.Members(now),
+		OwnReadAge: age(now, n.duty.ownRead), ReadAge: age(now, n.duty.read), EntryAge: age(now, n.sync.at), Members: n.table.Members(now),
 	}
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -4,7 +4,10 @@
 // gone goes on with the last State.
 package link
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Method is the net/rpc method that the agent calls.
 const Method = "Entry.Sync"
@@ -22,6 +25,11 @@
 	Members []Member
 	// LeavingUpstreams are IDs that other entries saw leaving.
 	LeavingUpstreams []string
+	// Same tells that Members and LeavingUpstreams are those of the last
+	// State, aged; both are empty then. An Inbox fills them in.
+	Same bool
+	// Detail asks for the whole Status; see Status.Trim.
+	Detail bool
 }
 
 // Member is one live entry.
@@ -78,3 +86,28 @@
 	Work       float64
 	Capacity   float64
 }
+
+// Trim clears what a State without Detail does not ask for: Upstreams,
+// Counters and Shares.
+func (s *Status) Trim() { s.Upstreams, s.Counters, s.Shares = nil, nil, nil }
+
+// Inbox keeps an entry's last members for a State that says Same. The zero
+// Inbox is empty. It is not safe for concurrent use.
+type Inbox struct {
+	members []Member
+	leaving []string
+	at      time.Duration
+}
+
+// Fill keeps the members of s, or fills in the ones kept where s says Same.
+// Now is the time since the entry started.
+func (b *Inbox) Fill(now time.Duration, s *State) {
+	if !s.Same {
+		b.members, b.leaving, b.at = s.Members, s.LeavingUpstreams, now
+		return
+	}
+	s.Members, s.LeavingUpstreams = slices.Clone(b.members), b.leaving
+	for i := range s.Members {
+		s.Members[i].Uptime += now - b.at
+	}
+}
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -99,6 +99,7 @@
 func (s *Server) sync(in *link.State, doc *config.Document) link.Status {
 	s.syncMu.Lock()
 	defer s.syncMu.Unlock()
+	s.inbox.Fill(s.d.now(), in)
 	old := s.state.Load()
 	fresh := &state{doc: old.doc, maxBody: old.maxBody, members: in.Members}
 	if doc != nil {
@@ -106,5 +107,9 @@
 		fresh.members = in.Members
 	}
 	s.state.Store(fresh)
-	return s.d.sync(in, doc)
+	out := s.d.sync(in, doc)
+	if !in.Detail {
+		out.Trim()
+	}
+	return out
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -20,6 +20,7 @@
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
+	"github.com/catkinrouter/catkinrouter/link"
 )
 
 // Server runs one entry.
@@ -33,7 +34,8 @@
 	d        *dispatcher
 	prober   *prober
 
-	syncMu  sync.Mutex // serialises writes of state
+	syncMu  sync.Mutex // serialises writes of state, and guards inbox
+	inbox   link.Inbox
 	state   atomic.Pointer[state]
 	closing atomic.Bool
 }
