--- a/agent/conn.go
+++ b/agent/conn.go
@@ -39,6 +39,7 @@
 	n, err := c.Conn.Read(b)
 	c.in.Inc(int64(n))
 	if c.unread.Add(int64(n)) > maxRead {
+		c.Close() // net/rpc would go on after the fault
 		return 0, errTooLarge
 	}
 	return n, err
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -33,6 +33,7 @@
 	head      config.Head
 	key       int64
 	storeDown bool
+	storeWait time.Duration // longest, one way
 	storeCut  func(h *host) bool
 	list      []platform.Instance
 	calls     int
@@ -311,15 +312,20 @@
 
 func (f *fleet) reaches(h *host) bool { return !f.storeDown && !f.storeCut(h) }
 
+// slow is the time that a message to or from the store takes.
+func (f *fleet) slow() time.Duration {
+	return f.wire() + time.Duration(f.rng.Int64N(int64(f.storeWait)+1))
+}
+
 func (h *host) readStore() {
 	f, life, began := h.f, h.life, h.now()
 	f.calls++
-	f.after(f.wire(), func() {
+	f.after(f.slow(), func() {
 		head, key, err := f.head, f.key, error(nil)
 		if !f.reaches(h) {
 			head, key, err = config.Head{}, 0, errStore
 		}
-		f.after(f.wire(), func() {
+		f.after(f.slow(), func() {
 			h.do(life, func() { h.act(h.node.StoreRead(h.now(), began, head, key, err)) })
 		})
 	})
@@ -335,7 +341,7 @@
 		}
 		w.done = true
 		head, key := f.head, f.key
-		f.after(f.wire(), func() {
+		f.after(f.slow(), func() {
 			h.do(w.life, func() { h.act(h.node.StoreWatched(h.now(), head, key, changed, err)) })
 		})
 	}
@@ -406,7 +412,7 @@
 			continue
 		}
 		w.done = true
-		f.after(f.wire(), func() {
+		f.after(f.slow(), func() {
 			w.h.do(w.life, func() { w.h.act(w.h.node.StoreWatched(w.h.now(), head, key, true, nil)) })
 		})
 	}
--- a/agent/proof_test.go
+++ b/agent/proof_test.go
@@ -1,14 +1,19 @@
 package agent
 
 import (
+	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/membership"
 	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/standin"
 )
 
 const (
@@ -96,7 +101,10 @@
 			m.regions = false
 			clear(m.oneWay)
 		},
-		"store":   func(t *rapid.T) { f.storeDown = rapid.Bool().Draw(t, "down") },
+		"store": func(t *rapid.T) { f.storeDown = rapid.Bool().Draw(t, "down") },
+		"slow store": func(t *rapid.T) {
+			f.storeWait = time.Duration(rapid.IntRange(0, 10).Draw(t, "wait s")) * time.Second
+		},
 		"confirm": func(t *rapid.T) { m.confirm(t) },
 		"list":    func(t *rapid.T) { m.wrongList(t) },
 	}
@@ -157,7 +165,7 @@
 // the accepted configuration is in force everywhere.
 func (m *machine) well(t *rapid.T) {
 	f := m.f
-	f.loss, f.dup, f.delay, f.storeDown, m.regions = 0, 0, 5*time.Millisecond, false, false
+	f.loss, f.dup, f.delay, f.storeDown, f.storeWait, m.regions = 0, 0, 5*time.Millisecond, false, 0, false
 	clear(m.oneWay)
 	for _, h := range f.hosts {
 		if h.paused {
@@ -266,3 +274,80 @@
 		t.Fatal("the fresh instance is not handed out")
 	}
 }
+
+// Two operators confirm plans on one base while a region is cut off: one plan
+// takes the revision, in force beside the store at once and in the other
+// region after the cut.
+func TestOperatorsRaceWhileRegionIsCut(t *testing.T) {
+	f := newFleet(8, 1)
+	store := platformtest.NewStore(func() time.Time { return time.Unix(0, int64(f.now)) }, nil)
+	first := f.raced(t, store, 1)
+	if _, ok := f.until(meetLimit, func() bool { return meet(f.hosts) && inForce(f.hosts, first.Revision) }); !ok {
+		t.Fatal("views do not meet at the start")
+	}
+	f.cut = func(from, to *host) bool { return from.region != to.region }
+	f.storeCut = func(h *host) bool { return h.region == "addis" }
+	second := f.raced(t, store, 2)
+	near, far := f.regions()
+	if _, ok := f.until(forceLimit, func() bool { return inForce(near, second.Revision) }); !ok {
+		t.Error("not in force beside the store")
+	}
+	for _, h := range far {
+		if h.entry.revision != first.Revision {
+			t.Errorf("%s: revision %d in the cut", h.id, h.entry.revision)
+		}
+	}
+	f.cut, f.storeCut = func(_, _ *host) bool { return false }, func(*host) bool { return false }
+	if _, ok := f.until(forceLimit, func() bool { return inForce(f.hosts, second.Revision) }); !ok {
+		t.Error("not in force everywhere after the cut")
+	}
+	for _, h := range f.hosts {
+		if h.node.Head().Digest != second.Digest || len(h.faults) > 0 {
+			t.Errorf("%s holds %s, accepted is %s; %v", h.id, h.node.Head().Digest, second.Digest, h.faults)
+		}
+	}
+}
+
+// raced has two operators at the first and third instance plan on one base
+// and confirm; it returns the head that one of them moved.
+func (f *fleet) raced(t *testing.T, store *platformtest.Store, n int) config.Head {
+	t.Helper()
+	ctx := context.Background()
+	var plans []*config.Plan
+	committers := []*config.Committer{config.NewCommitter(store.Client("a", nil)), config.NewCommitter(store.Client("b", nil))}
+	for i, c := range committers {
+		p, err := c.Plan(ctx, validDocument(fmt.Sprintf("site-%d-%d", n, i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		plans = append(plans, p)
+	}
+	won := 0
+	for i, c := range committers {
+		a, err := c.Confirm(ctx, plans[i].ID)
+		if err != nil {
+			continue
+		}
+		won++
+		f.head = a.Head
+		f.key++
+		h := f.hosts[2*i]
+		h.act(h.node.Accept(h.now(), a.Head))
+	}
+	if won != 1 {
+		t.Fatalf("%d of 2 plans on one base were accepted", won)
+	}
+	return f.head
+}
+
+func validDocument(site string) *config.Document {
+	s := standin.Settings{
+		Site: site, MaxEntries: 19, DataCentres: []config.DataCentre{{Name: "bole", Region: "addis"}},
+		Lookup: config.Lookup{Lifetime: config.Duration(10 * time.Second), Addresses: 3},
+		Services: []standin.ServiceSettings{{
+			Name: "stockview", FirstAddress: "127.0.0.1:9000", Count: 2, Slots: 3, Connections: 250, DataCentres: []string{"bole"},
+		}},
+	}
+	d := s.Document()
+	return &d
+}
--- a/internal/controlbench/control_test.go
+++ b/internal/controlbench/control_test.go
@@ -131,7 +131,7 @@
 // changed returns the site's document with a change that has no other effect.
 func changed(s *proctest.Site, n int) config.Document {
 	d := s.Document()
-	d.Site = fmt.Sprint("changed ", n)
+	d.Site = fmt.Sprint("changed-", n)
 	return d
 }
 
--- a/internal/proctest/site.go
+++ b/internal/proctest/site.go
@@ -257,6 +257,7 @@
 	req.SetRequestURI(url)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(b)
+	req.SetConnectionClose() // an earlier site may have had the address
 	if err := fasthttp.DoTimeout(req, resp, 10*time.Second); err != nil {
 		return err
 	}
