--- a/proxy/link.go
+++ b/proxy/link.go
@@ -102,6 +102,7 @@
 func (s *Server) sync(in *link.State, doc *config.Document) link.Status {
 	s.syncMu.Lock()
 	defer s.syncMu.Unlock()
+	s.inbox.Fill(s.d.now(), in)
 	old := s.state.Load()
 	fresh := &state{doc: old.doc, maxBody: old.maxBody}
 	if doc != nil {
@@ -112,5 +113,8 @@
 	s.state.Store(fresh)
 	out := s.d.sync(in, doc)
 	out.Leaving = s.at() >= leaving
+	if !in.Detail {
+		out.Trim()
+	}
 	return out
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -20,6 +20,7 @@
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
+	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/locate"
 )
 
@@ -34,7 +35,8 @@
 	d        *dispatcher
 	prober   *prober
 
-	syncMu sync.Mutex // serialises writes of state, and guards life
+	syncMu sync.Mutex // serialises writes of state, and guards inbox and life
+	inbox  link.Inbox
 	state  atomic.Pointer[state]
 	// life is the longest lifetime of lookup answers that was in force.
 	life time.Duration
