--- a/attempt/record_test.go
+++ b/attempt/record_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -78,7 +80,8 @@
 }
 
 func (m *recordModel) end(t *rapid.T) {
-	for key, tries := range m.running {
+	for _, key := range slices.Sorted(maps.Keys(m.running)) {
+		tries := m.running[key]
 		o := rapid.SampledFrom([]Outcome{Answered, NotRun, NotRun, Unknown}).Draw(t, "outcome")
 		if o == NotRun {
 			m.runs[key]--
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -108,11 +109,12 @@
 }
 
 func (m *limiterModel) remove(t *rapid.T) {
-	for id, w := range m.waiting {
-		m.limiter.Remove(w.ticket)
-		delete(m.waiting, id)
+	if len(m.waiting) == 0 {
 		return
 	}
+	id := rapid.SampledFrom(slices.Sorted(maps.Keys(m.waiting))).Draw(t, "waiting")
+	m.limiter.Remove(m.waiting[id].ticket)
+	delete(m.waiting, id)
 }
 
 func (m *limiterModel) check(t *rapid.T) {
