Prove stops in turn and a killed entry by process; keep whole replies; probes see drains

Cause: six entries replaced in turn and a killed entry were not proved; a repeat's stored answer lacked the upstream's headers; a probe's answer did not pass on that the upstream drains.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 SITE ?= ecuador
 
-.PHONY: bench-added bench-policies all build format lint test bench demo up capacity
+.PHONY: all build format lint test bench bench-policies bench-added bench-control capacity demo up
 
 all: build
 
@@ -46,3 +46,8 @@
 	$(GO) test -run '^$$' -bench BenchmarkSize -benchtime 1s ./attempt ./entry ./config >tmp/size.txt
 	$(GO) test -run '^$$' -bench BenchmarkSize -benchtime 1x ./agent >>tmp/size.txt
 	$(GO) run ./tools/capacity -page docs/CAPACITY.md -rates tmp/rates.json <tmp/size.txt
+
+# What 18 agents cost, idle and with changes, and how fast a change is in
+# force everywhere. Takes about five minutes.
+bench-control:
+	$(GO) test ./internal/controlbench -control -v -timeout 900s
--- a/attempt/reply.go
+++ b/attempt/reply.go
@@ -7,10 +7,11 @@
 // Reply is a whole reply of an upstream, kept for repeats of a keyed call.
 // It is not changed once handed over.
 type Reply struct {
-	Status      int
-	ContentType string
-	Body        []byte
+	Status int
+	// Header is the reply's status line and header as received.
+	Header []byte
+	Body   []byte
 }
 
 // size is the memory that r takes, in bytes.
-func (r *Reply) size() int { return len(r.Body) + len(r.ContentType) }
+func (r *Reply) size() int { return len(r.Body) + len(r.Header) }
--- a/internal/proctest/stop_test.go
+++ b/internal/proctest/stop_test.go
@@ -1,6 +1,7 @@
 package proctest
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,13 +19,17 @@
 // visitor calls the addresses that it looks up, each for no longer than the
 // answer's life.
 type visitor struct {
-	lookups string // the entry that it asks
+	lookups []string // the entries that it asks
 	name    string
 	client  *fasthttp.Client
 	addrs   []proxy.LookupAddress
 	until   time.Time
 	calls   int
 	used    map[string]int
+	// killed is the address of an entry that may end in the middle of a
+	// call; lost counts the calls that it lost.
+	killed string
+	lost   int
 }
 
 func (v *visitor) run(t *testing.T, stop <-chan struct{}) {
@@ -44,14 +49,24 @@
 	}
 }
 
+// lookup asks one entry after another; an entry that is being replaced does
+// not answer.
 func (v *visitor) lookup(t *testing.T) bool {
-	var a proxy.LookupAnswer
-	if err := getJSON(v.client, "http://"+v.lookups+headers.LookupPath+"?service=pistas", &a); err != nil {
-		t.Errorf("lookup: %v", err)
-		return false
+	var errs []error
+	for _, entry := range v.lookups {
+		var a proxy.LookupAnswer
+		err := getJSON(v.client, "http://"+entry+headers.LookupPath+"?service=pistas", &a)
+		if err == nil && len(a.Addresses) > 0 {
+			v.addrs, v.until = a.Addresses, time.Now().Add(time.Duration(a.LifeMs)*time.Millisecond)
+			// An address may belong to another process by now, and the
+			// client does not see that an idle connection was closed.
+			v.client.CloseIdleConnections()
+			return true
+		}
+		errs = append(errs, err)
 	}
-	v.addrs, v.until = a.Addresses, time.Now().Add(time.Duration(a.LifeMs)*time.Millisecond)
-	return len(a.Addresses) > 0
+	t.Errorf("no entry answers lookups: %v", errs)
+	return false
 }
 
 // call makes one call; it must be answered, with the caller's own answer.
@@ -66,6 +81,11 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.Set("X-Request", name)
 	err := v.client.DoTimeout(req, resp, 5*time.Second)
+	if err != nil && addr == v.killed {
+		v.lost++
+		v.addrs = slices.DeleteFunc(v.addrs, func(a proxy.LookupAddress) bool { return a.Address == addr })
+		return len(v.addrs) > 0 || v.lookup(t)
+	}
 	if err != nil || string(resp.Header.Peek(headers.Outcome)) != "answered" {
 		t.Errorf("call %s at %s: error %v, %s", name, addr, err, resp.String())
 		return false
@@ -89,7 +109,7 @@
 	visitors := make([]*visitor, 6)
 	for i := range visitors {
 		visitors[i] = &visitor{
-			lookups: s.EntryAddress(1), name: "visitor-" + strconv.Itoa(i), used: map[string]int{},
+			lookups: []string{s.EntryAddress(1)}, name: "visitor-" + strconv.Itoa(i), used: map[string]int{},
 			client: &fasthttp.Client{MaxIdemponentCallAttempts: 1},
 		}
 		wg.Go(func() { visitors[i].run(t, stop) })
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"bytes"
 
 	"github.com/valyala/fasthttp"
@@ -17,7 +18,12 @@
 	t := c.find(st.Attempt)
 	switch {
 	case st.Reply != nil:
-		writeStored(ctx, st.Reply)
+		if err := writeStored(ctx, st.Reply); err != nil {
+			st.Outcome, st.Reason = attempt.Unknown, attempt.ReasonReplyNotKept
+			s.refuseStep(ctx, st)
+			return
+		}
+		cleanReply(&ctx.Response.Header)
 	case t != nil && t.whole && passes(t, st):
 		useReply(ctx, c, t)
 		cleanReply(&ctx.Response.Header)
@@ -51,11 +57,14 @@
 	ctx.Response.SkipBody = c.req.headOnly
 }
 
-func writeStored(ctx *fasthttp.RequestCtx, r *attempt.Reply) {
+// writeStored answers with a reply that was kept, header and body.
+func writeStored(ctx *fasthttp.RequestCtx, r *attempt.Reply) error {
 	ctx.Response.Reset()
-	ctx.SetStatusCode(r.Status)
-	ctx.SetContentType(r.ContentType)
+	if err := ctx.Response.Header.Read(bufio.NewReader(bytes.NewReader(r.Header))); err != nil {
+		return err
+	}
 	ctx.SetBody(r.Body)
+	return nil
 }
 
 // cleanReply removes what concerns the connection to the upstream alone and
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -183,8 +184,9 @@
 
 func recorded(resp *fasthttp.Response) *attempt.Reply {
 	return &attempt.Reply{
-		Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()),
-		Body: append([]byte(nil), resp.Body()...),
+		Status: resp.StatusCode(),
+		Header: bytes.Clone(resp.Header.Header()),
+		Body:   bytes.Clone(resp.Body()),
 	}
 }
 
--- a/proxy/probe.go
+++ b/proxy/probe.go
@@ -77,7 +77,11 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, errProbeStatus
 	}
-	return parseLoad(string(resp.Header.Peek(headers.Load))), nil
+	load := parseLoad(string(resp.Header.Peek(headers.Load)))
+	if load != nil {
+		load.Leaving = len(resp.Header.Peek(headers.Leaving)) > 0
+	}
+	return load, nil
 }
 
 // get asks for the upstream's load.
