--- a/agent/entrysync.go
+++ b/agent/entrysync.go
@@ -32,6 +32,8 @@
 const (
 	// detailInterval is the time between two whole statuses of the entry.
 	detailInterval = 10 * time.Second
+	// freshDetailInterval is that while the last was of another revision.
+	freshDetailInterval = time.Second
 	// tellInterval is the time between two whole lists of members where no
 	// entry came or went; tellStep times their number where that is longer.
 	tellInterval = 4 * time.Second
@@ -40,7 +42,7 @@
 
 // fill sets the members of st, or Same where the entry has them.
 func (e *entrySync) fill(now time.Duration, st *link.State, members []link.Member, leaving []string) {
-	if now-e.detailAt >= detailInterval {
+	if now-e.detailAt >= e.detailWait() {
 		st.Detail, e.detailAt = true, now
 	}
 	due := now-e.toldAt >= max(tellInterval, time.Duration(len(members))*tellStep)
@@ -54,6 +56,15 @@
 	e.pending = true
 }
 
+// detailWait is the time from one whole status to the next: short where the
+// last one is of another revision.
+func (e *entrySync) detailWait() time.Duration {
+	if e.detail.Revision != e.status.Revision {
+		return freshDetailInterval
+	}
+	return detailInterval
+}
+
 // sameEntry tells whether a lookup treats a and b alike but for spare capacity.
 func sameEntry(a, b link.Member) bool {
 	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && a.Address == b.Address
