Listen and tick in one place each

Cause: the entry had its own error for an address in use beside the one of package settings, the stand-in had none with a remedy, and two loops of the entry were the same. Change: settings.Listen serves all; every runs both loops. Conclusion: one message for an address that cannot be served.

--- a/proxy/server.go
+++ b/proxy/server.go
@@ -22,6 +22,7 @@
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
 	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/locate"
+	"github.com/catkinrouter/catkinrouter/settings"
 )
 
 // Server runs one entry.
@@ -120,10 +121,10 @@
 		{"link_address", s.set.LinkAddress, &l.link},
 		{"metrics_address", s.set.MetricsAddress, &l.metrics},
 	} {
-		ln, err := net.Listen("tcp", a.addr)
+		ln, err := settings.Listen(a.key, a.addr)
 		if err != nil {
 			l.close()
-			return nil, &ListenError{Key: a.key, Address: a.addr, Err: err}
+			return nil, err
 		}
 		*a.ln = ln
 	}
@@ -138,21 +139,6 @@
 	}
 }
 
-// ListenError is an address of the settings that cannot be served.
-type ListenError struct {
-	Key     string
-	Address string
-	Err     error
-}
-
-// Error names the key, the address, the fault and the remedy.
-func (e *ListenError) Error() string {
-	return "cannot serve " + e.Key + " " + e.Address + ": " + e.Err.Error() + ": free the port or set another address"
-}
-
-// Unwrap returns the underlying fault.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 func (s *Server) newHTTP() *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.malformed,
@@ -187,14 +173,19 @@
 func (s *Server) now() time.Duration { return time.Since(s.started) }
 
 func (s *Server) tick(ctx context.Context) error {
-	t := time.NewTicker(entry.TickInterval)
+	return every(ctx, entry.TickInterval, s.d.tick)
+}
+
+// every calls do at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) error {
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			s.d.tick()
+			do()
 		}
 	}
 }
--- a/proxy/watch.go
+++ b/proxy/watch.go
@@ -43,16 +43,9 @@
 
 // upkeep closes idle connections and shows the Node's counts, until ctx ends.
 func (s *Server) upkeep(ctx context.Context) error {
-	t := time.NewTicker(upkeepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	return every(ctx, upkeepInterval, func() {
 		s.pool.sweep()
 		st := s.d.status()
 		s.m.node(&st)
-	}
+	})
 }
--- a/standin/site.go
+++ b/standin/site.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/settings"
 )
 
 // UpstreamFaultsPath, followed by an upstream's ID, takes a POST of
@@ -31,17 +32,17 @@
 // NewSite opens every listener that s names.
 func NewSite(s *Settings) (*Site, error) {
 	site := &Site{platform: NewPlatform(s.Instances), upstreams: map[string]*Upstream{}}
-	if err := site.listen(s.PlatformAddress, site.platform.Handle); err != nil {
+	if err := site.listen("platform_address", s.PlatformAddress, site.platform.Handle); err != nil {
 		return nil, err
 	}
-	if err := site.listen(s.ControlAddress, site.control); err != nil {
+	if err := site.listen("control_address", s.ControlAddress, site.control); err != nil {
 		return nil, err
 	}
 	for _, svc := range s.Services {
 		for i := range svc.Count {
 			u := NewUpstream(svc.options(i))
 			site.upstreams[svc.id(i)] = u
-			if err := site.listen(svc.address(i), u.Handle); err != nil {
+			if err := site.listen("services", svc.address(i), u.Handle); err != nil {
 				return nil, err
 			}
 		}
@@ -49,8 +50,8 @@
 	return site, nil
 }
 
-func (s *Site) listen(addr string, h fasthttp.RequestHandler) error {
-	ln, err := net.Listen("tcp", addr)
+func (s *Site) listen(key, addr string, h fasthttp.RequestHandler) error {
+	ln, err := settings.Listen(key, addr)
 	if err != nil {
 		s.close()
 		return err
