--- a/load/main.go
+++ b/load/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 
+	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/headers"
@@ -78,7 +79,7 @@
 	r.Progress = stderr
 	fault, err := execute(r, name, *out, stdout)
 	if err != nil {
-		fmt.Fprintln(stderr, "catkin-load:", err)
+		fmt.Fprintf(stderr, "catkin-load: %v%s\n", err, hint(err))
 		return daemon.ExitFault
 	}
 	if fault != "" {
@@ -88,6 +89,15 @@
 	return daemon.ExitOK
 }
 
+// hint returns the remedy that err names apart from its message; empty for none.
+func hint(err error) string {
+	o, ok := oops.AsOops(err)
+	if !ok || o.Hint() == "" {
+		return ""
+	}
+	return ": " + o.Hint()
+}
+
 // ready exits with ExitOK where an entry has a configuration in force.
 func ready(args []string, stderr io.Writer) int {
 	fs := flag.NewFlagSet("ready", flag.ContinueOnError)
--- a/load/site.go
+++ b/load/site.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"time"
 
+	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/config"
@@ -28,10 +28,10 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(b)
 	if err := fasthttp.DoTimeout(req, resp, controlTimeout); err != nil {
-		return fmt.Errorf("%s: %w: check the address and that it runs", url, err)
+		return oops.In("load").Hint("check the address and that it runs").Wrapf(err, "%s", url)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("%s: status %d: %s", url, resp.StatusCode(), resp.Body())
+		return oops.In("load").Hint("correct the scenario or the site").Errorf("%s: status %d: %s", url, resp.StatusCode(), resp.Body())
 	}
 	if out == nil {
 		return nil
