--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -20,7 +20,7 @@
 	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/membership"
 	"github.com/catkinrouter/catkinrouter/operator"
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/settings"
 )
 
@@ -43,7 +43,7 @@
 	set     Settings
 	log     log.Logger
 	metrics gometrics.Registry
-	store   *platform.Client
+	store   *store.Client
 	reader  *config.Committer
 	started time.Time
 	node    *Node // owned by the loop
@@ -66,7 +66,7 @@
 
 // NewDaemon returns a Daemon for checked settings.
 func NewDaemon(set Settings, l log.Logger) *Daemon {
-	c := platform.NewClient(set.StoreAddress, set.ListAddress)
+	c := store.NewClient(set.StoreAddress, set.ListAddress)
 	r := gometrics.NewRegistry()
 	now := time.Now()
 	return &Daemon{
@@ -265,7 +265,7 @@
 	if changed {
 		h, err = config.DecodeHead(v.Data)
 	}
-	if platform.IsKind(err, platform.Unchanged) {
+	if store.IsKind(err, store.Unchanged) {
 		err = nil // the time passed
 	}
 	if err != nil {
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/link"
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // fleet drives whole Nodes on a clock of its own, over a network with faults,
@@ -35,7 +35,7 @@
 	storeDown bool
 	storeWait time.Duration // longest, one way
 	storeCut  func(h *host) bool
-	list      []platform.Instance
+	list      []store.Instance
 	calls     int
 	waiters   []*waiter
 
@@ -116,7 +116,7 @@
 		h.address = fmt.Sprintf("127.1.%d.%d:9000", i/200, i%200+1)
 		f.hosts = append(f.hosts, h)
 		f.byPeer[h.address] = h
-		f.list = append(f.list, platform.Instance{ID: h.id, Address: h.address, Region: h.region})
+		f.list = append(f.list, store.Instance{ID: h.id, Address: h.address, Region: h.region})
 	}
 	for _, h := range f.hosts {
 		h.start()
--- a/agent/node.go
+++ b/agent/node.go
@@ -7,7 +7,7 @@
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/membership"
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Options are a Node's fixed settings.
@@ -189,7 +189,7 @@
 }
 
 // Listed takes the end of a ListInstances.
-func (n *Node) Listed(now time.Duration, list []platform.Instance, err error) {
+func (n *Node) Listed(now time.Duration, list []store.Instance, err error) {
 	n.duty.listDone(now, n.table.Live())
 	if err != nil {
 		return
--- a/agent/proof_test.go
+++ b/agent/proof_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/membership"
-	"github.com/catkinrouter/catkinrouter/platform"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 	"github.com/catkinrouter/catkinrouter/standin"
 )
 
@@ -128,7 +128,7 @@
 	m.f.list = nil
 	for _, h := range m.f.hosts {
 		for range rapid.IntRange(0, 2).Draw(t, "times") {
-			m.f.list = append(m.f.list, platform.Instance{
+			m.f.list = append(m.f.list, store.Instance{
 				ID: h.id, Address: h.address, Region: h.region, Leaving: rapid.Bool().Draw(t, "leaving"),
 			})
 		}
@@ -183,7 +183,7 @@
 		f.confirm(nil)
 	}
 	for i := range f.hosts {
-		f.list = append(f.list, platform.Instance{ID: f.hosts[i].id, Address: f.hosts[i].address, Region: f.hosts[i].region})
+		f.list = append(f.list, store.Instance{ID: f.hosts[i].id, Address: f.hosts[i].address, Region: f.hosts[i].region})
 	}
 	if _, ok := f.until(meetLimit, func() bool { return meet(alive) }); !ok {
 		t.Fatal("views do not meet")
@@ -280,7 +280,7 @@
 // region after the cut.
 func TestOperatorsRaceWhileRegionIsCut(t *testing.T) {
 	f := newFleet(8, 1)
-	store := platformtest.NewStore(func() time.Time { return time.Unix(0, int64(f.now)) }, nil)
+	store := storetest.NewStore(func() time.Time { return time.Unix(0, int64(f.now)) }, nil)
 	first := f.raced(t, store, 1)
 	if _, ok := f.until(meetLimit, func() bool { return meet(f.hosts) && inForce(f.hosts, first.Revision) }); !ok {
 		t.Fatal("views do not meet at the start")
@@ -310,7 +310,7 @@
 
 // raced has two operators at the first and third instance plan on one base
 // and confirm; it returns the head that one of them moved.
-func (f *fleet) raced(t *testing.T, store *platformtest.Store, n int) config.Head {
+func (f *fleet) raced(t *testing.T, store *storetest.Store, n int) config.Head {
 	t.Helper()
 	ctx := context.Background()
 	var plans []*config.Plan
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/catkinrouter/catkinrouter/headers"
 	"github.com/catkinrouter/catkinrouter/internal/proctest"
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/standin"
 )
 
@@ -96,7 +96,7 @@
 // wrongList lists one live instance as leaving, another not at all, and one
 // that does not exist.
 func wrongList(s *proctest.Site) {
-	l := platform.InstanceList{Instances: []platform.Instance{
+	l := store.InstanceList{Instances: []store.Instance{
 		{ID: "instance-2", Address: s.Addr(1), DataCentre: "otavalo", Region: proctest.Region, Leaving: true},
 		{ID: "instance-9", Address: s.Addr(2), DataCentre: "otavalo", Region: proctest.Region},
 	}}
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 )
 
 // sized returns a document with upstreams spread over 13 services and 8 data
@@ -54,7 +54,7 @@
 func BenchmarkPlanAndConfirm(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
-			store := platformtest.NewStore(time.Now, nil).Client("bench", nil)
+			store := storetest.NewStore(time.Now, nil).Client("bench", nil)
 			c := config.NewCommitter(store)
 			change := func(plan func() (*config.Plan, error)) {
 				p, err := plan()
--- a/config/check_test.go
+++ b/config/check_test.go
@@ -11,7 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 func TestCheckNamesEveryFault(t *testing.T) {
@@ -92,7 +92,7 @@
 		})
 	}
 	b, err := json.Marshal(h)
-	if err != nil || len(b) > platform.MaxValue*3/4 {
+	if err != nil || len(b) > store.MaxValue*3/4 {
 		t.Fatalf("%d bytes, %v", len(b), err)
 	}
 }
--- a/config/confirm.go
+++ b/config/confirm.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Accepted tells that a plan is or was in force.
@@ -74,7 +74,7 @@
 			commit, _ := next.Commit(next.Revision)
 			return Accepted{Commit: commit, InForce: next.Revision, Head: next}, nil
 		}
-		if !platform.IsKind(err, platform.Indefinite) && !platform.IsKind(err, platform.Conflict) {
+		if !store.IsKind(err, store.Indefinite) && !store.IsKind(err, store.Conflict) {
 			break
 		}
 		var readErr error
@@ -113,10 +113,10 @@
 	}
 	_, err = m.c.store.Put(ctx, HeadKey, b, expect, 0)
 	switch {
-	case platform.IsKind(err, platform.Indefinite):
+	case store.IsKind(err, store.Indefinite):
 		m.doubt, m.lost = true, max(m.lost, expect)
 		m.c.count(EventReadBack)
-	case platform.IsKind(err, platform.Conflict):
+	case store.IsKind(err, store.Conflict):
 		m.c.count(EventRetryConflict)
 	}
 	return err
--- a/config/confirm_test.go
+++ b/config/confirm_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 )
 
 // A confirm calls the store in a fixed order: it reads the head and the plan,
@@ -16,31 +16,31 @@
 // gives the faults of these calls; those after the list are None.
 func TestConfirmUnderFaults(t *testing.T) {
 	const (
-		none  = platformtest.None
-		down  = platformtest.Down
-		lost  = platformtest.LostCall
-		done  = platformtest.LostAnswer
-		late  = platformtest.Late
-		stale = platformtest.StaleRead
+		none  = storetest.None
+		down  = storetest.Down
+		lost  = storetest.LostCall
+		done  = storetest.LostAnswer
+		late  = storetest.Late
+		stale = storetest.StaleRead
 	)
 	var unavailable *config.UnavailableError
 	var indefinite *config.IndefiniteError
 	tests := []struct {
 		name   string
-		faults []platformtest.Fault
+		faults []storetest.Fault
 		want   any // target of errors.As; nil for accepted
 		later  int // revision in force once late writes are released
 	}{
 		{"no fault", nil, nil, 3},
-		{"down before reading", []platformtest.Fault{down}, &unavailable, 2},
-		{"down before writing", []platformtest.Fault{none, none, down}, &unavailable, 2},
-		{"answer lost after the write", []platformtest.Fault{none, none, done}, nil, 3},
-		{"write lost, written again", []platformtest.Fault{none, none, lost}, nil, 3},
-		{"answer lost, then down", []platformtest.Fault{none, none, done, down}, &indefinite, 3},
-		{"write lost, then down", []platformtest.Fault{none, none, lost, down}, &indefinite, 2},
-		{"late write, unmoved head, then down", []platformtest.Fault{none, none, late, none, down}, &indefinite, 3},
-		{"late write, stale head, then down", []platformtest.Fault{none, none, late, stale, down}, &indefinite, 3},
-		{"late write, written again", []platformtest.Fault{none, none, late}, nil, 3},
+		{"down before reading", []storetest.Fault{down}, &unavailable, 2},
+		{"down before writing", []storetest.Fault{none, none, down}, &unavailable, 2},
+		{"answer lost after the write", []storetest.Fault{none, none, done}, nil, 3},
+		{"write lost, written again", []storetest.Fault{none, none, lost}, nil, 3},
+		{"answer lost, then down", []storetest.Fault{none, none, done, down}, &indefinite, 3},
+		{"write lost, then down", []storetest.Fault{none, none, lost, down}, &indefinite, 2},
+		{"late write, unmoved head, then down", []storetest.Fault{none, none, late, none, down}, &indefinite, 3},
+		{"late write, stale head, then down", []storetest.Fault{none, none, late, stale, down}, &indefinite, 3},
+		{"late write, written again", []storetest.Fault{none, none, late}, nil, 3},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -54,7 +54,7 @@
 				}
 			}
 			var err error
-			p := m.store.Go("confirm", func(c *platformtest.Client) {
+			p := m.store.Go("confirm", func(c *storetest.Client) {
 				_, err = config.NewCommitter(c).Confirm(context.Background(), m.plans[2])
 			})
 			for i := 0; !p.Done(); i++ {
--- a/config/example_test.go
+++ b/config/example_test.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 )
 
 // A plan shows what would change; confirming it moves the head once.
 func ExampleCommitter() {
 	ctx := context.Background()
-	store := platformtest.NewStore(time.Now, nil)
+	store := storetest.NewStore(time.Now, nil)
 	c := config.NewCommitter(store.Client("example", nil))
 	p, _ := c.Plan(ctx, document(1))
 	a, _ := c.Confirm(ctx, p.ID)
--- a/config/linear_test.go
+++ b/config/linear_test.go
@@ -17,8 +17,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/platform"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 	"github.com/catkinrouter/catkinrouter/standin"
 )
 
@@ -174,7 +174,7 @@
 
 // race lets clients plan, confirm and read at once on their stores, and
 // checks that what they were told is linearizable.
-func race(t *testing.T, stores []platform.Store, rounds int) {
+func race(t *testing.T, stores []store.Store, rounds int) {
 	r := &recorder{start: time.Now()}
 	var wg sync.WaitGroup
 	for i, s := range stores {
@@ -202,20 +202,20 @@
 // Plans, confirms and reads are linearizable on a store that fails at random.
 func TestConfirmIsLinearizable(t *testing.T) {
 	for seed := range uint64(races) {
-		store := platformtest.NewStore(time.Now, nil)
-		var stores []platform.Store
+		shared := storetest.NewStore(time.Now, nil)
+		var stores []store.Store
 		for i := range uint64(4) {
 			rng := rand.New(rand.NewPCG(seed, i))
-			stores = append(stores, store.Client("client", func(context.Context, platformtest.Call) platformtest.Fault {
-				return randomFault(store, rng)
+			stores = append(stores, shared.Client("client", func(context.Context, storetest.Call) storetest.Fault {
+				return randomFault(shared, rng)
 			}))
 		}
 		race(t, stores, 4)
 	}
 }
 
-func randomFault(store *platformtest.Store, rng *rand.Rand) platformtest.Fault {
-	choices := []platformtest.Fault{platformtest.Down, platformtest.LostCall, platformtest.LostAnswer, platformtest.Late}
+func randomFault(store *storetest.Store, rng *rand.Rand) storetest.Fault {
+	choices := []storetest.Fault{storetest.Down, storetest.LostCall, storetest.LostAnswer, storetest.Late}
 	runtime.Gosched()
 	switch rng.IntN(6) {
 	case 0:
@@ -223,7 +223,7 @@
 	case 1:
 		return choices[rng.IntN(len(choices))]
 	}
-	return platformtest.None
+	return storetest.None
 }
 
 // The same over HTTP, while the platform loses and delays writes and goes
@@ -238,9 +238,9 @@
 	p := standin.NewPlatform(nil)
 	addr, stop := serve(t, p)
 	defer stop()
-	var stores []platform.Store
+	var stores []store.Store
 	for range 4 {
-		c := platform.NewClient(addr, addr)
+		c := store.NewClient(addr, addr)
 		defer c.Close()
 		stores = append(stores, c)
 	}
--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 )
 
 // commit is an accepted revision, as the oracle saw the store take it.
@@ -21,7 +21,7 @@
 
 // request is a plan, a confirm or a read of the head that runs in steps.
 type request struct {
-	*platformtest.Process
+	*storetest.Process
 	plan    string // confirmed; empty for others
 	doubted bool   // the answer of a head write was lost
 	settle  func()
@@ -30,7 +30,7 @@
 // machine runs agents on one store, stopped and failed at any call, beside an
 // oracle: the list of revisions that the store took.
 type machine struct {
-	store    *platformtest.Store
+	store    *storetest.Store
 	now      time.Time
 	requests []*request
 	started  int
@@ -46,7 +46,7 @@
 
 func newMachine() *machine {
 	m := &machine{now: time.Unix(0, 0), bases: map[string]uint64{}, refused: map[string]error{}, stale: map[string]bool{}}
-	m.store = platformtest.NewStore(func() time.Time { return m.now }, m.onWrite)
+	m.store = storetest.NewStore(func() time.Time { return m.now }, m.onWrite)
 	return m
 }
 
@@ -58,7 +58,7 @@
 
 // onWrite is the oracle: the head moves by one revision, from the base of an
 // accepted plan.
-func (m *machine) onWrite(w platformtest.Write) {
+func (m *machine) onWrite(w storetest.Write) {
 	if w.Key != config.HeadKey {
 		return
 	}
@@ -79,7 +79,7 @@
 func (m *machine) start(plan string, f func(*config.Committer) func()) {
 	m.started++
 	r := &request{plan: plan}
-	r.Process = m.store.Go(fmt.Sprintf("process-%d", m.started), func(c *platformtest.Client) {
+	r.Process = m.store.Go(fmt.Sprintf("process-%d", m.started), func(c *storetest.Client) {
 		r.settle = f(config.NewCommitter(c, config.WithClock(func() time.Time { return m.now })))
 	})
 	m.requests = append(m.requests, r)
@@ -169,10 +169,10 @@
 }
 
 // step lets request i make its next call.
-func (m *machine) step(i int, f platformtest.Fault) {
+func (m *machine) step(i int, f storetest.Fault) {
 	r := m.requests[i]
-	lost := f == platformtest.LostCall || f == platformtest.LostAnswer || f == platformtest.Late
-	if c := r.Next(); lost && c.Op == platformtest.Put && c.Key == config.HeadKey {
+	lost := f == storetest.LostCall || f == storetest.LostAnswer || f == storetest.Late
+	if c := r.Next(); lost && c.Op == storetest.Put && c.Key == config.HeadKey {
 		r.doubted = true
 	}
 	r.Step(f)
@@ -198,7 +198,7 @@
 
 func (m *machine) run(i int) {
 	for n := len(m.requests); n == len(m.requests); {
-		m.step(i, platformtest.None)
+		m.step(i, storetest.None)
 	}
 }
 
@@ -253,9 +253,9 @@
 	}
 }
 
-var faults = []platformtest.Fault{
-	platformtest.None, platformtest.None, platformtest.None, platformtest.None,
-	platformtest.Down, platformtest.LostCall, platformtest.LostAnswer, platformtest.Late, platformtest.StaleRead,
+var faults = []storetest.Fault{
+	storetest.None, storetest.None, storetest.None, storetest.None,
+	storetest.Down, storetest.LostCall, storetest.LostAnswer, storetest.Late, storetest.StaleRead,
 }
 
 func (m *machine) actions() map[string]func(*rapid.T) {
--- a/config/plan_test.go
+++ b/config/plan_test.go
@@ -9,13 +9,13 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 )
 
 // commitTo returns a Committer whose store holds documents as its revisions.
 func commitTo(t *testing.T, docs ...*config.Document) *config.Committer {
 	t.Helper()
-	store := platformtest.NewStore(time.Now, nil)
+	store := storetest.NewStore(time.Now, nil)
 	c := config.NewCommitter(store.Client("test", nil))
 	for _, d := range docs {
 		p, err := c.Plan(t.Context(), d)
--- a/config/store.go
+++ b/config/store.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Keys in the platform's store.
@@ -27,7 +27,7 @@
 // Committer makes and confirms plans in the platform's store. It keeps no
 // state of its own between calls and is safe for concurrent use.
 type Committer struct {
-	store platform.Store
+	store store.Store
 	now   func() time.Time
 	count func(Event)
 }
@@ -62,7 +62,7 @@
 func WithCount(count func(Event)) Option { return func(c *Committer) { c.count = count } }
 
 // NewCommitter returns a Committer on store.
-func NewCommitter(store platform.Store, opts ...Option) *Committer {
+func NewCommitter(store store.Store, opts ...Option) *Committer {
 	c := &Committer{store: store, now: time.Now, count: func(Event) {}}
 	for _, o := range opts {
 		o(c)
@@ -74,7 +74,7 @@
 // nothing was confirmed yet.
 func (c *Committer) Head(ctx context.Context) (Head, int64, error) {
 	v, err := c.store.Get(ctx, HeadKey)
-	if platform.IsKind(err, platform.NotFound) {
+	if store.IsKind(err, store.NotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
@@ -162,7 +162,7 @@
 		return err
 	}
 	_, err = c.store.Put(ctx, PlanPrefix+p.ID, b, 0, lease)
-	if platform.IsKind(err, platform.Conflict) {
+	if store.IsKind(err, store.Conflict) {
 		return nil // the same plan was stored before
 	}
 	return err
@@ -171,7 +171,7 @@
 // readPlan returns the record of a plan, nil where it is not kept.
 func (c *Committer) readPlan(ctx context.Context, id string) (*Plan, error) {
 	v, err := c.store.Get(ctx, PlanPrefix+id)
-	if platform.IsKind(err, platform.NotFound) {
+	if store.IsKind(err, store.NotFound) {
 		return nil, nil
 	}
 	if err != nil {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -17,7 +17,7 @@
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/ctl"
 	"github.com/catkinrouter/catkinrouter/operator"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 )
 
 const documentText = `{
@@ -36,13 +36,13 @@
 type agent struct {
 	t     *testing.T
 	addr  string
-	fault func(platformtest.Call) platformtest.Fault
+	fault func(storetest.Call) storetest.Fault
 }
 
 func newAgent(t *testing.T) *agent {
-	a := &agent{t: t, fault: func(platformtest.Call) platformtest.Fault { return platformtest.None }}
-	store := platformtest.NewStore(time.Now, nil)
-	client := store.Client("agent", func(_ context.Context, c platformtest.Call) platformtest.Fault { return a.fault(c) })
+	a := &agent{t: t, fault: func(storetest.Call) storetest.Fault { return storetest.None }}
+	store := storetest.NewStore(time.Now, nil)
+	client := store.Client("agent", func(_ context.Context, c storetest.Call) storetest.Fault { return a.fault(c) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -133,12 +133,12 @@
 	stale := planOf(a.must("drain", "s1"))
 	a.must("confirm", planOf(a.must("drain", "s2")))
 	open := planOf(a.must("drain", "s1"))
-	down := func(platformtest.Call) platformtest.Fault { return platformtest.Down }
-	lost := func(c platformtest.Call) platformtest.Fault {
-		if c.Op == platformtest.Put {
-			return platformtest.LostCall
+	down := func(storetest.Call) storetest.Fault { return storetest.Down }
+	lost := func(c storetest.Call) storetest.Fault {
+		if c.Op == storetest.Put {
+			return storetest.LostCall
 		}
-		return platformtest.None
+		return storetest.None
 	}
 	unknownKey := write(t, strings.Replace(documentText, `"slots"`, `"slotz"`, 1))
 	wrongValues := write(t, strings.NewReplacer(`"10s"`, `10`, `"slots": 3`, `"slots": "3"`).Replace(documentText))
@@ -146,7 +146,7 @@
 	tests := []struct {
 		name  string
 		args  []string
-		fault func(platformtest.Call) platformtest.Fault
+		fault func(storetest.Call) storetest.Fault
 		code  int
 		says  []string
 	}{
@@ -179,7 +179,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			if tt.fault != nil {
 				a.fault = tt.fault
-				defer func() { a.fault = func(platformtest.Call) platformtest.Fault { return platformtest.None } }()
+				defer func() { a.fault = func(storetest.Call) storetest.Fault { return storetest.None } }()
 			}
 			code, _, errs := a.run(tt.args...)
 			if code != tt.code {
--- a/internal/proctest/site.go
+++ b/internal/proctest/site.go
@@ -20,7 +20,7 @@
 	"github.com/catkinrouter/catkinrouter/agent"
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/operator"
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/proxy"
 	"github.com/catkinrouter/catkinrouter/standin"
 )
@@ -171,7 +171,7 @@
 		MetricsAddress: s.AgentMetricsAddress(i), EntryLink: s.Addr(s.instancePort(i, 1)), EntryAddress: s.EntryAddress(i),
 		StoreAddress: s.PlatformAddress(), ListAddress: s.PlatformAddress(), LogLevel: "warn",
 	})
-	s.standin.Instances = append(s.standin.Instances, platform.Instance{ID: id, Address: peer, DataCentre: dc, Region: Region})
+	s.standin.Instances = append(s.standin.Instances, store.Instance{ID: id, Address: peer, DataCentre: dc, Region: Region})
 }
 
 func (s *Site) write(name string, v any) {
--- a/operator/fault.go
+++ b/operator/fault.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Refusal is a Fault as an error.
@@ -57,7 +57,7 @@
 		return KindNotKept
 	case is[*config.CorruptError](err):
 		return KindCorrupt
-	case is[*config.UnavailableError](err), is[*platform.Error](err):
+	case is[*config.UnavailableError](err), is[*store.Error](err):
 		return KindUnavailable
 	}
 	return KindInternal
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/operator"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 )
 
 const document = `{"site": "test", "max_entries": 3, "lookup": {"lifetime": "10s", "addresses": 1},
@@ -37,7 +37,7 @@
 
 func TestRefusalsAreTypedAndCounted(t *testing.T) {
 	metrics := gometrics.NewRegistry()
-	h := operator.Handler(config.NewCommitter(platformtest.NewStore(time.Now, nil).Client("test", nil)), operator.WithMetrics(metrics))
+	h := operator.Handler(config.NewCommitter(storetest.NewStore(time.Now, nil).Client("test", nil)), operator.WithMetrics(metrics))
 	tests := []struct {
 		name, method, uri, body string
 		status                  int
@@ -80,11 +80,11 @@
 func TestConfirmHandsOverTheHead(t *testing.T) {
 	var held config.Keeper
 	down := false
-	store := platformtest.NewStore(time.Now, nil).Client("test", func(context.Context, platformtest.Call) platformtest.Fault {
+	store := storetest.NewStore(time.Now, nil).Client("test", func(context.Context, storetest.Call) storetest.Fault {
 		if down {
-			return platformtest.Down
+			return storetest.Down
 		}
-		return platformtest.None
+		return storetest.None
 	})
 	h := operator.Handler(config.NewCommitter(store), operator.WithAccepted(func(head config.Head) {
 		if _, err := held.Offer(head); err != nil {
@@ -111,10 +111,10 @@
 // Requests above the bound are refused at once.
 func TestBoundedRequests(t *testing.T) {
 	entered, leave := make(chan struct{}), make(chan struct{})
-	store := platformtest.NewStore(time.Now, nil).Client("test", func(context.Context, platformtest.Call) platformtest.Fault {
+	store := storetest.NewStore(time.Now, nil).Client("test", func(context.Context, storetest.Call) storetest.Fault {
 		entered <- struct{}{}
 		<-leave
-		return platformtest.None
+		return storetest.None
 	})
 	h := operator.Handler(config.NewCommitter(store))
 	done := make(chan struct{})
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Platform serves a Store and a list over HTTP. FaultsPath and SetListPath
@@ -26,7 +26,7 @@
 
 type datedList struct {
 	at        time.Time
-	instances []platform.Instance
+	instances []store.Instance
 }
 
 // Control paths of a Platform.
@@ -40,7 +40,7 @@
 const maxLists = 1024
 
 // NewPlatform returns a Platform whose list holds instances.
-func NewPlatform(instances []platform.Instance) *Platform {
+func NewPlatform(instances []store.Instance) *Platform {
 	p := &Platform{store: NewStore(time.Now), now: time.Now, cut: make(chan struct{})}
 	p.SetList(instances)
 	return p
@@ -58,7 +58,7 @@
 }
 
 // SetList replaces the list; readers see it once the list's lag has passed.
-func (p *Platform) SetList(instances []platform.Instance) {
+func (p *Platform) SetList(instances []store.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lists = append(p.lists, datedList{at: p.now(), instances: instances})
@@ -66,7 +66,7 @@
 }
 
 // list returns the newest list older than the lag, else the oldest.
-func (p *Platform) list() []platform.Instance {
+func (p *Platform) list() []store.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit := p.now().Add(-millis(p.faults.ListLagMillis))
@@ -90,7 +90,7 @@
 		}
 		return
 	case SetListPath:
-		var l platform.InstanceList
+		var l store.InstanceList
 		if decode(ctx, &l) {
 			p.SetList(l.Instances)
 		}
@@ -117,17 +117,17 @@
 	f, cut := p.take(path)
 	time.Sleep(millis(f.SlowMillis))
 	switch {
-	case f.Down, f.ListDown && path == platform.ListPath:
+	case f.Down, f.ListDown && path == store.ListPath:
 		refuse(ctx, fasthttp.StatusServiceUnavailable, "down")
 		return
-	case path == platform.ListPath:
-		reply(ctx, fasthttp.StatusOK, platform.InstanceList{Instances: p.list()})
+	case path == store.ListPath:
+		reply(ctx, fasthttp.StatusOK, store.InstanceList{Instances: p.list()})
 		return
 	case f.LoseCalls > 0:
 		hangUp(ctx)
 		return
 	}
-	var req platform.Request
+	var req store.Request
 	if !decode(ctx, &req) {
 		return
 	}
@@ -140,7 +140,7 @@
 	switch {
 	case f.LoseAnswers > 0:
 		hangUp(ctx)
-	case platform.IsKind(err, platform.Unchanged):
+	case store.IsKind(err, store.Unchanged):
 		ctx.SetStatusCode(fasthttp.StatusNotModified)
 	case err != nil:
 		refuse(ctx, statusOf(err), err.Error())
@@ -156,7 +156,7 @@
 	defer p.mu.Unlock()
 	p.calls.Calls++
 	f := p.faults
-	if path == platform.ListPath {
+	if path == store.ListPath {
 		p.calls.List++
 	}
 	if !writes(path) {
@@ -180,7 +180,7 @@
 
 func writes(path string) bool {
 	switch path {
-	case platform.PutPath, platform.DeletePath, platform.GrantPath:
+	case store.PutPath, store.DeletePath, store.GrantPath:
 		return true
 	}
 	return false
@@ -193,23 +193,23 @@
 
 func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
-func (p *Platform) apply(path string, r platform.Request, cut <-chan struct{}) (a platform.Answer, err error) {
-	var v platform.Value
+func (p *Platform) apply(path string, r store.Request, cut <-chan struct{}) (a store.Answer, err error) {
+	var v store.Value
 	switch path {
-	case platform.GetPath:
+	case store.GetPath:
 		v, err = p.store.Get(r.Key)
-	case platform.PutPath:
+	case store.PutPath:
 		v.Revision, err = p.store.Put(r.Key, r.Data, r.Expect, r.Lease)
-	case platform.DeletePath:
+	case store.DeletePath:
 		err = p.store.Delete(r.Key, r.Expect)
-	case platform.KeysPath:
+	case store.KeysPath:
 		a.Keys = p.store.Keys(r.Key)
 		return a, nil
-	case platform.GrantPath:
+	case store.GrantPath:
 		v.Lease = p.store.Grant(millis(int(r.TTL)))
-	case platform.KeepAlivePath:
+	case store.KeepAlivePath:
 		err = p.store.KeepAlive(r.Lease)
-	case platform.WatchPath:
+	case store.WatchPath:
 		v, err = p.watch(r, cut)
 	default:
 		err = errors.New("unknown path")
@@ -220,7 +220,7 @@
 
 // watch ends after the time that the request names, or when the store goes
 // down.
-func (p *Platform) watch(r platform.Request, cut <-chan struct{}) (platform.Value, error) {
+func (p *Platform) watch(r store.Request, cut <-chan struct{}) (store.Value, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), millis(int(r.Wait)))
 	defer cancel()
 	go func() {
@@ -234,20 +234,20 @@
 		return v, nil
 	}
 	if ctx.Err() == context.Canceled {
-		return platform.Value{}, &platform.Error{Kind: platform.Unavailable, Op: "watch", Key: r.Key}
+		return store.Value{}, &store.Error{Kind: store.Unavailable, Op: "watch", Key: r.Key}
 	}
-	return platform.Value{}, &platform.Error{Kind: platform.Unchanged, Op: "watch", Key: r.Key}
+	return store.Value{}, &store.Error{Kind: store.Unchanged, Op: "watch", Key: r.Key}
 }
 
 func statusOf(err error) int {
 	switch {
 	case err == nil:
 		return fasthttp.StatusOK
-	case platform.IsKind(err, platform.NotFound):
+	case store.IsKind(err, store.NotFound):
 		return fasthttp.StatusNotFound
-	case platform.IsKind(err, platform.Conflict):
+	case store.IsKind(err, store.Conflict):
 		return fasthttp.StatusConflict
-	case platform.IsKind(err, platform.Unavailable):
+	case store.IsKind(err, store.Unavailable):
 		return fasthttp.StatusServiceUnavailable
 	}
 	return fasthttp.StatusBadRequest
@@ -263,7 +263,7 @@
 
 // refuse answers that the call changed nothing.
 func refuse(ctx *fasthttp.RequestCtx, status int, why string) {
-	reply(ctx, status, platform.Answer{Error: why, Refused: true})
+	reply(ctx, status, store.Answer{Error: why, Refused: true})
 }
 
 func reply(ctx *fasthttp.RequestCtx, status int, v any) {
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/settings"
 )
 
@@ -19,7 +19,7 @@
 	ControlAddress string `json:"control_address"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel  string              `json:"log_level"`
-	Instances []platform.Instance `json:"instances"`
+	Instances []store.Instance `json:"instances"`
 	Services  []ServiceSettings   `json:"services"`
 	// Site, DataCentres, MaxEntries and Lookup go into the configuration
 	// document that Document makes.
--- a/standin/site.go
+++ b/standin/site.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/settings"
 )
 
@@ -99,7 +99,7 @@
 	id, ok := strings.CutPrefix(path, UpstreamFaultsPath)
 	u := s.upstreams[id]
 	if !ok || u == nil {
-		reply(ctx, fasthttp.StatusNotFound, platform.Answer{Error: "unknown path or upstream: use " + CountsPath + " or " + UpstreamFaultsPath + "ID"})
+		reply(ctx, fasthttp.StatusNotFound, store.Answer{Error: "unknown path or upstream: use " + CountsPath + " or " + UpstreamFaultsPath + "ID"})
 		return
 	}
 	var f UpstreamFaults
--- a/standin/store.go
+++ b/standin/store.go
@@ -8,14 +8,14 @@
 	"sync"
 	"time"
 
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Store is an in-memory platform store. It is safe for concurrent use.
 type Store struct {
 	mu       sync.Mutex
 	revision int64
-	keys     map[string]platform.Value
+	keys     map[string]store.Value
 	leases   map[int64]*lease
 	changed  chan struct{}
 	now      func() time.Time
@@ -28,17 +28,17 @@
 
 // NewStore returns an empty Store that reads time from now.
 func NewStore(now func() time.Time) *Store {
-	return &Store{keys: map[string]platform.Value{}, leases: map[int64]*lease{}, changed: make(chan struct{}), now: now}
+	return &Store{keys: map[string]store.Value{}, leases: map[int64]*lease{}, changed: make(chan struct{}), now: now}
 }
 
 // Get returns the value of key.
-func (s *Store) Get(key string) (platform.Value, error) {
+func (s *Store) Get(key string) (store.Value, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	v, ok := s.keys[key]
 	if !ok {
-		return v, &platform.Error{Kind: platform.NotFound, Op: "get", Key: key}
+		return v, &store.Error{Kind: store.NotFound, Op: "get", Key: key}
 	}
 	return v, nil
 }
@@ -48,17 +48,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	if len(data) > platform.MaxValue {
-		return 0, &platform.Error{Kind: platform.Invalid, Op: "put", Key: key}
+	if len(data) > store.MaxValue {
+		return 0, &store.Error{Kind: store.Invalid, Op: "put", Key: key}
 	}
 	if s.keys[key].Revision != expect {
-		return 0, &platform.Error{Kind: platform.Conflict, Op: "put", Key: key}
+		return 0, &store.Error{Kind: store.Conflict, Op: "put", Key: key}
 	}
 	if leaseID != 0 && s.leases[leaseID] == nil {
-		return 0, &platform.Error{Kind: platform.NotFound, Op: "put", Key: key}
+		return 0, &store.Error{Kind: store.NotFound, Op: "put", Key: key}
 	}
 	s.revision++
-	s.keys[key] = platform.Value{Data: data, Revision: s.revision, Lease: leaseID}
+	s.keys[key] = store.Value{Data: data, Revision: s.revision, Lease: leaseID}
 	s.notify()
 	return s.revision, nil
 }
@@ -71,9 +71,9 @@
 	v, ok := s.keys[key]
 	switch {
 	case !ok:
-		return &platform.Error{Kind: platform.NotFound, Op: "delete", Key: key}
+		return &store.Error{Kind: store.NotFound, Op: "delete", Key: key}
 	case v.Revision != expect:
-		return &platform.Error{Kind: platform.Conflict, Op: "delete", Key: key}
+		return &store.Error{Kind: store.Conflict, Op: "delete", Key: key}
 	}
 	delete(s.keys, key)
 	s.revision++
@@ -112,7 +112,7 @@
 	s.expire()
 	l := s.leases[id]
 	if l == nil {
-		return &platform.Error{Kind: platform.NotFound, Op: "keepalive"}
+		return &store.Error{Kind: store.NotFound, Op: "keepalive"}
 	}
 	l.ends = s.now().Add(l.ttl)
 	return nil
@@ -120,7 +120,7 @@
 
 // Watch returns once key has a revision above after, or done closes; then it
 // returns false.
-func (s *Store) Watch(key string, after int64, done <-chan struct{}) (platform.Value, bool) {
+func (s *Store) Watch(key string, after int64, done <-chan struct{}) (store.Value, bool) {
 	for {
 		s.mu.Lock()
 		s.expire()
@@ -133,7 +133,7 @@
 		select {
 		case <-changed:
 		case <-done:
-			return platform.Value{}, false
+			return store.Value{}, false
 		}
 	}
 }
--- a/platform/client.go
+++ b/store/client.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/platform/client_test.go
+++ b/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -10,12 +10,12 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/standin"
 )
 
 // serve answers with h on loopback until the test ends.
-func serve(t *testing.T, h fasthttp.RequestHandler) *platform.Client {
+func serve(t *testing.T, h fasthttp.RequestHandler) *store.Client {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -24,7 +24,7 @@
 	srv := &fasthttp.Server{Handler: h, NoDefaultDate: true, CloseOnShutdown: true}
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(ln) }()
-	c := platform.NewClient(ln.Addr().String(), ln.Addr().String())
+	c := store.NewClient(ln.Addr().String(), ln.Addr().String())
 	t.Cleanup(func() {
 		c.Close()
 		if err := srv.Shutdown(); err != nil {
@@ -43,20 +43,20 @@
 		name   string
 		status int
 		body   string
-		read   platform.Kind
-		write  platform.Kind
+		read   store.Kind
+		write  store.Kind
 	}{
-		{"down", 503, `{"error": "down", "refused": true}`, platform.Unavailable, platform.Unavailable},
-		{"too many", 429, `{"error": "slow down", "refused": true}`, platform.Unavailable, platform.Unavailable},
-		{"down, said by something between", 503, `{"error": "down"}`, platform.Unavailable, platform.Indefinite},
-		{"gateway page", 502, `<html>`, platform.Unavailable, platform.Indefinite},
-		{"missing", 404, `{"refused": true}`, platform.NotFound, platform.NotFound},
-		{"missing, said by something between", 404, `no such page`, platform.Unavailable, platform.Indefinite},
-		{"changed", 409, `{"refused": true}`, platform.Conflict, platform.Conflict},
-		{"changed, said by something between", 409, `{}`, platform.Unavailable, platform.Indefinite},
-		{"malformed", 400, `{"refused": true}`, platform.Invalid, platform.Invalid},
-		{"broken", 500, `{"refused": true}`, platform.Unavailable, platform.Indefinite},
-		{"cut short", 200, `{"data": "eA==", "rev`, platform.Unavailable, platform.Indefinite},
+		{"down", 503, `{"error": "down", "refused": true}`, store.Unavailable, store.Unavailable},
+		{"too many", 429, `{"error": "slow down", "refused": true}`, store.Unavailable, store.Unavailable},
+		{"down, said by something between", 503, `{"error": "down"}`, store.Unavailable, store.Indefinite},
+		{"gateway page", 502, `<html>`, store.Unavailable, store.Indefinite},
+		{"missing", 404, `{"refused": true}`, store.NotFound, store.NotFound},
+		{"missing, said by something between", 404, `no such page`, store.Unavailable, store.Indefinite},
+		{"changed", 409, `{"refused": true}`, store.Conflict, store.Conflict},
+		{"changed, said by something between", 409, `{}`, store.Unavailable, store.Indefinite},
+		{"malformed", 400, `{"refused": true}`, store.Invalid, store.Invalid},
+		{"broken", 500, `{"refused": true}`, store.Unavailable, store.Indefinite},
+		{"cut short", 200, `{"data": "eA==", "rev`, store.Unavailable, store.Indefinite},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -64,10 +64,10 @@
 				ctx.SetStatusCode(tt.status)
 				ctx.SetBodyString(tt.body)
 			})
-			if _, err := c.Get(t.Context(), "k"); !platform.IsKind(err, tt.read) {
+			if _, err := c.Get(t.Context(), "k"); !store.IsKind(err, tt.read) {
 				t.Errorf("read: %v, want kind %v", err, tt.read)
 			}
-			if _, err := c.Put(t.Context(), "k", nil, 0, 0); !platform.IsKind(err, tt.write) {
+			if _, err := c.Put(t.Context(), "k", nil, 0, 0); !store.IsKind(err, tt.write) {
 				t.Errorf("write: %v, want kind %v", err, tt.write)
 			}
 		})
@@ -84,22 +84,22 @@
 	tests := []struct {
 		name  string
 		ctx   context.Context
-		c     *platform.Client
+		c     *store.Client
 		data  []byte
-		read  platform.Kind
-		write platform.Kind
+		read  store.Kind
+		write store.Kind
 	}{
-		{"hung up", t.Context(), hangUp, nil, platform.Unavailable, platform.Indefinite},
-		{"nobody there", t.Context(), platform.NewClient("127.0.0.1:1", "127.0.0.1:1"), nil, platform.Unavailable, platform.Unavailable},
-		{"out of time before the call", late, hangUp, nil, platform.Unavailable, platform.Unavailable},
-		{"value too large", t.Context(), hangUp, make([]byte, platform.MaxValue+1), platform.Unavailable, platform.Invalid},
+		{"hung up", t.Context(), hangUp, nil, store.Unavailable, store.Indefinite},
+		{"nobody there", t.Context(), store.NewClient("127.0.0.1:1", "127.0.0.1:1"), nil, store.Unavailable, store.Unavailable},
+		{"out of time before the call", late, hangUp, nil, store.Unavailable, store.Unavailable},
+		{"value too large", t.Context(), hangUp, make([]byte, store.MaxValue+1), store.Unavailable, store.Invalid},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if _, err := tt.c.Get(tt.ctx, "k"); !platform.IsKind(err, tt.read) {
+			if _, err := tt.c.Get(tt.ctx, "k"); !store.IsKind(err, tt.read) {
 				t.Errorf("read: %v, want kind %v", err, tt.read)
 			}
-			if _, err := tt.c.Put(tt.ctx, "k", tt.data, 0, 0); !platform.IsKind(err, tt.write) {
+			if _, err := tt.c.Put(tt.ctx, "k", tt.data, 0, 0); !store.IsKind(err, tt.write) {
 				t.Errorf("write: %v, want kind %v", err, tt.write)
 			}
 		})
@@ -118,11 +118,11 @@
 	}
 	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	if _, err := c.Watch(short, "k", rev); !platform.IsKind(err, platform.Unchanged) && !platform.IsKind(err, platform.Unavailable) {
+	if _, err := c.Watch(short, "k", rev); !store.IsKind(err, store.Unchanged) && !store.IsKind(err, store.Unavailable) {
 		t.Fatalf("no news: %v", err)
 	}
 	type result struct {
-		v   platform.Value
+		v   store.Value
 		err error
 	}
 	watch := func(ctx context.Context, after int64) <-chan result {
@@ -138,32 +138,32 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := platform.Value{Data: []byte("b"), Revision: next}
+	want := store.Value{Data: []byte("b"), Revision: next}
 	if r := <-got; r.err != nil || !cmp.Equal(r.v, want) {
 		t.Fatalf("news: %+v", r)
 	}
 	cancelled, cancel := context.WithCancel(t.Context())
 	got = watch(cancelled, next)
 	cancel()
-	if r := <-got; !platform.IsKind(r.err, platform.Unavailable) {
+	if r := <-got; !store.IsKind(r.err, store.Unavailable) {
 		t.Fatalf("cancelled: %+v", r)
 	}
 	got = watch(t.Context(), next)
 	p.SetFaults(standin.PlatformFaults{Down: true})
-	if r := <-got; !platform.IsKind(r.err, platform.Unavailable) {
+	if r := <-got; !store.IsKind(r.err, store.Unavailable) {
 		t.Fatalf("platform gone: %+v", r)
 	}
 }
 
 func TestListFaults(t *testing.T) {
-	list := []platform.Instance{{ID: "a", Address: "127.0.0.1:1"}}
+	list := []store.Instance{{ID: "a", Address: "127.0.0.1:1"}}
 	p := standin.NewPlatform(list)
 	c := serve(t, p.Handle)
 	if got, err := c.Instances(t.Context()); err != nil || !cmp.Equal(got, list) {
 		t.Fatalf("list %v, %v", got, err)
 	}
 	p.SetFaults(standin.PlatformFaults{ListDown: true})
-	if _, err := c.Instances(t.Context()); !platform.IsKind(err, platform.Unavailable) {
+	if _, err := c.Instances(t.Context()); !store.IsKind(err, store.Unavailable) {
 		t.Fatalf("list down: %v", err)
 	}
 	if _, err := c.Put(t.Context(), "k", nil, 0, 0); err != nil {
--- a/platform/messages.go
+++ b/store/messages.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // Paths of the platform's HTTP interface. Each call is a POST with a JSON
 // body; ListPath is a GET.
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,5 +1,5 @@
-// Package platform talks to the platform's key-value store and instance list.
-package platform
+// Package store talks to the platform's key-value store and instance list.
+package store
 
 import "context"
 
--- a/platform/platformtest/stepper.go
+++ b/store/storetest/stepper.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"context"
--- a/platform/platformtest/store.go
+++ b/store/storetest/store.go
@@ -1,8 +1,8 @@
-// Package platformtest has a store in memory for tests of what uses the
+// Package storetest has a store in memory for tests of what uses the
 // platform: each call meets a fault that the test chooses, on the test's own
 // clock. A Stepper runs several users of one store in lock-step, so that a
 // test can stop, kill or let go each of them between any two calls.
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/standin"
 )
 
@@ -34,10 +34,10 @@
 	StaleRead
 )
 
-// Op names a call of platform.Store.
+// Op names a call of store.Store.
 type Op string
 
-// Calls of platform.Store.
+// Calls of store.Store.
 const (
 	Get       Op = "get"
 	Put       Op = "put"
@@ -62,7 +62,7 @@
 // Write is a Put or Delete that took effect.
 type Write struct {
 	Call
-	Value platform.Value // without data for a Delete
+	Value store.Value // without data for a Delete
 }
 
 // Chooser chooses the fault of a call. It may block, to make the call slow,
@@ -75,7 +75,7 @@
 	onWrite func(Write)
 
 	mu   sync.Mutex
-	last map[string][]platform.Value // newest last, at most two
+	last map[string][]store.Value // newest last, at most two
 	late []func()
 }
 
@@ -85,7 +85,7 @@
 	if onWrite == nil {
 		onWrite = func(Write) {}
 	}
-	return &Store{inner: standin.NewStore(now), onWrite: onWrite, last: map[string][]platform.Value{}}
+	return &Store{inner: standin.NewStore(now), onWrite: onWrite, last: map[string][]store.Value{}}
 }
 
 // Client returns a user of the store whose calls meet the faults chosen; a
@@ -137,7 +137,7 @@
 
 // stale returns the value before the newest one; the newest where it is the
 // only one.
-func (s *Store) stale(key string) (platform.Value, error) {
+func (s *Store) stale(key string) (store.Value, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.last[key]) == 0 {
@@ -146,7 +146,7 @@
 	return s.last[key][0], nil
 }
 
-// Client is a platform.Store on a Store.
+// Client is a store.Store on a Store.
 type Client struct {
 	store  *Store
 	user   string
@@ -158,32 +158,32 @@
 // do makes a call that meets its fault.
 func (c *Client) do(ctx context.Context, op Op, key string, f func(Fault) error) error {
 	fault := c.choose(ctx, Call{Op: op, Key: key, User: c.user})
-	fail := func(k platform.Kind) error {
-		if k == platform.Indefinite && !op.changes() {
-			k = platform.Unavailable
+	fail := func(k store.Kind) error {
+		if k == store.Indefinite && !op.changes() {
+			k = store.Unavailable
 		}
-		return &platform.Error{Kind: k, Op: string(op), Key: key, Err: errFault}
+		return &store.Error{Kind: k, Op: string(op), Key: key, Err: errFault}
 	}
 	switch {
 	case fault == Down:
-		return fail(platform.Unavailable)
+		return fail(store.Unavailable)
 	case fault == LostCall:
-		return fail(platform.Indefinite)
+		return fail(store.Indefinite)
 	case fault == Late && op.changes():
 		c.store.mu.Lock()
 		defer c.store.mu.Unlock()
 		c.store.late = append(c.store.late, func() { _ = f(fault) }) // nobody waits for its result
-		return fail(platform.Indefinite)
+		return fail(store.Indefinite)
 	}
 	err := f(fault)
 	if fault == LostAnswer || fault == Late || op.changes() && ctx.Err() != nil {
-		return fail(platform.Indefinite)
+		return fail(store.Indefinite)
 	}
 	return err
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (v platform.Value, err error) {
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (v store.Value, err error) {
 	err = c.do(ctx, Get, key, func(fault Fault) (err error) {
 		if fault == StaleRead {
 			v, err = c.store.stale(key)
@@ -195,7 +195,7 @@
 	return v, err
 }
 
-// Put implements platform.Store.
+// Put implements store.Store.
 func (c *Client) Put(ctx context.Context, key string, data []byte, expect, lease int64) (int64, error) {
 	var revision int64
 	data = slices.Clone(data)
@@ -211,7 +211,7 @@
 	return revision, nil
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (c *Client) Delete(ctx context.Context, key string, expect int64) error {
 	return c.do(ctx, Delete, key, func(Fault) error {
 		return c.store.apply(Call{Op: Delete, Key: key, User: c.user}, func() error {
@@ -220,7 +220,7 @@
 	})
 }
 
-// Keys implements platform.Store.
+// Keys implements store.Store.
 func (c *Client) Keys(ctx context.Context, prefix string) (keys []string, err error) {
 	err = c.do(ctx, Keys, prefix, func(Fault) error {
 		keys = c.store.inner.Keys(prefix)
@@ -229,7 +229,7 @@
 	return keys, err
 }
 
-// Grant implements platform.Store.
+// Grant implements store.Store.
 func (c *Client) Grant(ctx context.Context, ttlMillis int64) (int64, error) {
 	var lease int64
 	err := c.do(ctx, Grant, "", func(Fault) error {
@@ -242,17 +242,17 @@
 	return lease, nil
 }
 
-// KeepAlive implements platform.Store.
+// KeepAlive implements store.Store.
 func (c *Client) KeepAlive(ctx context.Context, lease int64) error {
 	return c.do(ctx, KeepAlive, "", func(Fault) error { return c.store.inner.KeepAlive(lease) })
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, key string, after int64) (v platform.Value, err error) {
+// Watch implements store.Store.
+func (c *Client) Watch(ctx context.Context, key string, after int64) (v store.Value, err error) {
 	err = c.do(ctx, Watch, key, func(Fault) error {
 		var ok bool
 		if v, ok = c.store.inner.Watch(key, after, ctx.Done()); !ok {
-			return &platform.Error{Kind: platform.Unchanged, Op: string(Watch), Key: key}
+			return &store.Error{Kind: store.Unchanged, Op: string(Watch), Key: key}
 		}
 		return nil
 	})
--- a/platform/platformtest/store_test.go
+++ b/store/storetest/store_test.go
@@ -1,32 +1,32 @@
-package platformtest_test
+package storetest_test
 
 import (
 	"context"
 	"testing"
 	"time"
 
-	"github.com/catkinrouter/catkinrouter/platform"
-	"github.com/catkinrouter/catkinrouter/platform/platformtest"
+	"github.com/catkinrouter/catkinrouter/store"
+	"github.com/catkinrouter/catkinrouter/store/storetest"
 )
 
 func TestFaultsOfAWrite(t *testing.T) {
 	tests := []struct {
-		fault   platformtest.Fault
-		kind    platform.Kind // 0 for none
+		fault   storetest.Fault
+		kind    store.Kind // 0 for none
 		written bool
 		later   bool // written once released
 	}{
-		{platformtest.None, 0, true, false},
-		{platformtest.Down, platform.Unavailable, false, false},
-		{platformtest.LostCall, platform.Indefinite, false, false},
-		{platformtest.LostAnswer, platform.Indefinite, true, false},
-		{platformtest.Late, platform.Indefinite, false, true},
+		{storetest.None, 0, true, false},
+		{storetest.Down, store.Unavailable, false, false},
+		{storetest.LostCall, store.Indefinite, false, false},
+		{storetest.LostAnswer, store.Indefinite, true, false},
+		{storetest.Late, store.Indefinite, false, true},
 	}
 	for _, tt := range tests {
-		s := platformtest.NewStore(time.Now, nil)
-		c := s.Client("a", func(context.Context, platformtest.Call) platformtest.Fault { return tt.fault })
+		s := storetest.NewStore(time.Now, nil)
+		c := s.Client("a", func(context.Context, storetest.Call) storetest.Fault { return tt.fault })
 		_, err := c.Put(t.Context(), "key", []byte("x"), 0, 0)
-		if (err != nil) != (tt.kind != 0) || err != nil && !platform.IsKind(err, tt.kind) {
+		if (err != nil) != (tt.kind != 0) || err != nil && !store.IsKind(err, tt.kind) {
 			t.Errorf("fault %d: error %v, want kind %v", tt.fault, err, tt.kind)
 		}
 		written := func() bool {
@@ -46,17 +46,17 @@
 }
 
 func TestProcessStopsBeforeEachCall(t *testing.T) {
-	s := platformtest.NewStore(time.Now, nil)
+	s := storetest.NewStore(time.Now, nil)
 	var got []error
-	p := s.Go("a", func(c *platformtest.Client) {
+	p := s.Go("a", func(c *storetest.Client) {
 		for _, key := range []string{"x", "y", "z"} {
 			_, err := c.Put(t.Context(), key, nil, 0, 0)
 			got = append(got, err)
 		}
 	})
-	p.Step(platformtest.None)
-	p.Step(platformtest.Down)
-	if p.Done() || p.Next().Key != "z" || len(got) != 2 || got[0] != nil || !platform.IsKind(got[1], platform.Unavailable) {
+	p.Step(storetest.None)
+	p.Step(storetest.Down)
+	if p.Done() || p.Next().Key != "z" || len(got) != 2 || got[0] != nil || !store.IsKind(got[1], store.Unavailable) {
 		t.Fatalf("done %v, next %v, results %v", p.Done(), p.Next(), got)
 	}
 	p.Kill()
