--- /dev/null
+++ b/cmd/catkin-node/main.go
@@ -0,0 +1,105 @@
+// Command catkin-node is one instance of catkinrouter on a platform: it serves
+// callers, lookups and the platform's question whether it is ready.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/catkinrouter/catkinrouter/internal/daemon"
+	"github.com/catkinrouter/catkinrouter/internal/logs"
+	"github.com/catkinrouter/catkinrouter/internal/version"
+	"github.com/catkinrouter/catkinrouter/node"
+	"github.com/catkinrouter/catkinrouter/platform"
+)
+
+const name = "catkin-node"
+
+func main() {
+	// Signals are taken before anything else: the platform may send one as
+	// soon as the process runs.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, stop := daemon.Context()
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], reload, os.Stdout, os.Stderr))
+}
+
+func run(ctx context.Context, args []string, reload <-chan os.Signal, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	check := fs.Bool("check", false, "check the settings and exit")
+	showVersion := fs.Bool("version", false, "print the version and exit")
+	minLevel := fs.String("log", "info", "least level of the log: debug, info, warn or error")
+	fs.Usage = func() {
+		fmt.Fprintf(stderr, "%s: one instance on a platform; the variable %s names the platform's settings file\n\n", name, platform.SettingsVariable)
+		fs.PrintDefaults()
+	}
+	switch err := fs.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return daemon.ExitOK
+	case err != nil:
+		return daemon.ExitUsage
+	case *showVersion:
+		fmt.Fprintln(stdout, name, version.Version)
+		return daemon.ExitOK
+	}
+	set, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return daemon.ExitUsage
+	}
+	if *check {
+		fmt.Fprintf(stdout, "%s: the settings are valid\n", name)
+		return daemon.ExitOK
+	}
+	return serve(ctx, set, *minLevel, reload, stdout, stderr)
+}
+
+// memoryShare is the part of the memory allowed that the runtime's collector
+// holds to; the rest is for what it does not count.
+const memoryShare = 0.8
+
+func serve(ctx context.Context, set node.Settings, minLevel string, reload <-chan os.Signal, stdout, stderr io.Writer) int {
+	if set.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
+	}
+	out := logs.NewRing(stdout)
+	defer out.Close()
+	l, err := logs.New(out, minLevel)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return daemon.ExitUsage
+	}
+	n := node.New(set, node.Adapter{
+		Keys: platform.Keys(), Store: platform.NewStore(set.StoreAddress), Dialect: platform.Dialect(),
+		DecodeDocument: platform.DecodeDocument, DecodeUpstream: platform.DecodeUpstream, UpstreamID: platform.UpstreamID,
+	}, logs.For(l, "node"))
+	go reloads(l, reload)
+	if err := n.Run(ctx); err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return daemon.ExitFault
+	}
+	return daemon.ExitOK
+}
+
+// reloads checks the settings file at each SIGHUP. What an instance takes from
+// it holds for the life of its process, so a change is only logged.
+func reloads(l log.Logger, signals <-chan os.Signal) {
+	for range signals {
+		_, err := platform.LoadSettings()
+		if err := level.Info(l).Log("msg", "reload", "part", "node", "valid", err == nil, "err", err); err != nil {
+			continue // the log has closed
+		}
+	}
+}
--- /dev/null
+++ b/fleet/reader.go
@@ -0,0 +1,110 @@
+package fleet
+
+import "time"
+
+// Times of reading the store. Together they keep an instance's copy younger
+// than the shortest time in which a change must be in force: 2 s.
+const (
+	// watchWait is how long a hub lets the store wait for a change.
+	watchWait = time.Second
+	// staleAge is the age of the copy at which an instance that is no hub
+	// reads the store itself.
+	staleAge = 1400 * time.Millisecond
+	// startWait is how long a fresh instance waits for a peer's copy.
+	startWait = 500 * time.Millisecond
+	// hubRetry and memberRetry are the pauses after a failed read.
+	hubRetry    = 300 * time.Millisecond
+	memberRetry = 900 * time.Millisecond
+	// blindAfter is the time without a successful read after which an
+	// instance says that it can't read the store, for blindFor.
+	blindAfter = 1200 * time.Millisecond
+	blindFor   = 8 * time.Second
+	// outageAge is the age of the copy from which on the store counts as
+	// having been away.
+	outageAge = 2500 * time.Millisecond
+)
+
+// reader decides when this instance reads the store. It does no I/O.
+type reader struct {
+	// proof is when the copy was last known to be complete.
+	proof  time.Duration
+	proven bool
+	// failing is the first failed read since the last good one; 0 for none.
+	failing time.Duration
+	// blindSince is when the instance declared itself blind; 0 for not.
+	blindSince time.Duration
+	// retryAt is the earliest time of the next read.
+	retryAt time.Duration
+	// full asks for a whole copy, since the history is gone or unknown.
+	full bool
+}
+
+// call is what a reader wants of the store.
+type call uint8
+
+const (
+	callNone call = iota
+	callWatch
+	callReadAll
+)
+
+// due returns the call to make now; rank is the instance's place among the
+// hubs, or -1.
+func (r *reader) due(now time.Duration, rank int, holds, alone bool) call {
+	switch {
+	case now < r.retryAt:
+		return callNone
+	case !holds && (rank < 0 || alone) && now < startWait:
+		return callNone
+	case !holds || r.full:
+		return callReadAll
+	case rank >= 0 || r.age(now) >= staleAge:
+		return callWatch
+	}
+	return callNone
+}
+
+// age is the time since the copy was known to be complete.
+func (r *reader) age(now time.Duration) time.Duration {
+	if !r.proven {
+		return now
+	}
+	return now - r.proof
+}
+
+// prove takes the word that the copy was complete at a time. It returns true
+// where the store was away until then.
+func (r *reader) prove(at time.Duration) (returned bool) {
+	returned = r.proven && at-r.proof >= outageAge
+	if !r.proven || at > r.proof {
+		r.proof, r.proven = at, true
+	}
+	return returned
+}
+
+// done takes the end of an own call; pause is a random part of a retry's.
+func (r *reader) done(now time.Duration, rank int, ok bool, jitter float64) {
+	if ok {
+		r.failing, r.blindSince, r.retryAt = 0, 0, 0
+		return
+	}
+	if r.failing == 0 {
+		r.failing = now
+	}
+	if now-max(r.failing, r.proof) >= blindAfter && r.blindSince == 0 {
+		r.blindSince = now
+	}
+	pause := memberRetry
+	if rank >= 0 {
+		pause = hubRetry
+	}
+	r.retryAt = now + pause + time.Duration(jitter*float64(pause))
+}
+
+// blind tells whether others must not rely on this instance's reads.
+func (r *reader) blind(now time.Duration) bool {
+	if r.blindSince > 0 && now-r.blindSince >= blindFor {
+		r.blindSince, r.failing = 0, 0
+	}
+	return r.blindSince > 0
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/pick"
+	"github.com/catkinrouter/catkinrouter/route"
+)
+
+// errCancelled ends an attempt that the call gave up before it was sent.
+var errCancelled = errors.New("attempt was cancelled")
+
+// Options are a Gateway's fixed settings.
+type Options struct {
+	DataCentre    string
+	DataAddress   string
+	ReadyAddress  string
+	LookupAddress string
+	Budget        BudgetOptions
+	// MaxLookupLife bounds the lifetime of lookup answers.
+	MaxLookupLife time.Duration
+	Now           func() time.Duration
+	Seed          uint64
+}
+
+// Gateway is the data path of one instance.
+type Gateway struct {
+	opt   Options
+	d     Dialect
+	log   log.Logger
+	now   func() time.Duration
+	m     *counters
+	pool  *pool
+	ev    *evidence
+	work  *works
+	state atomic.Pointer[State]
+
+	budgets *budgets
+	fleet   atomic.Pointer[[]Instance]
+	phase   atomic.Uint32
+	flying  atomic.Int64
+
+	rngMu sync.Mutex
+	rng   *rand.Rand
+}
+
+// State is what a Gateway serves by. It is not changed once it was set.
+type State struct {
+	table     *route.Table
+	upstreams map[string][]*discovery.Upstream
+}
+
+// Instance is an instance of the fleet that callers may use.
+type Instance struct {
+	Address    string
+	DataCentre string
+}
+
+// New returns a Gateway without a configuration: it refuses requests.
+func New(opt Options, d Dialect, l log.Logger, r gometrics.Registry) *Gateway {
+	m := newCounters(r)
+	return &Gateway{
+		opt: opt, d: d, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
+		budgets: newBudgets(opt.Budget), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
+	}
+}
+
+// Serve puts a table of routes and the upstreams in force.
+func (g *Gateway) Serve(t *route.Table, upstreams map[string][]*discovery.Upstream) {
+	g.state.Store(&State{table: t, upstreams: upstreams})
+	g.ev.keep(upstreams)
+}
+
+// Fleet takes the instances that callers may use, and how many live.
+func (g *Gateway) Fleet(usable []Instance, live int) {
+	g.fleet.Store(&usable)
+	g.budgets.fleet(live)
+}
+
+// Ready tells whether requests can be served.
+func (g *Gateway) Ready() bool { return g.state.Load() != nil && g.phase.Load() == serving }
+
+func (g *Gateway) order(n int, near func(int) bool, rate func(int) float64) []int {
+	g.rngMu.Lock()
+	defer g.rngMu.Unlock()
+	return pick.Order(n, near, rate, g.rng)
+}
+
+// Bounds of callers' connections.
+const (
+	// maxHeader is above what operators let callers send.
+	maxHeader = 20 << 10 // bytes
+	maxBody   = 64 << 20 // bytes
+	// readTimeout bounds the arrival of a request, idleTimeout the wait for
+	// the next; both are above what operators set.
+	readTimeout = 10 * time.Second
+	idleTimeout = 30 * time.Second
+)
+
+// Run serves until ctx ends, then stops in order within the limit given.
+func (g *Gateway) Run(ctx context.Context, stopLimit time.Duration) error {
+	front := &fasthttp.Server{
+		Handler: g.handle, ErrorHandler: g.malformed, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
+		NoDefaultContentType: true, DisablePreParseMultipartForm: true, LazyRequestTime: true, Logger: quiet{},
+	}
+	side := &fasthttp.Server{Handler: g.handleSide, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: quiet{}}
+	var lns []net.Listener
+	for _, a := range []string{g.opt.DataAddress, g.opt.ReadyAddress, g.opt.LookupAddress} {
+		ln, err := net.Listen("tcp4", a)
+		if err != nil {
+			return err
+		}
+		lns = append(lns, ln)
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	eg, failed := errgroup.WithContext(work)
+	eg.Go(func() error { return ignoreClosed(front.Serve(lns[0])) })
+	eg.Go(func() error { return ignoreClosed(side.Serve(lns[1])) })
+	eg.Go(func() error { return ignoreClosed(side.Serve(lns[2])) })
+	eg.Go(func() error { return g.upkeep(failed) })
+	eg.Go(func() error {
+		select {
+		case <-ctx.Done():
+			g.stopInTurn(stopLimit, lns[0])
+		case <-failed.Done():
+		}
+		for _, ln := range lns {
+			ln.Close()
+		}
+		stop()
+		return nil
+	})
+	return eg.Wait()
+}
+
+func (g *Gateway) upkeep(ctx context.Context) error {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			g.pool.sweep()
+		}
+	}
+}
+
+type quiet struct{}
+
+// Printf drops what fasthttp says of single connections; faults of requests
+// are logged by the Gateway.
+func (quiet) Printf(string, ...any) {}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// handle serves one request of a caller.
+func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
+	arrived := g.now()
+	g.flying.Add(1)
+	defer g.flying.Add(-1)
+	st := g.state.Load()
+	id := string(ctx.Request.Header.Peek(g.d.RequestID))
+	if st == nil {
+		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, "no-configuration")
+		return
+	}
+	r := st.table.Match(string(ctx.Host()), string(ctx.Path()))
+	if r == nil {
+		g.refuse(ctx, id, fasthttp.StatusNotFound, "no-route")
+		return
+	}
+	c := g.newCall(ctx, st, r, id, arrived)
+	e := c.run()
+	g.end(c, e)
+}
+
+// newCall takes what the request says.
+func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, st *State, r *route.Route, id string, arrived time.Duration) *call {
+	name := r.Next()
+	svc, _ := st.table.Service(name)
+	svc.Name = name
+	wait := r.Timeout
+	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(g.d.Deadline))); err == nil && ms > 0 {
+		wait = min(wait, time.Duration(ms)*time.Millisecond)
+	}
+	c := &call{
+		g: g, ctx: ctx, id: id, version: st.table.Version, route: r, service: svc,
+		arrived: arrived, deadline: arrived + wait,
+		head: g.requestHead(ctx), body: ctx.Request.Body(),
+		hasBody: ctx.Request.Header.ContentLength() != 0 && !ctx.IsGet() && !ctx.IsHead(), headOnly: ctx.IsHead(),
+		tried: map[string]bool{}, results: make(chan *try, maxUnsent+maxTries),
+	}
+	g.work.begin(r)
+	g.budgets.call(arrived, name)
+	return c
+}
+
+// maxTries is above the number of attempts that operators allow a request.
+const maxTries = 16
--- /dev/null
+++ b/gateway/probe.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/pick"
+)
+
+// Probes of a pick.
+const (
+	// probesNear upstreams are asked first; where none is good enough,
+	// probesMore others follow.
+	probesNear = 3
+	probesMore = 4
+	// probeTimeout is how long a pick waits for the answers.
+	probeTimeout = 25 * time.Millisecond
+	// silentWeight is what a probe without an answer counts, as part of a
+	// failed request.
+	silentWeight = 0.5
+	// crossDistance is what a request to another data centre costs beside
+	// the work: the way, and the bytes that are paid for.
+	crossDistance = 25 * time.Millisecond
+)
+
+var errProbe = errors.New("health answer without the upstream's ID")
+
+// answer is what an upstream said when it was asked.
+type answer struct {
+	upstream *discovery.Upstream
+	report   *pick.Report // nil where it did not answer
+	conn     *conn        // to be used or given back
+	resp     *fasthttp.Response
+	mark     int
+	err      error
+}
+
+// probe asks an upstream for its load, on a connection that a request can
+// follow on.
+func (g *Gateway) probe(u *discovery.Upstream, path string, deadline time.Time) answer {
+	a := answer{upstream: u}
+	g.ev.with(u, func(ev *pick.Evidence) { a.mark = ev.Mark() })
+	c := g.pool.take(u.Address)
+	reused := c != nil
+	for {
+		if c == nil {
+			if c, a.err = g.pool.dial(u.Address, time.Until(deadline)); a.err != nil {
+				return a
+			}
+		}
+		a.err = g.askHealth(c, u, path, deadline, &a)
+		if a.err == nil {
+			a.conn = c
+			return a
+		}
+		c.Close()
+		if !reused || time.Until(deadline) <= 0 {
+			return a
+		}
+		c, reused = nil, false
+	}
+}
+
+// askHealth makes one health request on c.
+func (g *Gateway) askHealth(c *conn, u *discovery.Upstream, path string, deadline time.Time, a *answer) error {
+	out := fmt.Appendf(c.out[:0], "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, u.Address)
+	c.out = out
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	g.m.probes.Inc(1)
+	if _, err := g.exchange(c, out, "", false, deadline, resp); err != nil {
+		return err
+	}
+	if id := string(resp.Header.Peek(g.d.UpstreamID)); id != u.ID {
+		return fmt.Errorf("%w: got %q for %s", errProbe, id, u.ID)
+	}
+	r, err := g.d.ParseLoad(string(resp.Header.Peek(g.d.Load)))
+	if err != nil {
+		r = pick.Report{Slots: u.Slots, Pace: 1}
+	}
+	r.Unwell = resp.StatusCode() != fasthttp.StatusOK
+	if resp.ConnectionClose() {
+		return errors.New("upstream closes the connection")
+	}
+	a.report = &r
+	return nil
+}
+
+// ask probes upstreams at the same time and waits for their answers.
+func (g *Gateway) ask(list []*discovery.Upstream, path string) []answer {
+	deadline := time.Now().Add(probeTimeout)
+	ch := make(chan answer, len(list))
+	for _, u := range list {
+		go func() { ch <- g.probe(u, path, deadline) }()
+	}
+	out := make([]answer, 0, len(list))
+	for range list {
+		a := <-ch
+		if a.err != nil {
+			g.m.probesFailed.Inc(1)
+			g.ev.record(g.now(), a.upstream, true, silentWeight)
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// choice is the upstream picked for an attempt.
+type choice struct {
+	answer
+	cost time.Duration
+	// asked is the number of upstreams probed.
+	asked int
+}
+
+// choose picks an upstream of the service that the call was not sent to
+// before; false where there is none.
+func (g *Gateway) choose(c *call) (choice, bool) {
+	list := g.candidates(c)
+	if len(list) == 0 {
+		return choice{}, false
+	}
+	job := pick.Job{Work: g.work.of(c.route.Name), FailureCost: c.failureCost()}
+	best := choice{}
+	good := time.Duration(pick.GoodEnough * float64(job.Work))
+	for from, step := 0, probesNear; from < len(list); from, step = from+step, probesMore {
+		to := min(len(list), from+step)
+		best = g.better(best, job, g.ask(list[from:to], c.service.HealthPath))
+		best.asked = to
+		if best.cost <= good || from > 0 && best.report != nil {
+			break
+		}
+	}
+	return best, true
+}
+
+// better returns the best of the answers and the choice before; the other
+// connections are given back.
+func (g *Gateway) better(best choice, job pick.Job, answers []answer) choice {
+	now := g.now()
+	for _, a := range answers {
+		cand := pick.Candidate{Report: a.report, Slots: a.upstream.Slots, Cold: now < a.upstream.ColdUntil}
+		g.ev.with(a.upstream, func(ev *pick.Evidence) {
+			cand.FailureRate, cand.SentSince = ev.FailureRate(now), ev.Since(a.mark)
+		})
+		if a.upstream.DataCentre != g.opt.DataCentre {
+			cand.Distance = crossDistance
+		}
+		cost := job.Cost(cand)
+		loser := a
+		if best.upstream == nil || cost < best.cost {
+			loser, best = best.answer, choice{answer: a, cost: cost, asked: best.asked}
+		}
+		if loser.conn != nil {
+			g.pool.put(loser.conn)
+		}
+	}
+	return best
+}
+
+// candidates returns the upstreams of the call's service in the order in which
+// to ask them, without those that it was sent to.
+func (g *Gateway) candidates(c *call) []*discovery.Upstream {
+	all := g.state.Load().upstreams[c.service.Name]
+	list := make([]*discovery.Upstream, 0, len(all))
+	for _, u := range all {
+		if !c.tried[u.ID] {
+			list = append(list, u)
+		}
+	}
+	now := g.now()
+	order := g.order(len(list),
+		func(i int) bool { return list[i].DataCentre == g.opt.DataCentre },
+		func(i int) float64 { return g.ev.failureRate(now, list[i]) })
+	out := make([]*discovery.Upstream, len(list))
+	for i, k := range order {
+		out[i] = list[k]
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/side.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
+)
+
+// Lookups.
+const (
+	// lookupLife is how long callers may keep an answer; a leaving instance
+	// serves on for longer than that.
+	lookupLife = 2 * time.Second
+	// maxAddresses is the most addresses that a caller takes.
+	maxAddresses = 64
+	// nearEnough instances in the caller's data centre are handed out alone.
+	nearEnough = 3
+)
+
+// lookupAnswer is the body of a lookup's answer.
+type lookupAnswer struct {
+	Addresses []string `json:"addresses"`
+	// Life is in seconds.
+	Life float64 `json:"ttlS"`
+}
+
+// handleSide serves lookups and the platform's question whether this instance
+// is ready.
+func (g *Gateway) handleSide(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case g.d.ReadyPath:
+		if !g.Ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	case g.d.LookupPath:
+		g.lookup(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (g *Gateway) lookup(ctx *fasthttp.RequestCtx) {
+	zone := string(ctx.QueryArgs().Peek("zone"))
+	list := g.fleet.Load()
+	var addresses []string
+	if list != nil {
+		addresses = chooseInstances(*list, zone)
+	}
+	g.m.lookups.Inc(1)
+	if len(addresses) == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		if err := level.Warn(g.log).Log("msg", "lookup without an instance to name", "zone", zone); err != nil {
+			g.m.logFailures.Inc(1)
+		}
+		return
+	}
+	body, err := json.Marshal(lookupAnswer{Addresses: addresses, Life: min(lookupLife, g.opt.MaxLookupLife).Seconds()})
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// chooseInstances returns the instances to name to a caller: those of its data
+// centre, and others only where these are few.
+func chooseInstances(list []Instance, dataCentre string) []string {
+	var near, far []string
+	for _, i := range list {
+		if i.DataCentre == dataCentre {
+			near = append(near, i.Address)
+		} else {
+			far = append(far, i.Address)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	if len(near) < nearEnough {
+		near = append(near, far[:min(len(far), nearEnough-len(near))]...)
+	}
+	return near[:min(len(near), maxAddresses)]
+}
--- /dev/null
+++ b/gateway/work.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/attempt"
+	"github.com/catkinrouter/catkinrouter/pick"
+	"github.com/catkinrouter/catkinrouter/route"
+)
+
+// workQuantile is the part of requests that take no longer than the work that
+// is expected; stragglers hardly move it.
+const workQuantile = 0.5
+
+// targetShare of a route's target is taken as its work until it was measured.
+const targetShare = 3
+
+// works follows the work of each route's requests. It is safe for concurrent
+// use.
+type works struct {
+	mu    sync.Mutex
+	rows  map[string]*attempt.Quantile
+	first map[string]time.Duration
+}
+
+func newWorks() *works {
+	return &works{rows: map[string]*attempt.Quantile{}, first: map[string]time.Duration{}}
+}
+
+// begin sets what is taken for a route that was not measured yet.
+func (w *works) begin(r *route.Route) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.rows[r.Name] == nil {
+		w.rows[r.Name] = &attempt.Quantile{}
+		w.first[r.Name] = pick.DefaultWork
+		if r.Target > 0 {
+			w.first[r.Name] = r.Target / targetShare
+		}
+	}
+}
+
+func (w *works) add(name string, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if q := w.rows[name]; q != nil {
+		q.Add(d, workQuantile)
+	}
+}
+
+func (w *works) of(name string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if q := w.rows[name]; q != nil {
+		if d, ok := q.Value(); ok {
+			return d
+		}
+		return w.first[name]
+	}
+	return pick.DefaultWork
+}
+
+// budgets bound the repeats and hedges of each service. They are safe for
+// concurrent use.
+type budgets struct {
+	opt       BudgetOptions
+	mu        sync.Mutex
+	allowance float64
+	rows      map[string]*attempt.Window
+}
+
+// BudgetOptions bound the attempts beyond the first of all instances together.
+type BudgetOptions struct {
+	// Share is in attempts per call, Allowance in attempts per Window.
+	Share     float64
+	Allowance float64
+	Window    time.Duration
+}
+
+// Parts of the fleet's budget that are used, so that views of the fleet that
+// differ for a while don't break the bound.
+const (
+	shareUsed     = 0.8
+	allowanceUsed = 0.5
+)
+
+func newBudgets(opt BudgetOptions) *budgets {
+	return &budgets{opt: opt, rows: map[string]*attempt.Window{}, allowance: 0}
+}
+
+// fleet divides the allowance among n instances.
+func (b *budgets) fleet(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.allowance = allowanceUsed * b.opt.Allowance / float64(max(1, n))
+	for _, w := range b.rows {
+		w.SetAllowance(b.allowance)
+	}
+}
+
+func (b *budgets) row(service string) *attempt.Window {
+	w := b.rows[service]
+	if w == nil {
+		w = attempt.NewWindow(shareUsed*b.opt.Share, b.allowance, b.opt.Window)
+		b.rows[service] = w
+	}
+	return w
+}
+
+// call counts a call of the service.
+func (b *budgets) call(now time.Duration, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.row(service).Call(now)
+}
+
+// has tells whether an extra attempt may be made.
+func (b *budgets) has(now time.Duration, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.row(service).Left(now) >= 1
+}
+
+func (b *budgets) take(now time.Duration, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.row(service).Take(now)
+}
--- a/proxy/cancel_test.go
+++ b/proxy/cancel_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/headers"
+
+	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 )
 
 // A caller that goes away frees its slot, and its attempt's connection is
@@ -51,7 +53,7 @@
 // waitPeerClosed waits until the other end of the request's connection closed.
 func waitPeerClosed(ctx *fasthttp.RequestCtx) {
 	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if peekConn(ctx.Conn()) == peekClosed {
+		if netpeek.Conn(ctx.Conn()) == netpeek.Closed {
 			return
 		}
 	}
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 )
 
 // conn is a connection to an upstream or another entry. One exchange uses it
@@ -20,22 +22,10 @@
 	raw   syscall.RawConn
 	// peek is kept here so that a check allocates nothing.
 	peek  func(fd uintptr)
-	state peekState
+	state netpeek.State
 	out   []byte
 }
 
-// peekState is what a look at a connection's input shows.
-type peekState uint8
-
-const (
-	// peekQuiet: open, with no byte waiting.
-	peekQuiet peekState = iota
-	// peekBytes: there are bytes to read.
-	peekBytes
-	// peekClosed: the far end closed it or it failed.
-	peekClosed
-)
-
 const connBuffer = 4 << 10 // bytes
 
 func newConn(nc net.Conn, addr string) *conn {
@@ -45,58 +35,24 @@
 			c.raw = raw
 		}
 	}
-	c.peek = func(fd uintptr) { c.state = peekFD(fd) }
+	c.peek = func(fd uintptr) { c.state = netpeek.FD(fd) }
 	return c
 }
 
 // idleState looks at the input without reading it or waiting.
-func (c *conn) idleState() peekState {
+func (c *conn) idleState() netpeek.State {
 	if c.r.Buffered() > 0 {
-		return peekBytes
+		return netpeek.Bytes
 	}
 	if c.raw == nil {
-		return peekQuiet
+		return netpeek.Quiet
 	}
-	c.state = peekClosed
+	c.state = netpeek.Closed
 	if err := c.raw.Control(c.peek); err != nil {
-		return peekClosed
+		return netpeek.Closed
 	}
 	return c.state
 }
 
 // abort makes a read or write under way fail at once.
 func (c *conn) abort() { c.SetDeadline(time.Unix(1, 0)) }
-
-// peekConn looks at the input of nc without reading it or waiting. It takes
-// no read lock, so that a read under way elsewhere does not hold it up.
-func peekConn(nc net.Conn) peekState {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return peekQuiet
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return peekQuiet
-	}
-	state := peekClosed
-	if err := raw.Control(func(fd uintptr) { state = peekFD(fd) }); err != nil {
-		return peekClosed
-	}
-	return state
-}
-
-func peekFD(fd uintptr) peekState {
-	var b [1]byte
-	for {
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EINTR:
-			continue
-		case err == syscall.EAGAIN:
-			return peekQuiet
-		case err != nil || n == 0:
-			return peekClosed
-		}
-		return peekBytes
-	}
-}
--- a/proxy/exchange_test.go
+++ b/proxy/exchange_test.go
@@ -12,6 +12,8 @@
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/headers"
+
+	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 )
 
 // withLength is a raw reply.
@@ -210,7 +212,7 @@
 		defer p.mu.Unlock()
 		for _, h := range p.hosts {
 			for _, c := range h.idle {
-				if c.idleState() == peekQuiet {
+				if c.idleState() == netpeek.Quiet {
 					return false
 				}
 			}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -9,6 +9,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/entry"
+
+	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 )
 
 // errConnLimit is returned where an upstream has as many connections as this
@@ -73,7 +75,7 @@
 		if c == nil {
 			break
 		}
-		if c.idleState() == peekQuiet {
+		if c.idleState() == netpeek.Quiet {
 			p.m.reused.Inc(1)
 			return c, nil
 		}
--- a/proxy/spare.go
+++ b/proxy/spare.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/entry"
+
+	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 )
 
 // getFresh returns a connection that carried no request before: a young spare
@@ -16,7 +18,7 @@
 	if c == nil {
 		return p.open(st, timeout)
 	}
-	if c.since+maxSpareAge < p.now() || c.idleState() != peekQuiet {
+	if c.since+maxSpareAge < p.now() || c.idleState() != netpeek.Quiet {
 		p.m.stale.Inc(1)
 		p.discard(c)
 		return p.open(st, timeout)
--- a/proxy/watch.go
+++ b/proxy/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 )
 
 // watchInterval is the time between two looks at the connections of waiting
@@ -30,7 +32,7 @@
 		}
 		list = s.d.waiting(list[:0], watchInterval)
 		for _, w := range list {
-			if peekConn(w.conn) == peekClosed && s.d.cancel(w.c, w.id) {
+			if netpeek.Conn(w.conn) == netpeek.Closed && s.d.cancel(w.c, w.id) {
 				s.m.callersGone.Inc(1)
 			}
 		}
