Search for room, within the measuring budget, before work queues at upstreams

Change: a call that finds no room searches again for a ninth of its target, does not ask upstreams that are known to be crowded, and is refused with a time to come back where many are known to be full. How much slower nearly full upstreams work is learned for each service. Work that waits is counted at the service's mean pace. Hedges go to upstreams with room alone and use 0.6 of the budget.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -20,8 +20,8 @@
 	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/membership"
 	"github.com/catkinrouter/catkinrouter/operator"
-	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/settings"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Bounds of a Daemon.
--- a/agent/proof_test.go
+++ b/agent/proof_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/membership"
+	"github.com/catkinrouter/catkinrouter/standin"
 	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/store/storetest"
-	"github.com/catkinrouter/catkinrouter/standin"
 )
 
 const (
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/catkinrouter/catkinrouter/headers"
 	"github.com/catkinrouter/catkinrouter/internal/proctest"
-	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/standin"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // stream sends idempotent calls through one entry until stopped.
--- a/attempt/window.go
+++ b/attempt/window.go
@@ -34,6 +34,18 @@
 
 // Left returns the extra attempts that may be made now.
 func (w *Window) Left(now time.Duration) float64 {
+	bound, used := w.tally(now)
+	return bound - used
+}
+
+// Spare tells whether less than a part of the bound is used.
+func (w *Window) Spare(now time.Duration, part float64) bool {
+	bound, used := w.tally(now)
+	return used+1 <= part*bound
+}
+
+// tally returns the bound of the span that ends now, and what is used of it.
+func (w *Window) tally(now time.Duration) (bound, used float64) {
 	w.advance(now)
 	calls, extra := 0, 0
 	for i := range w.calls {
@@ -42,7 +54,7 @@
 			calls += w.calls[i]
 		}
 	}
-	return w.share*float64(calls) + w.allowance - float64(extra)
+	return w.share*float64(calls) + w.allowance, float64(extra)
 }
 
 // Take uses one extra attempt, or returns false where none is left.
--- a/config/linear_test.go
+++ b/config/linear_test.go
@@ -17,9 +17,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/standin"
 	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/store/storetest"
-	"github.com/catkinrouter/catkinrouter/standin"
 )
 
 type opKind int
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -44,7 +44,7 @@
 	// hubSilence is the silence of a hub after which the next is taken.
 	hubSilence = 3 * BeatInterval
 	// memberSilence is the silence after which a hub gives a member up.
-	memberSilence = 6 * BeatInterval
+	memberSilence = 7 * BeatInterval / 2
 	// reviveInterval is the time between two beats to a hub that is silent.
 	reviveInterval = 2 * time.Second
 	// hubCount instances read the store for the others.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -60,7 +60,7 @@
 	case endAnswer:
 		g.pass(c.ctx, e.try.resp)
 		kv = append(kv, "status", e.try.resp.StatusCode(), "upstream", e.try.upstream.ID, "address", e.try.upstream.Address,
-			"entry_revision", e.try.upstream.Revision, "cost", e.try.cost, "asked", e.try.asked, "upstream_took", e.try.took)
+			"entry_revision", e.try.upstream.Revision, "cost", e.try.cost, "known", e.try.known, "upstream_took", e.try.took)
 		if r := e.try.report; r != nil {
 			kv = append(kv, "running", r.Running, "waiting", r.Waiting, "pace", r.Pace)
 		}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -109,9 +109,9 @@
 // attempt sends the call to one more upstream. It returns the call's end where
 // there is none to send it to.
 func (c *call) attempt(why string, hedge *time.Timer) (ending, bool) {
-	ch, ok := c.g.choose(c)
+	ch, end, ok := c.place()
 	if !ok {
-		return c.giveUp("no-upstream"), true
+		return end, true
 	}
 	t := c.launch(ch, why)
 	if c.route.Idempotent && c.sends+c.hedges == 0 && c.route.MaxAttempts > 1 {
@@ -121,6 +121,40 @@
 	return ending{}, false
 }
 
+// Times of a call that finds every upstream at work.
+const (
+	// holdShare of the route's target is how long a call waits for room
+	// before it is refused; a refusal that comes soon leaves the caller time
+	// to come back.
+	holdShare = 0.11
+	// holdStep is the pause between two searches.
+	holdStep = 15 * time.Millisecond
+)
+
+// place picks an upstream with room for the call. Where none has, it searches
+// again for a short time. Then it takes the best, unless many were asked and
+// the answer would come late: work that queues at upstreams is late when it is
+// done, and delays the next.
+func (c *call) place() (choice, ending, bool) {
+	limit := c.arrived + time.Duration(holdShare*float64(c.route.Target))
+	ch, ok := c.g.choose(c)
+	for ok && ch.report != nil && !c.room(&ch) && c.g.now()+holdStep <= limit {
+		if next, found := c.g.searchAgain(c, ch); found {
+			ch = next
+		}
+	}
+	switch {
+	case !ok:
+		return ch, c.giveUp("no-upstream"), false
+	case ch.report == nil || ch.free() || ch.known <= probesNear:
+		return ch, ending{}, true
+	}
+	c.log("no room", "upstream", ch.answer.upstream.ID, "running", ch.report.Running, "waiting", ch.report.Waiting,
+		"delay", ch.delay, "known", ch.known)
+	c.g.giveBack(ch)
+	return ch, c.giveUp("no-room"), false
+}
+
 // expected is the time that the call takes at the upstream chosen.
 func (c *call) expected(ch choice) time.Duration {
 	pace := 1.0
@@ -138,18 +172,15 @@
 	}
 	c.hedges++
 	work := c.g.work.of(c.route.Name)
-	if c.left() < work || !c.g.budgets.has(c.g.now(), c.service.Name) {
+	if c.left() < work || !c.g.budgets.spare(c.g.now(), c.service.Name) {
 		return
 	}
 	ch, ok := c.g.choose(c)
 	if !ok {
 		return
 	}
-	free := ch.report != nil && ch.report.Running < ch.report.Slots && ch.report.Pace < pickPaceLimit
-	if !free || !c.g.budgets.take(c.g.now(), c.service.Name) {
-		if ch.conn != nil {
-			c.g.pool.put(ch.conn)
-		}
+	if ch.report == nil || ch.report.NearlyFull(ch.since) || ch.report.Pace > pickPaceLimit || !c.g.budgets.take(c.g.now(), c.service.Name) {
+		c.g.giveBack(ch)
 		timer.Reset(hedgeAgain)
 		return
 	}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -15,9 +15,11 @@
 	// dialTimeout is far above the time between data centres, and leaves
 	// time for another upstream.
 	dialTimeout = 250 * time.Millisecond
-	// maxIdle is below the time after which upstreams close idle
-	// connections; one that states a shorter time is believed.
-	maxIdle = 4 * time.Second
+	// idleLimit is how long a connection is kept to an upstream that does
+	// not say when it closes idle ones.
+	idleLimit = 4 * time.Second
+	// maxIdle bounds what an upstream says.
+	maxIdle = 20 * time.Second
 	// sweepInterval is the time between two searches for idle connections.
 	sweepInterval = time.Second
 )
@@ -74,7 +76,7 @@
 		return nil, err
 	}
 	p.m.opened.Inc(1)
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, connBuffer), addr: addr, keep: maxIdle}, nil
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, connBuffer), addr: addr, keep: idleLimit}, nil
 }
 
 // put keeps a connection whose last answer was read whole.
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -40,6 +40,11 @@
 	return rate
 }
 
+func (e *evidence) crowded(now time.Duration, u *discovery.Upstream) (yes bool) {
+	e.with(u, func(ev *pick.Evidence) { yes = ev.Crowded(now) })
+	return yes
+}
+
 func (e *evidence) record(now time.Duration, u *discovery.Upstream, failed bool, weight float64) {
 	e.with(u, func(ev *pick.Evidence) { ev.Record(now, failed, weight) })
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -100,7 +100,7 @@
 			}
 		}
 	}
-	return maxIdle
+	return idleLimit
 }
 
 // release gives a connection back whose reply was read whole.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,9 @@
 	ReadyAddress  string
 	LookupAddress string
 	Budget        BudgetOptions
+	// ProbesPerUpstream bounds the health requests of all instances to one
+	// upstream, a second.
+	ProbesPerUpstream float64
 	// MaxLookupLife bounds the lifetime of lookup answers.
 	MaxLookupLife time.Duration
 	Now           func() time.Duration
@@ -49,9 +52,11 @@
 	state atomic.Pointer[State]
 
 	budgets *budgets
+	probes  *probeBudget
 	fleet   atomic.Pointer[[]Instance]
 	phase   atomic.Uint32
 	flying  atomic.Int64
+	live    atomic.Int64
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -74,7 +79,7 @@
 	m := newCounters(r)
 	return &Gateway{
 		opt: opt, d: d, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
-		budgets: newBudgets(opt.Budget), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
+		budgets: newBudgets(opt.Budget), probes: newProbeBudget(opt.ProbesPerUpstream), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
 }
 
@@ -82,21 +87,28 @@
 func (g *Gateway) Serve(t *route.Table, upstreams map[string][]*discovery.Upstream) {
 	g.state.Store(&State{table: t, upstreams: upstreams})
 	g.ev.keep(upstreams)
+	n := 0
+	for _, l := range upstreams {
+		n += len(l)
+	}
+	g.probes.size(n, 0)
 }
 
 // Fleet takes the instances that callers may use, and how many live.
 func (g *Gateway) Fleet(usable []Instance, live int) {
 	g.fleet.Store(&usable)
-	g.budgets.fleet(live)
+	g.live.Store(int64(live))
+	g.budgets.fleet(g.now(), live)
+	g.probes.size(0, live)
 }
 
 // Ready tells whether requests can be served.
 func (g *Gateway) Ready() bool { return g.state.Load() != nil && g.phase.Load() == serving }
 
-func (g *Gateway) order(n int, near func(int) bool, rate func(int) float64) []int {
+func (g *Gateway) order(n int, near, crowded func(int) bool, rate func(int) float64) []int {
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
-	return pick.Order(n, near, rate, g.rng)
+	return pick.Order(n, near, crowded, rate, g.rng)
 }
 
 // Bounds of callers' connections.
@@ -157,6 +169,7 @@
 			return nil
 		case <-t.C:
 			g.pool.sweep()
+			g.budgets.fleet(g.now(), int(g.live.Load()))
 		}
 	}
 }
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -17,6 +17,8 @@
 	// probesMore others follow.
 	probesNear = 3
 	probesMore = 4
+	// probesCrowded are asked where all are known to be crowded.
+	probesCrowded = 2
 	// probeTimeout is how long a pick waits for the answers.
 	probeTimeout = 25 * time.Millisecond
 	// silentWeight is what a probe without an answer counts, as part of a
@@ -112,32 +114,95 @@
 // choice is the upstream picked for an attempt.
 type choice struct {
 	answer
-	cost time.Duration
-	// asked is the number of upstreams probed.
-	asked int
+	// cost is the expected delay, with what a failure would cost.
+	cost  time.Duration
+	delay time.Duration
+	// known is the number of upstreams of which there was evidence.
+	known int
+	// since counts own requests sent there that the report can't know of.
+	since int
+}
+
+// free tells whether the upstream has a slot for the request.
+func (ch *choice) free() bool { return ch.report != nil && ch.report.Free(ch.since) }
+
+// room tells whether the chosen upstream works on the call without delay to it
+// or to others.
+func (c *call) room(ch *choice) bool {
+	return ch.report != nil && c.g.work.full(c.service.Name).Room(ch.report, ch.since)
+}
+
+// giveBack returns the connection of a choice that is not used.
+func (g *Gateway) giveBack(ch choice) {
+	if ch.conn != nil {
+		g.pool.put(ch.conn)
+	}
+}
+
+// candidates are the upstreams of a call's service in the order in which to
+// ask them.
+type candidates struct {
+	list []*discovery.Upstream
+	// open is the number of those that are not known to be crowded; they
+	// come first.
+	open int
+}
+
+// take splits off the first n.
+func (c *candidates) take(n int) []*discovery.Upstream {
+	first := c.list[:n]
+	c.list, c.open = c.list[n:], max(0, c.open-n)
+	return first
 }
 
 // choose picks an upstream of the service that the call was not sent to
-// before; false where there is none.
+// before; false where there is none. It asks near upstreams, and further ones
+// if none of them is good.
 func (g *Gateway) choose(c *call) (choice, bool) {
-	list := g.candidates(c)
-	if len(list) == 0 {
+	cands := g.candidates(c, true)
+	if len(cands.list) == 0 {
 		return choice{}, false
 	}
-	job := pick.Job{Work: g.work.of(c.route.Name), FailureCost: c.failureCost()}
-	best := choice{}
-	good := time.Duration(pick.GoodEnough * float64(job.Work))
-	for from, step := 0, probesNear; from < len(list); from, step = from+step, probesMore {
-		to := min(len(list), from+step)
-		best = g.better(best, job, g.ask(list[from:to], c.service.HealthPath))
-		best.asked = to
-		if best.cost <= good || from > 0 && best.report != nil {
-			break
-		}
+	job := g.job(c)
+	crowded := len(cands.list) - cands.open
+	n := probesNear
+	if cands.open == 0 {
+		n = probesCrowded
 	}
+	n = g.probes.take(g.now(), min(len(cands.list), n))
+	best := g.better(choice{}, job, g.ask(cands.take(n), c.service.HealthPath))
+	best.known = n + crowded
+	more := min(cands.open, probesMore)
+	if best.delay <= time.Duration(pick.GoodEnough*float64(job.Work)) || more == 0 || !g.probes.spare(g.now(), more) {
+		return best, true
+	}
+	wider := g.better(best, job, g.ask(cands.take(more), c.service.HealthPath))
+	wider.known = best.known + more
+	return wider, true
+}
+
+// searchAgain waits a little and looks for a better upstream than the one
+// chosen, wherever it is; false where there is none to ask.
+func (g *Gateway) searchAgain(c *call, ch choice) (choice, bool) {
+	time.Sleep(holdStep)
+	cands := g.candidates(c, false)
+	n := min(cands.open, probesMore)
+	if n == 0 || !g.probes.spare(g.now(), n) {
+		return ch, false
+	}
+	g.giveBack(ch)
+	best := g.better(choice{}, g.job(c), g.ask(cands.take(n), c.service.HealthPath))
+	best.known = ch.known + n
 	return best, true
 }
 
+func (g *Gateway) job(c *call) pick.Job {
+	return pick.Job{
+		Work: g.work.of(c.route.Name), Fullness: g.work.full(c.service.Name), MeanPace: g.work.pace(c.service.Name),
+		FailureCost: c.failureCost(),
+	}
+}
+
 // better returns the best of the answers and the choice before; the other
 // connections are given back.
 func (g *Gateway) better(best choice, job pick.Job, answers []answer) choice {
@@ -146,14 +211,21 @@
 		cand := pick.Candidate{Report: a.report, Slots: a.upstream.Slots, Cold: now < a.upstream.ColdUntil}
 		g.ev.with(a.upstream, func(ev *pick.Evidence) {
 			cand.FailureRate, cand.SentSince = ev.FailureRate(now), ev.Since(a.mark)
+			if a.report != nil {
+				ev.Reported(now, a.report, job.Turn())
+			}
 		})
+		if a.report != nil {
+			g.work.addPace(a.upstream.Service, a.report.Pace)
+		}
 		if a.upstream.DataCentre != g.opt.DataCentre {
 			cand.Distance = crossDistance
 		}
-		cost := job.Cost(cand)
+		delay := job.Delay(cand)
+		cost := delay + job.Risk(cand)
 		loser := a
 		if best.upstream == nil || cost < best.cost {
-			loser, best = best.answer, choice{answer: a, cost: cost, asked: best.asked}
+			loser, best = best.answer, choice{answer: a, cost: cost, delay: delay, since: cand.SentSince}
 		}
 		if loser.conn != nil {
 			g.pool.put(loser.conn)
@@ -162,9 +234,9 @@
 	return best
 }
 
-// candidates returns the upstreams of the call's service in the order in which
-// to ask them, without those that it was sent to.
-func (g *Gateway) candidates(c *call) []*discovery.Upstream {
+// candidates returns the upstreams of the call's service, without those that
+// it was sent to.
+func (g *Gateway) candidates(c *call, nearFirst bool) candidates {
 	all := g.state.Load().upstreams[c.service.Name]
 	list := make([]*discovery.Upstream, 0, len(all))
 	for _, u := range all {
@@ -173,12 +245,19 @@
 		}
 	}
 	now := g.now()
+	out := candidates{list: make([]*discovery.Upstream, len(list))}
+	crowded := make([]bool, len(list))
+	for i, u := range list {
+		if crowded[i] = g.ev.crowded(now, u); !crowded[i] {
+			out.open++
+		}
+	}
 	order := g.order(len(list),
-		func(i int) bool { return list[i].DataCentre == g.opt.DataCentre },
+		func(i int) bool { return nearFirst && list[i].DataCentre == g.opt.DataCentre },
+		func(i int) bool { return crowded[i] },
 		func(i int) float64 { return g.ev.failureRate(now, list[i]) })
-	out := make([]*discovery.Upstream, len(list))
 	for i, k := range order {
-		out[i] = list[k]
+		out.list[i] = list[k]
 	}
 	return out
 }
--- a/gateway/side.go
+++ b/gateway/side.go
@@ -13,7 +13,7 @@
 const (
 	// lookupLife is how long callers may keep an answer; a leaving instance
 	// serves on for longer than that.
-	lookupLife = 2 * time.Second
+	lookupLife = 1 * time.Second
 	// maxAddresses is the most addresses that a caller takes.
 	maxAddresses = 64
 	// nearEnough instances in the caller's data centre are handed out alone.
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -63,7 +63,7 @@
 	c.tried[t.upstream.ID] = true
 	c.g.ev.with(t.upstream, (*pick.Evidence).Sent)
 	if why != "" {
-		c.log("sent again", "why", why, "upstream", t.upstream.ID, "cost", ch.cost, "asked", ch.asked)
+		c.log("sent again", "why", why, "upstream", t.upstream.ID, "cost", ch.cost, "known", ch.known)
 	}
 	go func() {
 		c.g.send(c, t)
@@ -171,9 +171,13 @@
 
 // learn takes the time that an attempt took, less the upstream's pace.
 func (g *Gateway) learn(c *call, t *try) {
-	pace := 1.0
-	if t.report != nil {
-		pace = max(1, t.report.Pace)
+	r := t.report
+	if r == nil || !r.Free(t.since) {
+		return
+	}
+	took := time.Duration(float64(t.took) / max(1, r.Pace))
+	g.work.addFull(c.service.Name, float64(took)/float64(g.work.of(c.route.Name)), r.NearlyFull(t.since))
+	if !r.NearlyFull(t.since) {
+		g.work.add(c.route.Name, took)
 	}
-	g.work.add(c.route.Name, time.Duration(float64(t.took)/pace))
 }
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -16,16 +16,57 @@
 // targetShare of a route's target is taken as its work until it was measured.
 const targetShare = 3
 
-// works follows the work of each route's requests. It is safe for concurrent
-// use.
+// works follows the work of each route's requests, and how services behave
+// when nearly full. It is safe for concurrent use.
 type works struct {
-	mu    sync.Mutex
-	rows  map[string]*attempt.Quantile
-	first map[string]time.Duration
+	mu       sync.Mutex
+	rows     map[string]*attempt.Quantile
+	first    map[string]time.Duration
+	fullness map[string]*pick.Fullness
+	paces    map[string]float64
 }
 
 func newWorks() *works {
-	return &works{rows: map[string]*attempt.Quantile{}, first: map[string]time.Duration{}}
+	return &works{
+		rows: map[string]*attempt.Quantile{}, first: map[string]time.Duration{}, fullness: map[string]*pick.Fullness{},
+		paces: map[string]float64{},
+	}
+}
+
+// pace returns the mean pace of a service's upstreams, 0 before any report.
+func (w *works) pace(service string) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.paces[service]
+}
+
+func (w *works) addPace(service string, pace float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paces[service] = pick.AddPace(w.paces[service], pace)
+}
+
+// full returns the fullness of a service.
+func (w *works) full(service string) pick.Fullness {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if f := w.fullness[service]; f != nil {
+		return *f
+	}
+	return pick.Fullness{}
+}
+
+// addFull takes the time of a request that began at an upstream with a slot
+// free, as a multiple of what was expected.
+func (w *works) addFull(service string, ratio float64, nearlyFull bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.fullness[service]
+	if f == nil {
+		f = new(pick.Fullness)
+		w.fullness[service] = f
+	}
+	f.Add(ratio, nearlyFull)
 }
 
 // begin sets what is taken for a route that was not measured yet.
@@ -81,19 +122,26 @@
 // Parts of the fleet's budget that are used, so that views of the fleet that
 // differ for a while don't break the bound.
 const (
-	shareUsed     = 0.8
-	allowanceUsed = 0.5
+	shareUsed     = 0.92
+	allowanceUsed = 0.7
+	// hedgePart is the part of the budget that hedges may use; the rest is
+	// kept for repeats of what failed.
+	hedgePart = 0.6
 )
 
 func newBudgets(opt BudgetOptions) *budgets {
-	return &budgets{opt: opt, rows: map[string]*attempt.Window{}, allowance: 0}
+	return &budgets{opt: opt, rows: map[string]*attempt.Window{}}
 }
 
-// fleet divides the allowance among n instances.
-func (b *budgets) fleet(n int) {
+// fleet divides the allowance among n instances. A process that has just
+// started takes none: the one before it in its place may have used it.
+func (b *budgets) fleet(now time.Duration, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.allowance = allowanceUsed * b.opt.Allowance / float64(max(1, n))
+	b.allowance = 0
+	if now >= b.opt.Window {
+		b.allowance = allowanceUsed * b.opt.Allowance / float64(max(1, n))
+	}
 	for _, w := range b.rows {
 		w.SetAllowance(b.allowance)
 	}
@@ -115,11 +163,11 @@
 	b.row(service).Call(now)
 }
 
-// has tells whether an extra attempt may be made.
-func (b *budgets) has(now time.Duration, service string) bool {
+// spare tells whether a hedge may be made.
+func (b *budgets) spare(now time.Duration, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.row(service).Left(now) >= 1
+	return b.row(service).Spare(now, hedgePart)
 }
 
 func (b *budgets) take(now time.Duration, service string) bool {
--- a/internal/proctest/site.go
+++ b/internal/proctest/site.go
@@ -20,9 +20,9 @@
 	"github.com/catkinrouter/catkinrouter/agent"
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/operator"
-	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/proxy"
 	"github.com/catkinrouter/catkinrouter/standin"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Options describe a site.
--- a/node/node.go
+++ b/node/node.go
@@ -67,8 +67,8 @@
 	}
 	n.gateway = gateway.New(gateway.Options{
 		DataCentre: set.DataCentre, DataAddress: set.DataAddress, ReadyAddress: set.ReadyAddress, LookupAddress: set.LookupAddress,
-		Budget:        gateway.BudgetOptions{Share: set.RetryShare, Allowance: set.RetryAllowance, Window: set.RetryWindow},
-		MaxLookupLife: set.MaxLookupLife, Now: n.now, Seed: seed,
+		Budget:            gateway.BudgetOptions{Share: set.RetryShare, Allowance: set.RetryAllowance, Window: set.RetryWindow},
+		ProbesPerUpstream: set.ProbesPerUpstream, MaxLookupLife: set.MaxLookupLife, Now: n.now, Seed: seed,
 	}, a.Dialect, logs.For(l, "gateway"), n.registry)
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Info{
--- a/node/settings.go
+++ b/node/settings.go
@@ -35,6 +35,9 @@
 	RetryShare     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
+	// ProbesPerUpstream bounds the health requests of all instances to one
+	// upstream, a second.
+	ProbesPerUpstream float64
 	// MaxLookupLife bounds the lifetime of lookup answers.
 	MaxLookupLife time.Duration
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -31,21 +31,84 @@
 	// priorRequests weigh priorFailures against an upstream's own outcomes.
 	priorRequests = 2.0
 	priorFailures = 0.01
-	// fullFrom is the share of busy slots from which work slows down, and
-	// fullPace how much.
+	// fullFrom is the share of busy slots from which some upstreams slow
+	// down.
 	fullFrom = 0.8
-	fullPace = 1.4
+	// slowWhenFull is the factor from which room ends at fullFrom.
+	slowWhenFull = 1.35
+	// fullnessStep is the weight of one request in a Fullness, whose
+	// requests count between fullnessLeast and fullnessMost.
+	fullnessStep  = 0.05
+	fullnessLeast = 0.5
+	fullnessMost  = 2.5
 	// coldPace is how much longer work takes at an upstream just started.
 	coldPace = 2.0
 	// DefaultWork is taken for a route whose work was not yet measured.
 	DefaultWork = 100 * time.Millisecond
 	// silentPace is assumed of an upstream that did not answer.
 	silentPace = 6.0
-	// GoodEnough is the cost, as a multiple of undisturbed work, below which
+	// GoodEnough is the delay, as a multiple of undisturbed work, below which
 	// no further upstream is asked.
 	GoodEnough = 1.35
 )
 
+// ahead is the number of requests before one more.
+func (r *Report) ahead(sentSince int) int { return r.Running + r.Waiting + sentSince }
+
+// Free tells whether a slot is free for one more request.
+func (r *Report) Free(sentSince int) bool { return r.ahead(sentSince) < r.Slots }
+
+// NearlyFull tells whether one more request takes one of the last slots.
+func (r *Report) NearlyFull(sentSince int) bool {
+	return float64(r.ahead(sentSince)+1) > fullFrom*float64(r.Slots)
+}
+
+// Fullness follows how much longer work takes at a service's upstreams that
+// are nearly full. The zero Fullness knows nothing.
+type Fullness struct {
+	// open and full are mean times of requests, as multiples of what was
+	// expected.
+	open, full float64
+}
+
+// Add takes the time of a request, as a multiple of what was expected, that
+// began at an upstream with a slot free.
+func (f *Fullness) Add(ratio float64, nearlyFull bool) {
+	mean := &f.open
+	if nearlyFull {
+		mean = &f.full
+	}
+	if *mean == 0 {
+		*mean = 1
+	}
+	*mean += fullnessStep * (min(max(ratio, fullnessLeast), fullnessMost) - *mean)
+}
+
+// Factor is how much longer work takes at nearly full upstreams.
+func (f Fullness) Factor() float64 {
+	if f.open == 0 || f.full == 0 {
+		return 1
+	}
+	return max(1, f.full/f.open)
+}
+
+// paceStep is the weight of one report in a mean pace.
+const paceStep = 0.02
+
+// AddPace takes a report's pace into a mean, which is 0 at first.
+func AddPace(mean, pace float64) float64 {
+	if mean == 0 {
+		return pace
+	}
+	return mean + paceStep*(pace-mean)
+}
+
+// Room tells whether the upstream can take one more request without delay to
+// it or to those that it works on.
+func (f Fullness) Room(r *Report, sentSince int) bool {
+	return r.Free(sentSince) && (f.Factor() < slowWhenFull || !r.NearlyFull(sentSince))
+}
+
 // outcomes counts requests to one upstream; older ones count less.
 type outcomes struct {
 	total, failed float64
@@ -67,8 +130,25 @@
 	inFlight int
 	// sent counts the requests sent, to tell which a report knows of.
 	sent int
+	// crowded is until when a report makes it likely that no slot is free.
+	crowded time.Duration
+}
+
+// crowdedTrust is the part of the expected wait for a slot during which the
+// upstream is not asked again.
+const crowdedTrust = 0.5
+
+// Reported takes a report; turn is the time that a slot takes for one request.
+func (e *Evidence) Reported(now time.Duration, r *Report, turn time.Duration) {
+	e.crowded = 0
+	if n := r.ahead(0) - r.Slots + 1; n > 0 {
+		e.crowded = now + time.Duration(crowdedTrust*float64(n)/float64(max(1, r.Slots))*float64(turn))
+	}
 }
 
+// Crowded tells whether a slot is unlikely to be free yet.
+func (e *Evidence) Crowded(now time.Duration) bool { return now < e.crowded }
+
 // Sent counts a request that goes to the upstream.
 func (e *Evidence) Sent() { e.inFlight++; e.sent++ }
 
@@ -115,38 +195,50 @@
 type Job struct {
 	// Work is the time that it takes at an undisturbed upstream.
 	Work time.Duration
+	// Fullness is that of the service, MeanPace the mean of its upstreams'
+	// paces: work that waits before the job is done at any pace.
+	Fullness Fullness
+	MeanPace float64
 	// FailureCost is what a failure costs, in time.
 	FailureCost time.Duration
 }
 
-// Cost estimates the time that the job takes at the candidate, with the cost
-// of its possible failure.
-func (j Job) Cost(c Candidate) time.Duration {
-	pace, ahead, slots := silentPace, 0, max(1, c.Slots)
+// Risk is the cost of the job's possible failure at the candidate.
+func (j Job) Risk(c Candidate) time.Duration {
+	return time.Duration(c.FailureRate * float64(j.FailureCost))
+}
+
+// Delay estimates the time that the job takes at the candidate: its own work
+// at the pace of now, after that of those before it.
+func (j Job) Delay(c Candidate) time.Duration {
+	pace, wait, slots := silentPace, 0.0, max(1, c.Slots)
 	if r := c.Report; r != nil {
 		pace, slots = r.Pace, max(1, r.Slots)
-		ahead = r.Running + r.Waiting + c.SentSince
+		full := 1.0
+		if r.NearlyFull(c.SentSince) {
+			full = j.Fullness.Factor()
+		}
 		if r.Unwell {
 			pace += silentPace
 		}
+		pace *= full
+		if n := r.ahead(c.SentSince) - slots + 1; n > 0 {
+			wait = float64(n) / float64(slots) * full * max(1, j.MeanPace)
+		}
 	}
 	if c.Cold {
 		pace *= coldPace
 	}
-	if float64(ahead+1) > fullFrom*float64(slots) {
-		pace *= fullPace
-	}
-	turns := 1.0
-	if ahead >= slots {
-		turns += float64(ahead-slots+1) / float64(slots)
-	}
-	t := time.Duration(pace * turns * float64(j.Work))
-	return t + c.Distance + time.Duration(c.FailureRate*float64(j.FailureCost))
+	return time.Duration((pace+wait)*float64(j.Work)) + c.Distance
 }
 
+// Turn is the time that a slot takes for one request, on average.
+func (j Job) Turn() time.Duration { return time.Duration(max(1, j.MeanPace) * float64(j.Work)) }
+
 // Order returns the indices of n upstreams in the order in which to ask them:
 // drawn at random, near ones first, and those that failed lately less often.
-func Order(n int, near func(int) bool, failureRate func(int) float64, rng *rand.Rand) []int {
+// Crowded ones come last.
+func Order(n int, near, crowded func(int) bool, failureRate func(int) float64, rng *rand.Rand) []int {
 	type drawn struct {
 		index int
 		key   float64
@@ -160,6 +252,9 @@
 		if near(i) && p < suspectRate {
 			key++
 		}
+		if crowded(i) {
+			key -= 2
+		}
 		list = append(list, drawn{i, key})
 	}
 	slices.SortFunc(list, func(a, b drawn) int { return cmp.Compare(b.key, a.key) })
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
-	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/settings"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Settings describe a stand-in site.
@@ -18,9 +18,9 @@
 	// ControlAddress serves the upstreams' fault switches and counts.
 	ControlAddress string `json:"control_address"`
 	// LogLevel is "debug", "info", "warn" or "error".
-	LogLevel  string              `json:"log_level"`
-	Instances []store.Instance `json:"instances"`
-	Services  []ServiceSettings   `json:"services"`
+	LogLevel  string            `json:"log_level"`
+	Instances []store.Instance  `json:"instances"`
+	Services  []ServiceSettings `json:"services"`
 	// Site, DataCentres, MaxEntries and Lookup go into the configuration
 	// document that Document makes.
 	Site        string              `json:"site"`
--- a/standin/site.go
+++ b/standin/site.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/settings"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // UpstreamFaultsPath, followed by an upstream's ID, takes a POST of
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
-	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/standin"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // serve answers with h on loopback until the test ends.
--- a/store/storetest/store.go
+++ b/store/storetest/store.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"github.com/catkinrouter/catkinrouter/store"
 	"github.com/catkinrouter/catkinrouter/standin"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Fault is what happens to one call.
