--- a/gateway/call.go
+++ b/gateway/call.go
@@ -17,7 +17,7 @@
 	// connection: one that left is noticed well within half a second.
 	watchInterval = 150 * time.Millisecond
 	// hedgeFactor times the expected work is when a second upstream is tried.
-	hedgeFactor = 1.8
+	hedgeFactor = 1.55
 	// hedgeAgain is the pause after a hedge that found no free upstream.
 	hedgeAgain = 40 * time.Millisecond
 	// hedgeTries bounds the searches for a free upstream.
@@ -131,22 +131,18 @@
 	holdStep = 15 * time.Millisecond
 )
 
-// place picks an upstream with room for the call. Where none has, it searches
-// again for a short time. Then it takes the best, unless many were asked and
-// the answer would come late: work that queues at upstreams is late when it is
-// done, and delays the next.
+// place picks an upstream with room for the call. Where none has, it waits a
+// short time for one, then takes the best, unless many are known to be full:
+// work that queues at upstreams is late when it is done, and delays the next.
 func (c *call) place() (choice, ending, bool) {
-	limit := c.arrived + time.Duration(holdShare*float64(c.route.Target))
 	ch, ok := c.g.choose(c)
-	for ok && ch.report != nil && !c.room(&ch) && c.g.now()+holdStep <= limit {
-		if next, found := c.g.searchAgain(c, ch); found {
-			ch = next
-		}
+	if ok && ch.report != nil && !c.room(&ch) {
+		ch = c.waitForRoom(ch)
 	}
 	switch {
 	case !ok:
 		return ch, c.giveUp("no-upstream"), false
-	case ch.report == nil || ch.free() || ch.known <= probesNear:
+	case ch.report == nil || c.room(&ch) || ch.known < enoughKnown:
 		return ch, ending{}, true
 	}
 	c.log("no room", "upstream", ch.answer.upstream.ID, "running", ch.report.Running, "waiting", ch.report.Waiting,
@@ -155,6 +151,33 @@
 	return ch, c.giveUp("no-room"), false
 }
 
+// waitForRoom waits for a slot that another call leaves, and searches now and
+// then, until there is room or the time for it is over.
+func (c *call) waitForRoom(ch choice) choice {
+	limit := c.arrived + time.Duration(holdShare*float64(c.route.Target))
+	slot := c.g.handoff.wait(c.service.Name)
+	for !c.room(&ch) && c.g.now() < limit {
+		select {
+		case next := <-slot:
+			if c.tried[next.answer.upstream.ID] {
+				c.g.giveBack(next)
+				slot = c.g.handoff.wait(c.service.Name)
+				continue
+			}
+			c.g.giveBack(ch)
+			return next
+		case <-time.After(min(holdStep, limit-c.g.now())):
+			if next, found := c.g.searchAgain(c, ch); found {
+				ch = next
+			}
+		}
+	}
+	if next, came := c.g.handoff.leave(c.service.Name, slot); came {
+		c.g.giveBack(next)
+	}
+	return ch
+}
+
 // expected is the time that the call takes at the upstream chosen.
 func (c *call) expected(ch choice) time.Duration {
 	pace := 1.0
@@ -172,7 +195,7 @@
 	}
 	c.hedges++
 	work := c.g.work.of(c.route.Name)
-	if c.left() < work || !c.g.budgets.spare(c.g.now(), c.service.Name) {
+	if c.left() < work || c.g.work.full(c.service.Name).Busy() || !c.g.budgets.spare(c.g.now(), c.service.Name) {
 		return
 	}
 	ch, ok := c.g.choose(c)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -103,15 +103,6 @@
 	return idleLimit
 }
 
-// release gives a connection back whose reply was read whole.
-func (g *Gateway) release(c *conn, resp *fasthttp.Response) {
-	if resp.ConnectionClose() {
-		c.Close()
-		return
-	}
-	g.pool.put(c)
-}
-
 // requestHead returns the request line and the headers that every attempt has.
 func (g *Gateway) requestHead(ctx *fasthttp.RequestCtx) []byte {
 	h := &ctx.Request.Header
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,7 @@
 
 	budgets *budgets
 	probes  *probeBudget
+	handoff *handoff
 	fleet   atomic.Pointer[[]Instance]
 	phase   atomic.Uint32
 	flying  atomic.Int64
@@ -79,7 +80,7 @@
 	m := newCounters(r)
 	return &Gateway{
 		opt: opt, d: d, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
-		budgets: newBudgets(opt.Budget), probes: newProbeBudget(opt.ProbesPerUpstream), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
+		budgets: newBudgets(opt.Budget), probes: newProbeBudget(opt.ProbesPerUpstream), handoff: newHandoff(), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
 }
 
--- /dev/null
+++ b/gateway/handoff.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/pick"
+)
+
+// handoff gives the slot that a finished request leaves at an upstream to a
+// call that waits for room: the freshest evidence there is, and it costs no
+// probe. It is safe for concurrent use.
+type handoff struct {
+	mu      sync.Mutex
+	waiting map[string][]chan choice // by service, first come first
+}
+
+func newHandoff() *handoff { return &handoff{waiting: map[string][]chan choice{}} }
+
+// wait registers a call that waits for room at a service.
+func (h *handoff) wait(service string) chan choice {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ch := make(chan choice, 1)
+	h.waiting[service] = append(h.waiting[service], ch)
+	return ch
+}
+
+// leave ends the wait. A choice that came meanwhile is returned.
+func (h *handoff) leave(service string, ch chan choice) (choice, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := h.waiting[service]
+	for i, w := range list {
+		if w == ch {
+			h.waiting[service] = append(list[:i], list[i+1:]...)
+			return choice{}, false
+		}
+	}
+	return <-ch, true
+}
+
+// give offers a choice to the call that has waited longest; false where none
+// waits.
+func (h *handoff) give(service string, ch choice) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := h.waiting[service]
+	if len(list) == 0 {
+		return false
+	}
+	list[0] <- ch
+	h.waiting[service] = list[1:]
+	return true
+}
+
+// settle takes the upstream's report on a reply as evidence, and gives the
+// connection to a call that waits for room there, or back to the pool.
+func (g *Gateway) settle(c *call, t *try, cn *conn) {
+	r, err := g.d.ParseLoad(string(t.resp.Header.Peek(g.d.Load)))
+	closes := t.resp.ConnectionClose()
+	if err == nil {
+		g.ev.with(t.upstream, func(ev *pick.Evidence) { ev.Reported(g.now(), &r, g.job(c).Turn()) })
+		free := g.work.full(c.service.Name).Room(&r, 0) && r.Pace <= pick.GoodEnough && !closes
+		sound := t.resp.StatusCode() < fasthttp.StatusInternalServerError
+		next := choice{answer: answer{upstream: t.upstream, report: &r, conn: cn}, delay: g.work.of(c.route.Name), known: 1}
+		if free && sound && g.handoff.give(c.service.Name, next) {
+			g.m.handoffs.Inc(1)
+			return
+		}
+	}
+	if closes {
+		cn.Close()
+		return
+	}
+	g.pool.put(cn)
+}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -11,12 +11,17 @@
 	"github.com/catkinrouter/catkinrouter/pick"
 )
 
+// probeRounds are the numbers of upstreams that a pick asks one round after
+// the other, while none of those asked is good.
+var probeRounds = [...]int{1, 2, 4}
+
 // Probes of a pick.
 const (
-	// probesNear upstreams are asked first; where none is good enough,
-	// probesMore others follow.
-	probesNear = 3
+	// probesMore are asked in each further search.
 	probesMore = 4
+	// enoughKnown is the number of upstreams known to be full from which on
+	// a call is refused.
+	enoughKnown = 6
 	// probesCrowded are asked where all are known to be crowded.
 	probesCrowded = 2
 	// probeTimeout is how long a pick waits for the answers.
@@ -123,9 +128,6 @@
 	since int
 }
 
-// free tells whether the upstream has a slot for the request.
-func (ch *choice) free() bool { return ch.report != nil && ch.report.Free(ch.since) }
-
 // room tells whether the chosen upstream works on the call without delay to it
 // or to others.
 func (c *call) room(ch *choice) bool {
@@ -156,35 +158,34 @@
 }
 
 // choose picks an upstream of the service that the call was not sent to
-// before; false where there is none. It asks near upstreams, and further ones
-// if none of them is good.
+// before; false where there is none. It asks few upstreams, near ones first,
+// and further ones while none of them is good.
 func (g *Gateway) choose(c *call) (choice, bool) {
 	cands := g.candidates(c, true)
 	if len(cands.list) == 0 {
 		return choice{}, false
 	}
 	job := g.job(c)
+	good := time.Duration(pick.GoodEnough * float64(job.Work))
 	crowded := len(cands.list) - cands.open
-	n := probesNear
-	if cands.open == 0 {
-		n = probesCrowded
-	}
-	n = g.probes.take(g.now(), min(len(cands.list), n))
+	n := g.probes.take(g.now(), min(len(cands.list), max(cands.open, probesCrowded), probeRounds[0]))
 	best := g.better(choice{}, job, g.ask(cands.take(n), c.service.HealthPath))
 	best.known = n + crowded
-	more := min(cands.open, probesMore)
-	if best.delay <= time.Duration(pick.GoodEnough*float64(job.Work)) || more == 0 || !g.probes.spare(g.now(), more) {
-		return best, true
+	for _, round := range probeRounds[1:] {
+		more := min(cands.open, round)
+		if best.delay <= good || more == 0 || !g.probes.spare(g.now(), more) {
+			break
+		}
+		known := best.known + more
+		best = g.better(best, job, g.ask(cands.take(more), c.service.HealthPath))
+		best.known = known
 	}
-	wider := g.better(best, job, g.ask(cands.take(more), c.service.HealthPath))
-	wider.known = best.known + more
-	return wider, true
+	return best, true
 }
 
-// searchAgain waits a little and looks for a better upstream than the one
-// chosen, wherever it is; false where there is none to ask.
+// searchAgain looks for a better upstream than the one chosen, wherever it is;
+// false where there is none to ask.
 func (g *Gateway) searchAgain(c *call, ch choice) (choice, bool) {
-	time.Sleep(holdStep)
 	cands := g.candidates(c, false)
 	n := min(cands.open, probesMore)
 	if n == 0 || !g.probes.spare(g.now(), n) {
@@ -217,6 +218,7 @@
 		})
 		if a.report != nil {
 			g.work.addPace(a.upstream.Service, a.report.Pace)
+			g.work.changeFull(a.upstream.Service, func(f *pick.Fullness) { f.Asked(a.report.NearlyFull(0)) })
 		}
 		if a.upstream.DataCentre != g.opt.DataCentre {
 			cand.Distance = crossDistance
--- a/gateway/probebudget.go
+++ b/gateway/probebudget.go
@@ -20,7 +20,7 @@
 	probeReserve = time.Second
 	// leastProbes are made for each pick, also beyond the budget: without
 	// evidence a pick is a guess. Later picks pay them back.
-	leastProbes = 2
+	leastProbes = 1
 )
 
 // probeBudget is this instance's part of the measuring budget, which is set in
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -97,7 +97,7 @@
 		return
 	}
 	t.whole = true
-	g.release(cn, t.resp)
+	g.settle(c, t, cn)
 }
 
 // replyMargin is how long a reply is awaited past the call's deadline: the
@@ -176,7 +176,8 @@
 		return
 	}
 	took := time.Duration(float64(t.took) / max(1, r.Pace))
-	g.work.addFull(c.service.Name, float64(took)/float64(g.work.of(c.route.Name)), r.NearlyFull(t.since))
+	ratio := float64(took) / float64(g.work.of(c.route.Name))
+	g.work.changeFull(c.service.Name, func(f *pick.Fullness) { f.Add(ratio, r.NearlyFull(t.since)) })
 	if !r.NearlyFull(t.since) {
 		g.work.add(c.route.Name, took)
 	}
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -53,20 +53,20 @@
 	if f := w.fullness[service]; f != nil {
 		return *f
 	}
-	return pick.Fullness{}
+	return pick.NewFullness()
 }
 
-// addFull takes the time of a request that began at an upstream with a slot
-// free, as a multiple of what was expected.
-func (w *works) addFull(service string, ratio float64, nearlyFull bool) {
+// changeFull changes the fullness of a service.
+func (w *works) changeFull(service string, change func(*pick.Fullness)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	f := w.fullness[service]
 	if f == nil {
-		f = new(pick.Fullness)
+		first := pick.NewFullness()
+		f = &first
 		w.fullness[service] = f
 	}
-	f.Add(ratio, nearlyFull)
+	change(f)
 }
 
 // begin sets what is taken for a route that was not measured yet.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -40,7 +40,11 @@
 	// requests count between fullnessLeast and fullnessMost.
 	fullnessStep  = 0.05
 	fullnessLeast = 0.5
-	fullnessMost  = 2.5
+	// shareStep is the weight of one report in the share of upstreams that
+	// are nearly full, busyShare the share that leaves none to spare.
+	shareStep    = 0.05
+	busyShare    = 0.3
+	fullnessMost = 2.5
 	// coldPace is how much longer work takes at an upstream just started.
 	coldPace = 2.0
 	// DefaultWork is taken for a route whose work was not yet measured.
@@ -64,13 +68,19 @@
 }
 
 // Fullness follows how much longer work takes at a service's upstreams that
-// are nearly full. The zero Fullness knows nothing.
+// are nearly full, and how many are.
 type Fullness struct {
 	// open and full are mean times of requests, as multiples of what was
 	// expected.
 	open, full float64
+	// share is the share of upstreams asked that were nearly full.
+	share float64
 }
 
+// NewFullness returns a Fullness that expects nearly full upstreams to be as
+// fast as others until it is shown otherwise.
+func NewFullness() Fullness { return Fullness{open: 1, full: 1} }
+
 // Add takes the time of a request, as a multiple of what was expected, that
 // began at an upstream with a slot free.
 func (f *Fullness) Add(ratio float64, nearlyFull bool) {
@@ -78,18 +88,29 @@
 	if nearlyFull {
 		mean = &f.full
 	}
-	if *mean == 0 {
-		*mean = 1
-	}
 	*mean += fullnessStep * (min(max(ratio, fullnessLeast), fullnessMost) - *mean)
 }
 
-// Factor is how much longer work takes at nearly full upstreams.
-func (f Fullness) Factor() float64 {
-	if f.open == 0 || f.full == 0 {
-		return 1
+// Asked takes a report.
+func (f *Fullness) Asked(nearlyFull bool) {
+	v := 0.0
+	if nearlyFull {
+		v = 1
 	}
-	return max(1, f.full/f.open)
+	f.share += shareStep * (v - f.share)
+}
+
+// Busy tells whether so many upstreams are nearly full that none has room to
+// spare for a second try of the same request.
+func (f Fullness) Busy() bool { return f.share > busyShare }
+
+// Factor is how much longer work takes at nearly full upstreams.
+func (f Fullness) Factor() float64 { return max(1, f.full/f.open) }
+
+// Room tells whether the upstream can take one more request without delay to
+// it or to those that it works on.
+func (f Fullness) Room(r *Report, sentSince int) bool {
+	return r.Free(sentSince) && (f.Factor() < slowWhenFull || !r.NearlyFull(sentSince))
 }
 
 // paceStep is the weight of one report in a mean pace.
@@ -103,12 +124,6 @@
 	return mean + paceStep*(pace-mean)
 }
 
-// Room tells whether the upstream can take one more request without delay to
-// it or to those that it works on.
-func (f Fullness) Room(r *Report, sentSince int) bool {
-	return r.Free(sentSince) && (f.Factor() < slowWhenFull || !r.NearlyFull(sentSince))
-}
-
 // outcomes counts requests to one upstream; older ones count less.
 type outcomes struct {
 	total, failed float64
