--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -108,3 +108,15 @@
 		}
 	}
 }
+
+// close closes every idle connection.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle {
+		for _, c := range l {
+			c.Close()
+		}
+	}
+	clear(p.idle)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -123,42 +124,71 @@
 	idleTimeout = 30 * time.Second
 )
 
+// listeners are what a Gateway serves on.
+type listeners struct{ front, ready, lookup net.Listener }
+
+func (g *Gateway) listen() (*listeners, error) {
+	var l listeners
+	for _, a := range []struct {
+		addr string
+		ln   *net.Listener
+	}{{g.opt.DataAddress, &l.front}, {g.opt.ReadyAddress, &l.ready}, {g.opt.LookupAddress, &l.lookup}} {
+		ln, err := net.Listen("tcp4", a.addr)
+		if err != nil {
+			l.close()
+			return nil, fmt.Errorf("address %s: %w: is another process using it?", a.addr, err)
+		}
+		*a.ln = ln
+	}
+	return &l, nil
+}
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.front, l.ready, l.lookup} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
 // Run serves until ctx ends, then stops in order within the limit given.
 func (g *Gateway) Run(ctx context.Context, stopLimit time.Duration) error {
+	lns, err := g.listen()
+	if err != nil {
+		return err
+	}
+	return g.serve(ctx, lns, stopLimit)
+}
+
+func (g *Gateway) serve(ctx context.Context, lns *listeners, stopLimit time.Duration) error {
 	front := &fasthttp.Server{
 		Handler: g.handle, ErrorHandler: g.malformed, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true, LazyRequestTime: true, Logger: quiet{},
 	}
-	side := &fasthttp.Server{Handler: g.handleSide, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: quiet{}}
-	var lns []net.Listener
-	for _, a := range []string{g.opt.DataAddress, g.opt.ReadyAddress, g.opt.LookupAddress} {
-		ln, err := net.Listen("tcp4", a)
-		if err != nil {
-			return err
-		}
-		lns = append(lns, ln)
+	side := &fasthttp.Server{
+		Handler: g.handleSide, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: quiet{},
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	eg, failed := errgroup.WithContext(work)
-	eg.Go(func() error { return ignoreClosed(front.Serve(lns[0])) })
-	eg.Go(func() error { return ignoreClosed(side.Serve(lns[1])) })
-	eg.Go(func() error { return ignoreClosed(side.Serve(lns[2])) })
+	eg.Go(func() error { return ignoreClosed(front.Serve(lns.front)) })
+	eg.Go(func() error { return ignoreClosed(side.Serve(lns.ready)) })
+	eg.Go(func() error { return ignoreClosed(side.Serve(lns.lookup)) })
 	eg.Go(func() error { return g.upkeep(failed) })
 	eg.Go(func() error {
 		select {
 		case <-ctx.Done():
-			g.stopInTurn(stopLimit, lns[0])
+			g.stopInTurn(stopLimit, lns.front)
 		case <-failed.Done():
 		}
-		for _, ln := range lns {
-			ln.Close()
-		}
+		lns.close()
 		stop()
 		return nil
 	})
-	return eg.Wait()
+	err := eg.Wait()
+	g.pool.close()
+	return err
 }
 
 func (g *Gateway) upkeep(ctx context.Context) error {
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -156,7 +156,7 @@
 		t.outcome, weight = notRun, shedWeight
 	case status >= fasthttp.StatusInternalServerError:
 		t.outcome = ranAndFailed
-	case len(t.resp.Header.Peek(g.d.Signature)) == 0:
+	case status < fasthttp.StatusMultipleChoices && len(t.resp.Header.Peek(g.d.Signature)) == 0:
 		t.outcome, t.whole = mayHaveRun, false
 	default:
 		t.outcome, failed = succeeded, false
