Read the store from two instances, also when many upstreams register

A hub's pause for gathering changes, its watch of a second and the beat interval together passed the age at which followers read for themselves; and each of 308 registrations was a watch, a push and a fetch by every instance (36 MB between zones).

Change: changes gather for 200 ms; a watch ends a second after the last proof; followers read at 1.6 s, by a timer rather than with the next beat. Upstreams with an open connection are asked before others of the data centre.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -406,38 +406,44 @@
 
 // readLoop reads the store when this instance is to.
 func (f *Fleet) readLoop(ctx context.Context) error {
+	t := time.NewTimer(0)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-f.wake:
+		case <-t.C:
 		}
-		for ctx.Err() == nil && f.readOnce(ctx) {
+		pause := time.Duration(0)
+		for pause == 0 && ctx.Err() == nil {
+			pause = f.readOnce(ctx)
 		}
+		t.Reset(pause)
 	}
 }
 
-// readOnce makes the call that is due; it returns false where none is.
-func (f *Fleet) readOnce(ctx context.Context) bool {
+// readOnce makes the call that is due, or returns the time until one may be.
+func (f *Fleet) readOnce(ctx context.Context) time.Duration {
 	f.mu.Lock()
 	now := f.opt.Now()
 	rank, after := f.table.Rank(now), f.copy.Revision()
-	what := f.reader.due(now, rank, after > 0, f.table.Alone())
+	what, wait := f.reader.due(now, rank, after > 0, f.table.Alone())
 	f.mu.Unlock()
 	var d mirror.Delta
 	var err error
 	switch what {
 	case callNone:
-		return false
+		return wait
 	case callReadAll:
 		d, err = f.source.ReadAll(ctx)
 	case callWatch:
-		d, err = f.source.Watch(ctx, after, watchWait)
+		d, err = f.source.Watch(ctx, after, wait)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.readDone(now, rank, what, d, err)
-	return true
+	return 0
 }
 
 // readDone takes the end of a call that began at the time given.
@@ -463,6 +469,9 @@
 		proof = began
 	}
 	f.apply(now, d, proof, "store")
+	if what == callWatch && len(d.Items) > 0 {
+		f.reader.gather(now, rank)
+	}
 }
 
 func outcomeOf(err error) string {
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -5,16 +5,22 @@
 // Times of reading the store. Together they keep an instance's copy younger
 // than the shortest time in which a change must be in force: 2 s.
 const (
-	// watchWait is how long a hub lets the store wait for a change.
-	watchWait = time.Second
+	// watchWait is the longest time between two answers of the store to a
+	// hub, shortWatch the least time that a hub lets it wait for a change.
+	watchWait  = time.Second
+	shortWatch = 100 * time.Millisecond
 	// staleAge is the age of the copy at which an instance that is no hub
-	// reads the store itself.
-	staleAge = 1400 * time.Millisecond
+	// reads the store itself: above watchWait and BeatInterval together.
+	staleAge = 1600 * time.Millisecond
 	// startWait is how long a fresh instance waits for a peer's copy.
 	startWait = 500 * time.Millisecond
 	// hubRetry and memberRetry are the pauses after a failed read.
 	hubRetry    = 300 * time.Millisecond
 	memberRetry = 900 * time.Millisecond
+	// gatherFor is how long a hub lets changes gather after a read that
+	// brought some: many upstreams that come at once then cost few calls,
+	// and few messages to the other instances.
+	gatherFor = 200 * time.Millisecond
 	// blindAfter is the time without a successful read after which an
 	// instance says that it can't read the store, for blindFor.
 	blindAfter = 1200 * time.Millisecond
@@ -48,20 +54,23 @@
 	callReadAll
 )
 
-// due returns the call to make now; rank is the instance's place among the
+// due returns the call to make now, and how long a watch is to wait; without a
+// call, the time until one may be due. Rank is the instance's place among the
 // hubs, or -1.
-func (r *reader) due(now time.Duration, rank int, holds, alone bool) call {
+func (r *reader) due(now time.Duration, rank int, holds, alone bool) (call, time.Duration) {
 	switch {
 	case now < r.retryAt:
-		return callNone
+		return callNone, r.retryAt - now
 	case !holds && (rank < 0 || alone) && now < startWait:
-		return callNone
+		return callNone, startWait - now
 	case !holds || r.full:
-		return callReadAll
-	case rank >= 0 || r.age(now) >= staleAge:
-		return callWatch
+		return callReadAll, 0
+	case rank >= 0:
+		return callWatch, max(shortWatch, watchWait-r.age(now))
+	case r.age(now) >= staleAge:
+		return callWatch, watchWait
 	}
-	return callNone
+	return callNone, staleAge - r.age(now)
 }
 
 // age is the time since the copy was known to be complete.
@@ -101,6 +110,11 @@
 	r.retryAt = now + pause + time.Duration(jitter*float64(pause))
 }
 
+// gather puts off the next read after one that brought changes.
+func (r *reader) gather(now time.Duration, rank int) {
+	r.retryAt = now + time.Duration(1+max(0, rank))*gatherFor
+}
+
 // blind tells whether others must not rely on this instance's reads.
 func (r *reader) blind(now time.Duration) bool {
 	if r.blindSince > 0 && now-r.blindSince >= blindFor {
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// has tells whether a connection is idle.
+func (p *pool) has(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr]) > 0
+}
+
 func (p *pool) pop(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -35,14 +35,10 @@
 	do(&r.ev)
 }
 
-func (e *evidence) failureRate(now time.Duration, u *discovery.Upstream) (rate float64) {
-	e.with(u, func(ev *pick.Evidence) { rate = ev.FailureRate(now) })
-	return rate
-}
-
-func (e *evidence) crowded(now time.Duration, u *discovery.Upstream) (yes bool) {
-	e.with(u, func(ev *pick.Evidence) { yes = ev.Crowded(now) })
-	return yes
+// prospect returns what is known of u before it is asked.
+func (e *evidence) prospect(now time.Duration, u *discovery.Upstream) (p pick.Prospect) {
+	e.with(u, func(ev *pick.Evidence) { p.FailureRate, p.Crowded = ev.FailureRate(now), ev.Crowded(now) })
+	return p
 }
 
 func (e *evidence) record(now time.Duration, u *discovery.Upstream, failed bool, weight float64) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,10 +107,10 @@
 // Ready tells whether requests can be served.
 func (g *Gateway) Ready() bool { return g.state.Load() != nil && g.phase.Load() == serving }
 
-func (g *Gateway) order(n int, near, crowded func(int) bool, rate func(int) float64) []int {
+func (g *Gateway) order(n int, about func(int) pick.Prospect) []int {
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
-	return pick.Order(n, near, crowded, rate, g.rng)
+	return pick.Order(n, about, g.rng)
 }
 
 // Bounds of callers' connections.
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -248,16 +248,15 @@
 	}
 	now := g.now()
 	out := candidates{list: make([]*discovery.Upstream, len(list))}
-	crowded := make([]bool, len(list))
-	for i, u := range list {
-		if crowded[i] = g.ev.crowded(now, u); !crowded[i] {
+	order := g.order(len(list), func(i int) pick.Prospect {
+		p := g.ev.prospect(now, list[i])
+		p.Near = nearFirst && list[i].DataCentre == g.opt.DataCentre
+		p.Open = nearFirst && g.pool.has(list[i].Address)
+		if !p.Crowded {
 			out.open++
 		}
-	}
-	order := g.order(len(list),
-		func(i int) bool { return nearFirst && list[i].DataCentre == g.opt.DataCentre },
-		func(i int) bool { return crowded[i] },
-		func(i int) float64 { return g.ev.failureRate(now, list[i]) })
+		return p
+	})
 	for i, k := range order {
 		out.list[i] = list[k]
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -251,9 +251,9 @@
 func (j Job) Turn() time.Duration { return time.Duration(max(1, j.MeanPace) * float64(j.Work)) }
 
 // Order returns the indices of n upstreams in the order in which to ask them:
-// drawn at random, near ones first, and those that failed lately less often.
-// Crowded ones come last.
-func Order(n int, near, crowded func(int) bool, failureRate func(int) float64, rng *rand.Rand) []int {
+// drawn at random, those that failed lately less often. Near ones come first,
+// among them those with an open connection, and crowded ones last.
+func Order(n int, about func(int) Prospect, rng *rand.Rand) []int {
 	type drawn struct {
 		index int
 		key   float64
@@ -261,14 +261,17 @@
 	list := make([]drawn, 0, n)
 	for i := range n {
 		// Weighted sampling without replacement after Efraimidis and Spirakis.
-		p := failureRate(i)
-		weight := (1 - p) * (1 - p)
+		a := about(i)
+		weight := (1 - a.FailureRate) * (1 - a.FailureRate)
 		key := math.Pow(rng.Float64(), 1/max(weight, 1e-3))
-		if near(i) && p < suspectRate {
-			key++
+		if a.Near && a.FailureRate < suspectRate {
+			key += nearFirst
 		}
-		if crowded(i) {
-			key -= 2
+		if a.Open && a.FailureRate < suspectRate {
+			key += openFirst
+		}
+		if a.Crowded {
+			key -= crowdedLast
 		}
 		list = append(list, drawn{i, key})
 	}
@@ -280,6 +283,21 @@
 	return out
 }
 
-// suspectRate is the failure rate from which an upstream's nearness no longer
-// counts.
-const suspectRate = 0.2
+// Prospect is what is known of an upstream before it is asked.
+type Prospect struct {
+	Near bool
+	// Open is set where a connection to it is open and idle.
+	Open        bool
+	Crowded     bool
+	FailureRate float64
+}
+
+// Weights of a Prospect; a draw is between 0 and 1.
+const (
+	nearFirst   = 1.0
+	openFirst   = 0.5
+	crowdedLast = 3.0
+	// suspectRate is the failure rate from which nearness and an open
+	// connection no longer count.
+	suspectRate = 0.2
+)
