Serve sooner after a start, and keep the connections of late probes

In the second after it, 35 of 98 picks at one service had no evidence: probes over 25 ms lost their connection, so that the next probe opened another.

Change: seeds read the store at their start, copies are asked for each 50 ms until there is one, a first configuration tells the fleet at once, and a probe that is late goes on for 300 ms and gives its connection back.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -331,12 +332,7 @@
 }
 
 func (f *Fleet) isHub(now time.Duration, address string) bool {
-	for _, h := range f.table.Hubs(now) {
-		if h == address {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(f.table.Hubs(now), address)
 }
 
 func (f *Fleet) askSync(from string) {
@@ -428,7 +424,7 @@
 	f.mu.Lock()
 	now := f.opt.Now()
 	rank, after := f.table.Rank(now), f.copy.Revision()
-	what, wait := f.reader.due(now, rank, after > 0, f.table.Alone())
+	what, wait := f.reader.due(now, rank, after > 0, slices.Contains(f.opt.Seeds, f.opt.Self.Address))
 	f.mu.Unlock()
 	var d mirror.Delta
 	var err error
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -56,12 +56,12 @@
 
 // due returns the call to make now, and how long a watch is to wait; without a
 // call, the time until one may be due. Rank is the instance's place among the
-// hubs, or -1.
-func (r *reader) due(now time.Duration, rank int, holds, alone bool) (call, time.Duration) {
+// hubs, or -1. Seeds read at their start, for all others to fetch from.
+func (r *reader) due(now time.Duration, rank int, holds, seed bool) (call, time.Duration) {
 	switch {
 	case now < r.retryAt:
 		return callNone, r.retryAt - now
-	case !holds && (rank < 0 || alone) && now < startWait:
+	case !holds && !seed && now < startWait:
 		return callNone, startWait - now
 	case !holds || r.full:
 		return callReadAll, 0
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -40,7 +40,7 @@
 	// BeatInterval is the time between two beats to a hub; an instance that
 	// holds no copy of the store yet asks each firstBeatInterval.
 	BeatInterval      = 400 * time.Millisecond
-	firstBeatInterval = 100 * time.Millisecond
+	firstBeatInterval = 50 * time.Millisecond
 	// hubSilence is the silence of a hub after which the next is taken.
 	hubSilence = 3 * BeatInterval
 	// memberSilence is the silence after which a hub gives a member up.
@@ -227,16 +227,6 @@
 	return rank
 }
 
-// Alone tells whether no other instance was heard yet.
-func (t *Table) Alone() bool {
-	for a, m := range t.members {
-		if a != t.self && m.heard > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // Tick gives up the members that this instance, as a hub, no longer hears, and
 // returns the addresses to beat to: the hubs, the seeds while they are not
 // known, and at times one that is silent.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -55,7 +55,7 @@
 func (g *Gateway) end(c *call, e ending) {
 	took := g.now() - c.arrived
 	g.m.ended(e, took)
-	kv := []any{"outcome", e.kind.String(), "sends", c.sends, "took", took}
+	kv := []any{"outcome", e.kind.String(), "sends", c.sends + len(c.live), "took", took}
 	switch e.kind {
 	case endAnswer:
 		g.pass(c.ctx, e.try.resp)
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,6 +27,8 @@
 	probesCrowded = 2
 	// probeTimeout is how long a pick waits for the answers.
 	probeTimeout = 25 * time.Millisecond
+	// lateProbe is when a probe is given up with its connection.
+	lateProbe = 300 * time.Millisecond
 	// silentWeight is what a probe without an answer counts, as part of a
 	// failed request.
 	silentWeight = 0.5
@@ -34,7 +37,11 @@
 	crossDistance = 25 * time.Millisecond
 )
 
-var errProbe = errors.New("health answer without the upstream's ID")
+// Faults of a probe.
+var (
+	errProbe  = errors.New("health answer without the upstream's ID")
+	errSilent = errors.New("no health answer yet")
+)
 
 // answer is what an upstream said when it was asked.
 type answer struct {
@@ -97,25 +104,63 @@
 	return nil
 }
 
-// ask probes upstreams at the same time and waits for their answers.
+// ask probes upstreams at the same time and waits a short time for their
+// answers; later ones count as evidence and leave their connections.
 func (g *Gateway) ask(list []*discovery.Upstream, path string) []answer {
-	deadline := time.Now().Add(probeTimeout)
 	ch := make(chan answer, len(list))
 	for _, u := range list {
-		go func() { ch <- g.probe(u, path, deadline) }()
+		go func() { ch <- g.probe(u, path, time.Now().Add(lateProbe)) }()
 	}
 	out := make([]answer, 0, len(list))
-	for range list {
-		a := <-ch
-		if a.err != nil {
-			g.m.probesFailed.Inc(1)
-			g.ev.record(g.now(), a.upstream, true, silentWeight)
+	timeout := time.NewTimer(probeTimeout)
+	defer timeout.Stop()
+	for len(out) < len(list) {
+		select {
+		case a := <-ch:
+			g.answered(a)
+			out = append(out, a)
+			continue
+		case <-timeout.C:
+		}
+		break
+	}
+	if missing := len(list) - len(out); missing > 0 {
+		out = append(out, silent(list, out)...)
+		go g.collect(ch, missing)
+	}
+	return out
+}
+
+// silent returns an answer without a report for each upstream that gave none.
+func silent(list []*discovery.Upstream, got []answer) []answer {
+	var out []answer
+	for _, u := range list {
+		if !slices.ContainsFunc(got, func(a answer) bool { return a.upstream == u }) {
+			out = append(out, answer{upstream: u, err: errSilent})
 		}
-		out = append(out, a)
 	}
 	return out
 }
 
+// collect takes the answers that came too late for a pick.
+func (g *Gateway) collect(ch <-chan answer, n int) {
+	for range n {
+		a := <-ch
+		g.answered(a)
+		if a.conn != nil {
+			g.pool.put(a.conn)
+		}
+	}
+}
+
+// answered takes the end of a probe as evidence.
+func (g *Gateway) answered(a answer) {
+	if a.err != nil {
+		g.m.probesFailed.Inc(1)
+		g.ev.record(g.now(), a.upstream, true, silentWeight)
+	}
+}
+
 // choice is the upstream picked for an attempt.
 type choice struct {
 	answer
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,9 @@
 	gateway  *gateway.Gateway
 	fleet    *fleet.Fleet
 
+	// changed asks for upkeep at once.
+	changed chan struct{}
+
 	mu       sync.Mutex
 	rng      *rand.Rand
 	table    *route.Table
@@ -63,7 +66,7 @@
 	seed := rand.Uint64()
 	n := &Node{
 		set: set, adapter: a, log: l, started: time.Now(), registry: gometrics.NewRegistry(),
-		rng: rand.New(rand.NewPCG(seed, 2)), upstream: discovery.New(),
+		rng: rand.New(rand.NewPCG(seed, 2)), upstream: discovery.New(), changed: make(chan struct{}, 1),
 	}
 	n.gateway = gateway.New(gateway.Options{
 		DataCentre: set.DataCentre, DataAddress: set.DataAddress, ReadyAddress: set.ReadyAddress, LookupAddress: set.LookupAddress,
@@ -136,8 +139,7 @@
 // upkeepInterval is the time between two looks at what changes by time alone.
 const upkeepInterval = 250 * time.Millisecond
 
-// upkeep gives up lapsed upstreams, tells the fleet this instance's state and
-// publishes where the hubs are.
+// upkeep gives up lapsed upstreams and tells the fleet this instance's state.
 func (n *Node) upkeep(ctx, live context.Context) error {
 	t := time.NewTicker(upkeepInterval)
 	defer t.Stop()
@@ -154,6 +156,7 @@
 			}
 			ctx = context.Background()
 		case <-t.C:
+		case <-n.changed:
 		}
 		n.expire()
 		n.fleet.SetState(n.gateway.Ready(), leaving)
@@ -236,8 +239,16 @@
 
 // publish gives the gateway what is in force.
 func (n *Node) publish() {
-	if n.table != nil {
-		n.gateway.Serve(n.table, n.upstream.Usable())
+	if n.table == nil {
+		return
+	}
+	first := !n.gateway.Ready()
+	n.gateway.Serve(n.table, n.upstream.Usable())
+	if first {
+		select {
+		case n.changed <- struct{}{}:
+		default: // upkeep is asked for already
+		}
 	}
 }
 
