Keep a copy of the store from bringing back what was deleted

The allowance of repeats goes from 0.7 to 0.6 of the fleet's: with views of the fleet that differ by a third the sum broke the bound (75 on 50 calls, bound 74).

--- a/gateway/work.go
+++ b/gateway/work.go
@@ -123,7 +123,7 @@
 // differ for a while don't break the bound.
 const (
 	shareUsed     = 0.92
-	allowanceUsed = 0.7
+	allowanceUsed = 0.6
 	// hedgePart is the part of the budget that hedges may use; the rest is
 	// kept for repeats of what failed.
 	hedgePart = 0.6
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -31,7 +31,7 @@
 type Mirror struct {
 	items    map[string]Item
 	revision int64
-	// floor is the newest revision whose deletions were forgotten.
+	// floor is the newest revision up to which deletions are not all known.
 	floor      int64
 	tombstones int
 }
@@ -50,16 +50,22 @@
 	if !d.Full && d.Base > m.revision {
 		return nil, false
 	}
+	before := m.revision
+	late := !d.Full || d.Revision < before
 	if d.Full {
 		changed = m.dropMissing(d)
 	}
+	if d.Full && !late {
+		// Keys that came and went since are not known by name.
+		m.floor = d.Revision
+	}
 	for _, it := range d.Items {
 		old, known := m.items[it.Key]
 		if known && old.Revision >= it.Revision {
 			continue
 		}
-		if it.Deleted && (!known || old.Deleted) && it.Revision <= m.floor {
-			continue
+		if late && it.Revision <= before {
+			continue // this copy is complete up to there: it is gone since
 		}
 		m.put(it)
 		changed = append(changed, it)
@@ -110,16 +116,27 @@
 	m.floor, m.tombstones = m.revision, 0
 }
 
-// Since returns what changed after a revision that another copy has.
+// Since returns what changed after a revision that another copy has, or all
+// items where it is too far behind.
 func (m *Mirror) Since(revision int64) Delta {
-	d := Delta{Base: revision, Full: revision < m.floor || revision == 0, Revision: m.revision}
+	if revision < m.floor || revision == 0 {
+		return m.all()
+	}
+	d := Delta{Base: revision, Revision: m.revision}
 	for _, it := range m.items {
-		if it.Revision > revision && !(d.Full && it.Deleted) {
+		if it.Revision > revision {
 			d.Items = append(d.Items, it)
 		}
 	}
-	if d.Full {
-		d.Base = 0
+	return d
+}
+
+func (m *Mirror) all() Delta {
+	d := Delta{Full: true, Revision: m.revision}
+	for _, it := range m.items {
+		if !it.Deleted {
+			d.Items = append(d.Items, it)
+		}
 	}
 	return d
 }
--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,129 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/catkinrouter/catkinrouter/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+var job = Job{Work: 100 * time.Millisecond, Fullness: NewFullness(), MeanPace: 2, FailureCost: 400 * time.Millisecond}
+
+func at(running, waiting int, pace float64) Candidate {
+	return Candidate{Slots: 6, Report: &Report{Running: running, Waiting: waiting, Slots: 6, Pace: pace}}
+}
+
+// More work ahead, a slower pace, a longer way or a cold start never make an
+// upstream look better.
+func TestDelayIsMonotonic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := at(rapid.IntRange(0, 8).Draw(t, "running"), rapid.IntRange(0, 20).Draw(t, "waiting"), rapid.Float64Range(0.5, 8).Draw(t, "pace"))
+		d := job.Delay(c)
+		more := c
+		r := *c.Report
+		switch rapid.IntRange(0, 5).Draw(t, "what") {
+		case 0:
+			r.Running++
+		case 1:
+			r.Waiting++
+		case 2:
+			r.Pace++
+		case 3:
+			more.SentSince++
+		case 4:
+			more.Cold = true
+		case 5:
+			more.Distance += time.Millisecond
+		}
+		more.Report = &r
+		if job.Delay(more) < d {
+			t.Fatalf("%+v takes %v, %+v takes %v", *c.Report, d, r, job.Delay(more))
+		}
+	})
+}
+
+func TestDelayOfKnownCases(t *testing.T) {
+	if d := job.Delay(at(0, 0, 1)); d != job.Work {
+		t.Errorf("idle: %v", d)
+	}
+	if d := job.Delay(at(0, 0, 5)); d != 5*job.Work {
+		t.Errorf("slow: %v", d)
+	}
+	if idle, full := job.Delay(at(0, 0, 1)), job.Delay(at(6, 6, 1)); full < 3*idle {
+		t.Errorf("a queue of a whole turn takes %v", full)
+	}
+	if d := job.Delay(Candidate{Slots: 6}); d <= job.Delay(at(6, 0, 1)) {
+		t.Errorf("a silent upstream takes %v", d)
+	}
+}
+
+// What fails is seen within a few requests, and forgotten within some seconds.
+func TestFailureRate(t *testing.T) {
+	var e Evidence
+	for range 4 {
+		e.Record(time.Second, true, 1)
+	}
+	if r := e.FailureRate(time.Second); r < 0.6 {
+		t.Errorf("after four failures %.2f", r)
+	}
+	if r := e.FailureRate(time.Second + 8*failureWindow); r > 0.05 {
+		t.Errorf("much later %.2f", r)
+	}
+}
+
+func TestFullnessLearns(t *testing.T) {
+	slow, same := NewFullness(), NewFullness()
+	for range 30 {
+		slow.Add(1, false)
+		slow.Add(1.7, true)
+		same.Add(1.1, false)
+		same.Add(1.1, true)
+	}
+	nearly := &Report{Running: 4, Slots: 6, Pace: 1}
+	if slow.Room(nearly, 0) || !slow.Room(nearly, -1) {
+		t.Errorf("with a factor of %.2f", slow.Factor())
+	}
+	if !same.Room(nearly, 0) || same.Room(nearly, 2) {
+		t.Errorf("with a factor of %.2f", same.Factor())
+	}
+}
+
+func TestCrowdedForAWhile(t *testing.T) {
+	var e Evidence
+	e.Reported(time.Second, &Report{Running: 6, Waiting: 6, Slots: 6}, 100*time.Millisecond)
+	if !e.Crowded(time.Second+50*time.Millisecond) || e.Crowded(time.Second+200*time.Millisecond) {
+		t.Error("a queue of a turn is crowded for about half of it")
+	}
+	e.Reported(time.Second, &Report{Running: 2, Slots: 6}, 100*time.Millisecond)
+	if e.Crowded(time.Second) {
+		t.Error("crowded with slots free")
+	}
+}
+
+// Near upstreams with an open connection come first, crowded ones last, and
+// those that fail lose their place.
+func TestOrder(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	about := []Prospect{
+		{Near: true, Open: true, FailureRate: 0.01},
+		{Near: true, Open: true, Crowded: true, FailureRate: 0.01},
+		{Near: true, Open: true, FailureRate: 0.9},
+		{FailureRate: 0.01},
+	}
+	first := make([]int, len(about))
+	for range 1000 {
+		got := Order(len(about), func(i int) Prospect { return about[i] }, rng)
+		if got[len(got)-1] != 1 {
+			t.Fatalf("crowded upstream not last: %v", got)
+		}
+		first[got[0]]++
+	}
+	if first[0] < 990 || first[2] > 5 {
+		t.Errorf("asked first: %v", first)
+	}
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,83 @@
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/catkinrouter/catkinrouter/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+func rng(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	part := []Part{{Service: "s", Weight: 1}}
+	doc := &Document{Version: 3, Rules: []Rule{
+		{Name: "all", Host: "Hunts.example", Prefix: "/", Parts: part},
+		{Name: "clues", Host: "hunts.example", Prefix: "/clues/", Parts: part},
+		{Name: "last", Host: "hunts.example", Prefix: "/clues/last/", Parts: part},
+		{Name: "other", Host: "other.example", Prefix: "/clues/", Parts: part},
+	}}
+	table := NewTable(doc, rng(1))
+	for _, c := range []struct{ host, path, want string }{
+		{"hunts.example", "/clues/last/1", "last"},
+		{"hunts.example", "/clues/last", "clues"},
+		{"hunts.example:8080", "/clues/1", "clues"},
+		{"HUNTS.example", "/cluesx/1", "all"},
+		{"other.example", "/clues/1", "other"},
+		{"other.example", "/", ""},
+		{"nobody.example", "/clues/1", ""},
+	} {
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s took route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// However many instances share a split's requests and however few each gets,
+// every part's share stays near its weight's.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 100), 2, 4).Draw(t, "weights")
+		instances := rapid.IntRange(1, 20).Draw(t, "instances")
+		each := rapid.IntRange(10, 60).Draw(t, "requests at each")
+		var parts []Part
+		total := 0
+		for i, w := range weights {
+			parts = append(parts, Part{Service: string(rune('a' + i)), Weight: w})
+			total += w
+		}
+		counts := map[string]int{}
+		for i := range instances {
+			r := newRoute(Rule{Parts: parts}, rng(uint64(i)))
+			before := map[string]int{}
+			for range each {
+				before[r.Next()]++
+			}
+			for _, p := range parts {
+				due := float64(each*p.Weight) / float64(total)
+				if d := math.Abs(float64(before[p.Service]) - due); d > float64(len(parts)) {
+					t.Fatalf("part %s of weight %d/%d got %d of %d requests", p.Service, p.Weight, total, before[p.Service], each)
+				}
+				counts[p.Service] += before[p.Service]
+			}
+		}
+		if instances*each < 200 {
+			return
+		}
+		for _, p := range parts {
+			share, due := float64(counts[p.Service])/float64(instances*each), float64(p.Weight)/float64(total)
+			if math.Abs(share-due) > 0.1 {
+				t.Fatalf("part %s has a share of %.2f, due %.2f", p.Service, share, due)
+			}
+		}
+	})
+}
