Test the adapter and whole instances against a stand-in that speaks the store's protocol

Three instances on loopback follow configurations, ignore older and malformed ones, stop using a draining upstream, serve on without the store and hand out the live ones.

--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,296 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/node"
+	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/standin"
+)
+
+const host = "hunts.example"
+
+// backend is an upstream as the platform's pages describe it.
+type backend struct {
+	id   string
+	addr string
+	mu   sync.Mutex
+	runs int
+}
+
+func (b *backend) ran() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs
+}
+
+func newBackend(t *testing.T, id string) *backend {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{id: id, addr: ln.Addr().String()}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Catkinrouter-Backend-Load", "0,0,6,100")
+		if r.URL.Path == "/health" {
+			w.Header().Set("X-Catkinrouter-Instance-Id", id)
+			return
+		}
+		if r.Header.Get("X-Catkinrouter-Expect-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		b.mu.Lock()
+		b.runs++
+		b.mu.Unlock()
+		w.Header().Set("X-Catkinrouter-Attempt-Id", r.Header.Get("X-Catkinrouter-Attempt-Id"))
+		w.Header().Set("X-Catkinrouter-Server-Stamp", id)
+		fmt.Fprint(w, id)
+	})}
+	go srv.Serve(ln)
+	t.Cleanup(func() { srv.Close() })
+	return b
+}
+
+// register writes the backend's entry into the store.
+func (b *backend) register(kv *standin.KV, service, state string, sequence int) {
+	kv.Put("servers/"+b.id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"otavalo","version":"v1","slots":6,"state":%q,"coldLeftMs":0,"sequence":%d,"born":1700000000000}`,
+		service, b.addr, state, sequence))
+}
+
+// configure writes a configuration whose one route goes to a service.
+func configure(kv *standin.KV, version int, path, service string) {
+	kv.Put("op/config", fmt.Appendf(nil, `{"version":%d,
+"routes":{"columns":["name","host","prefix","routeKind","timeoutMs","targetLatencyMs","priority","maxAttempts","service"],
+"rows":[["r",%q,%q,"unsafe",2000,1000,1,2,%q]]},
+"services":{"columns":["name","healthPath","maxConns"],"rows":[[%q,"/health",260]]},"limits":{}}`, version, host, path, service, service))
+}
+
+type site struct {
+	t    *testing.T
+	kv   *standin.KV
+	addr string
+	list []*running
+}
+
+// running is a Node in this process.
+type running struct {
+	set  node.Settings
+	stop context.CancelFunc
+	done chan error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func newSite(t *testing.T, nodes int) *site {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{t: t, kv: standin.NewKV(), addr: ln.Addr().String()}
+	srv := &fasthttp.Server{Handler: s.kv.Handle}
+	go srv.Serve(ln)
+	t.Cleanup(func() { ln.Close() })
+	seed := freeAddress(t)
+	for i := range nodes {
+		peer := seed
+		if i > 0 {
+			peer = freeAddress(t)
+		}
+		s.list = append(s.list, s.start(i, peer, seed))
+	}
+	t.Cleanup(func() {
+		for _, r := range s.list {
+			r.end(t)
+		}
+	})
+	return s
+}
+
+func (s *site) start(i int, peer, seed string) *running {
+	set := node.Settings{
+		ID: fmt.Sprintf("node-%d", i), DataCentre: "otavalo", Region: "sierra-norte",
+		DataAddress: freeAddress(s.t), ReadyAddress: freeAddress(s.t), LookupAddress: freeAddress(s.t), PeerAddress: peer,
+		Seeds: []string{seed}, StoreAddress: s.addr, StopLimit: 400 * time.Millisecond,
+		RetryShare: 0.2, RetryAllowance: 64, RetryWindow: 10 * time.Second, MaxLookupLife: 5 * time.Second, ProbesPerUpstream: 60,
+	}
+	if err := set.Check(); err != nil {
+		s.t.Fatal(err)
+	}
+	n := node.New(set, node.Adapter{
+		Keys: platform.Keys(), Store: platform.NewStore(s.addr), Dialect: platform.Dialect(),
+		DecodeDocument: platform.DecodeDocument, DecodeUpstream: platform.DecodeUpstream, UpstreamID: platform.UpstreamID,
+	}, log.NewNopLogger())
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{set: set, stop: stop, done: make(chan error, 1)}
+	go func() { r.done <- n.Run(ctx) }()
+	return r
+}
+
+func (r *running) end(t *testing.T) {
+	t.Helper()
+	r.stop()
+	if err := <-r.done; err != nil {
+		t.Errorf("%s ended with %v", r.set.ID, err)
+	}
+}
+
+// call returns the status and body of one request at a node; 0 where none came.
+func (r *running) call(path string) (int, string) {
+	c, err := net.Dial("tcp4", r.set.DataAddress)
+	if err != nil {
+		return 0, ""
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Catkinrouter-Attempt-Id: t-%s\r\nX-Catkinrouter-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n", path, host, path[1:])
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(b)
+}
+
+// everywhere waits until every node answers a path so; the test's own timeout
+// is the bound.
+func (s *site) everywhere(path string, status int, body string) {
+	s.t.Helper()
+	for _, r := range s.list {
+		for {
+			st, b := r.call(path)
+			if st == status && strings.TrimSpace(b) == body {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func TestServesWhatTheStoreHolds(t *testing.T) {
+	s := newSite(t, 3)
+	a, b := newBackend(t, "i-a"), newBackend(t, "i-b")
+	a.register(s.kv, "tienda", "ready", 1)
+	b.register(s.kv, "premios", "ready", 1)
+	s.everywhere("/x/1", 503, "no-configuration")
+	configure(s.kv, 3, "/x/", "tienda")
+	s.everywhere("/x/1", 200, "i-a")
+	configure(s.kv, 5, "/x/", "premios")
+	s.everywhere("/x/1", 200, "i-b")
+}
+
+// Neither an older version nor a document that can't be read replaces the one
+// in force, and a malformed entry of an upstream harms no other.
+func TestIgnoresWhatIsOlderOrMalformed(t *testing.T) {
+	s := newSite(t, 2)
+	a := newBackend(t, "i-a")
+	a.register(s.kv, "tienda", "ready", 1)
+	configure(s.kv, 7, "/x/", "tienda")
+	s.everywhere("/x/1", 200, "i-a")
+	configure(s.kv, 6, "/old/", "tienda")
+	s.kv.Put("op/config", []byte(`{"version":9,"routes":`))
+	s.kv.Put("servers/i-bad", []byte(`{"service":"tienda","address":7}`))
+	s.kv.Put("servers/i-worse", []byte{0, 1, 2})
+	newBackend(t, "i-c").register(s.kv, "other", "ready", 1)
+	configure(s.kv, 11, "/y/", "tienda")
+	s.everywhere("/y/1", 200, "i-a")
+	s.everywhere("/old/1", 404, "no-route")
+}
+
+// An upstream that drains gets nothing new once a node knows it, also where
+// the store refuses some of the nodes.
+func TestDrain(t *testing.T) {
+	s := newSite(t, 3)
+	a, b := newBackend(t, "i-a"), newBackend(t, "i-b")
+	a.register(s.kv, "tienda", "ready", 1)
+	configure(s.kv, 1, "/x/", "tienda")
+	s.everywhere("/x/1", 200, "i-a")
+	s.kv.DropHistory()
+	a.register(s.kv, "tienda", "draining", 2)
+	b.register(s.kv, "tienda", "ready", 1)
+	s.everywhere("/x/1", 200, "i-b")
+	before := a.ran()
+	for _, r := range s.list {
+		for range 10 {
+			r.call("/x/1")
+		}
+	}
+	if n := a.ran() - before; n > 0 {
+		t.Errorf("%d requests reached an upstream that drains", n)
+	}
+}
+
+// Nodes serve on while the store is away, and follow it once it is back.
+func TestStoreAway(t *testing.T) {
+	s := newSite(t, 2)
+	a, b := newBackend(t, "i-a"), newBackend(t, "i-b")
+	a.register(s.kv, "tienda", "ready", 1)
+	configure(s.kv, 1, "/x/", "tienda")
+	s.everywhere("/x/1", 200, "i-a")
+	s.kv.SetFaults(standin.KVFaults{Status: 503})
+	for range 20 {
+		s.everywhere("/x/1", 200, "i-a")
+	}
+	b.register(s.kv, "premios", "ready", 1)
+	configure(s.kv, 2, "/x/", "premios")
+	s.kv.SetFaults(standin.KVFaults{})
+	s.everywhere("/x/1", 200, "i-b")
+}
+
+// Lookups name every live node, and no longer the one that leaves.
+func TestLookupFollowsTheFleet(t *testing.T) {
+	s := newSite(t, 3)
+	configure(s.kv, 1, "/x/", "tienda")
+	lookup := func(r *running) (out []string) {
+		resp, err := http.Get("http://" + r.set.LookupAddress + "/v1/resolve?name=" + host + "&zone=otavalo")
+		if err != nil {
+			return nil
+		}
+		defer resp.Body.Close()
+		var a struct {
+			Addresses []string `json:"addresses"`
+		}
+		if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+			return nil
+		}
+		return a.Addresses
+	}
+	for _, r := range s.list {
+		for len(lookup(r)) != len(s.list) {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	s.list[2].end(t)
+	s.list = s.list[:2]
+	for _, r := range s.list {
+		for len(lookup(r)) != len(s.list) {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
