Tell one request's story from logs; reload settings; serve metrics as text

SIGHUP takes seeds, budgets and lifetimes anew and names what waits for a restart. Metrics are in the text format, on a port of the command line. The first hub writes where the hubs are into the store, so that an instance whose seeds are gone finds the others (TestSeedsGone failed before: each stayed alone).

--- a/cmd/catkin-node/main.go
+++ b/cmd/catkin-node/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/go-kit/log"
@@ -23,7 +24,10 @@
 	"github.com/catkinrouter/catkinrouter/platform"
 )
 
-const name = "catkin-node"
+const (
+	name    = "catkin-node"
+	maxPort = 1<<16 - 1
+)
 
 func main() {
 	// Signals are taken before anything else: the platform may send one as
@@ -41,6 +45,7 @@
 	check := fs.Bool("check", false, "check the settings and exit")
 	showVersion := fs.Bool("version", false, "print the version and exit")
 	minLevel := fs.String("log", "info", "least level of the log: debug, info, warn or error")
+	metricsPort := fs.Int("metrics-port", 0, "port of the metrics on the instance's own IP address; 0 takes the second internal port")
 	fs.Usage = func() {
 		fmt.Fprintf(stderr, "%s: one instance on a platform; the variable %s names the platform's settings file\n\n", name, platform.SettingsVariable)
 		fs.PrintDefaults()
@@ -54,11 +59,18 @@
 		fmt.Fprintln(stdout, name, version.Version)
 		return daemon.ExitOK
 	}
+	if fs.NArg() > 0 || *metricsPort < 0 || *metricsPort > maxPort {
+		fmt.Fprintf(stderr, "%s: unexpected argument or port: see -h\n", name)
+		return daemon.ExitUsage
+	}
 	set, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return daemon.ExitUsage
 	}
+	if *metricsPort > 0 {
+		set.MetricsAddress = set.WithPort(*metricsPort)
+	}
 	if *check {
 		fmt.Fprintf(stdout, "%s: the settings are valid\n", name)
 		return daemon.ExitOK
@@ -85,7 +97,7 @@
 		Keys: platform.Keys(), Store: platform.NewStore(set.StoreAddress), Dialect: platform.Dialect(),
 		DecodeDocument: platform.DecodeDocument, DecodeUpstream: platform.DecodeUpstream, UpstreamID: platform.UpstreamID,
 	}, logs.For(l, "node"))
-	go reloads(l, reload)
+	go reloads(n, logs.For(l, "node"), reload)
 	if err := n.Run(ctx); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return daemon.ExitFault
@@ -93,13 +105,16 @@
 	return daemon.ExitOK
 }
 
-// reloads checks the settings file at each SIGHUP. What an instance takes from
-// it holds for the life of its process, so a change is only logged.
-func reloads(l log.Logger, signals <-chan os.Signal) {
+// reloads takes the settings file anew at each SIGHUP. One that can't be read
+// changes nothing.
+func reloads(n *node.Node, l log.Logger, signals <-chan os.Signal) {
 	for range signals {
-		_, err := platform.LoadSettings()
-		if err := level.Info(l).Log("msg", "reload", "part", "node", "valid", err == nil, "err", err); err != nil {
-			continue // the log has closed
+		set, err := platform.LoadSettings()
+		if err != nil {
+			level.Warn(l).Log("msg", "reload", "outcome", "settings kept", "err", err)
+			continue
 		}
+		ignored := n.Reload(set)
+		level.Info(l).Log("msg", "reload", "outcome", "settings taken", "until_restart", strings.Join(ignored, ","))
 	}
 }
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -43,6 +43,9 @@
   history               show the newest commits
   diff FROM [TO]        show what changed between two revisions
   status                show instances, upstreams, shares and counters
+  explain REQUEST [FILE...]
+                        tell one request's story from instances' logs, or from
+                        standard input
 
 exit codes: 0 done, 1 fault, 2 wrong usage, 3 refused (stale or unknown plan),
   4 faults in the document, 5 unavailable, nothing put in force by this call,
@@ -96,15 +99,15 @@
 func (c *command) run(name string, args []string) error {
 	commands := map[string]func([]string) error{
 		"plan": c.plan, "add": c.add, "confirm": c.confirm, "show": c.show,
-		"history": c.history, "diff": c.diff, "status": c.status,
+		"history": c.history, "diff": c.diff, "status": c.status, "explain": c.explain,
 		"drain": c.intent("drain"), "undrain": c.intent("undrain"), "remove": c.intent("remove"),
 	}
 	f := commands[name]
 	switch {
 	case name == "":
-		return usageError("no command: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status; -h shows more")
+		return usageError("no command: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain; -h shows more")
 	case f == nil:
-		return usageError(fmt.Sprintf("unknown command %q: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status", name))
+		return usageError(fmt.Sprintf("unknown command %q: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain", name))
 	}
 	return f(args[1:])
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,8 @@
 	// Watch waits for changes after a revision; the kind store.NotFound
 	// says that this history is gone.
 	Watch(ctx context.Context, after int64, wait time.Duration) (mirror.Delta, error)
+	// Write writes a key if its revision is the one expected.
+	Write(ctx context.Context, key string, value []byte, expect int64) error
 }
 
 // Listener takes what the fleet learned. Its methods are called one at a
@@ -48,6 +50,9 @@
 type Options struct {
 	Self  Info
 	Seeds []string
+	// HubsKey is the store's key that tells where the hubs are, for
+	// instances whose seeds are gone.
+	HubsKey string
 	// Now is the clock of the process: the time since its start.
 	Now func() time.Duration
 	Log log.Logger
@@ -72,6 +77,8 @@
 	syncing map[string]bool
 	shown   uint64 // version of the list that the Listener has
 	hubs    string
+	// listed is what the store's key of the hubs says.
+	listed hubList
 
 	conn   *net.UDPConn
 	wake   chan struct{}
@@ -121,6 +128,13 @@
 	return g.Wait()
 }
 
+// Seed adds addresses at which instances may be.
+func (f *Fleet) Seed(addresses []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.Seed(addresses)
+}
+
 // SetState takes this instance's state and tells the hubs at once.
 func (f *Fleet) SetState(ready, leaving bool) {
 	f.mu.Lock()
@@ -167,6 +181,7 @@
 		f.listen.StoreReturned(now)
 	}
 	if len(changed) > 0 {
+		f.takeHubs(changed)
 		f.listen.Items(now, changed, source)
 		f.push()
 	}
@@ -437,8 +452,9 @@
 		d, err = f.source.Watch(ctx, after, wait)
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.readDone(now, rank, what, d, err)
+	f.mu.Unlock()
+	f.listHubs(ctx)
 	return 0
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,14 +30,19 @@
 	DataAddress   string
 	ReadyAddress  string
 	LookupAddress string
-	Budget        BudgetOptions
+	Limits        Limits
+	Now           func() time.Duration
+	Seed          uint64
+}
+
+// Limits are the settings that may change while a Gateway runs.
+type Limits struct {
+	Budget BudgetOptions
 	// ProbesPerUpstream bounds the health requests of all instances to one
 	// upstream, a second.
 	ProbesPerUpstream float64
 	// MaxLookupLife bounds the lifetime of lookup answers.
 	MaxLookupLife time.Duration
-	Now           func() time.Duration
-	Seed          uint64
 }
 
 // Gateway is the data path of one instance.
@@ -59,6 +64,8 @@
 	phase   atomic.Uint32
 	flying  atomic.Int64
 	live    atomic.Int64
+	// lookupLife is the lifetime of lookup answers, in nanoseconds.
+	lookupLife atomic.Int64
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -79,10 +86,12 @@
 // New returns a Gateway without a configuration: it refuses requests.
 func New(opt Options, d Dialect, l log.Logger, r gometrics.Registry) *Gateway {
 	m := newCounters(r)
-	return &Gateway{
+	g := &Gateway{
 		opt: opt, d: d, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
-		budgets: newBudgets(opt.Budget), probes: newProbeBudget(opt.ProbesPerUpstream), handoff: newHandoff(), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
+		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), handoff: newHandoff(), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
+	g.SetLimits(opt.Limits)
+	return g
 }
 
 // Serve puts a table of routes and the upstreams in force.
@@ -104,6 +113,13 @@
 	g.probes.size(0, live)
 }
 
+// SetLimits puts other limits in force.
+func (g *Gateway) SetLimits(l Limits) {
+	g.lookupLife.Store(int64(min(lookupLife, l.MaxLookupLife)))
+	g.budgets.set(l.Budget)
+	g.probes.set(l.ProbesPerUpstream)
+}
+
 // Ready tells whether requests can be served.
 func (g *Gateway) Ready() bool { return g.state.Load() != nil && g.phase.Load() == serving }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -48,7 +48,6 @@
 	upstream *discovery.Upstream
 	report   *pick.Report // nil where it did not answer
 	conn     *conn        // to be used or given back
-	resp     *fasthttp.Response
 	mark     int
 	err      error
 }
@@ -254,7 +253,7 @@
 func (g *Gateway) better(best choice, job pick.Job, answers []answer) choice {
 	now := g.now()
 	for _, a := range answers {
-		cand := pick.Candidate{Report: a.report, Slots: a.upstream.Slots, Cold: now < a.upstream.ColdUntil}
+		cand := pick.Candidate{Report: a.report, Cold: now < a.upstream.ColdUntil}
 		g.ev.with(a.upstream, func(ev *pick.Evidence) {
 			cand.FailureRate, cand.SentSince = ev.FailureRate(now), ev.Since(a.mark)
 			if a.report != nil {
--- a/gateway/probebudget.go
+++ b/gateway/probebudget.go
@@ -42,6 +42,13 @@
 	return &probeBudget{perUpstream: perUpstream, instances: 1, upstreams: 1, saved: startBurst}
 }
 
+// set changes the operators' bound.
+func (b *probeBudget) set(perUpstream float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.perUpstream = perUpstream
+}
+
 // size takes the numbers of upstreams and of instances; 0 leaves one as it is.
 func (b *probeBudget) size(upstreams, instances int) {
 	b.mu.Lock()
--- a/gateway/side.go
+++ b/gateway/side.go
@@ -57,7 +57,7 @@
 		}
 		return
 	}
-	body, err := json.Marshal(lookupAnswer{Addresses: addresses, Life: min(lookupLife, g.opt.MaxLookupLife).Seconds()})
+	body, err := json.Marshal(lookupAnswer{Addresses: addresses, Life: time.Duration(g.lookupLife.Load()).Seconds()})
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
--- a/gateway/testsite_test.go
+++ b/gateway/testsite_test.go
@@ -145,8 +145,10 @@
 	began := time.Now()
 	g := New(Options{
 		DataCentre: "otavalo", DataAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", LookupAddress: "127.0.0.1:0",
-		Budget:            BudgetOptions{Share: 1, Allowance: 100, Window: 10 * time.Second},
-		ProbesPerUpstream: 1000, MaxLookupLife: 5 * time.Second,
+		Limits: Limits{
+			Budget:            BudgetOptions{Share: 1, Allowance: 100, Window: 10 * time.Second},
+			ProbesPerUpstream: 1000, MaxLookupLife: 5 * time.Second,
+		},
 		Now: func() time.Duration { return time.Since(began) + time.Minute }, Seed: 1,
 	}, testDialect(), log.NewNopLogger(), gometrics.NewRegistry())
 	lns, err := g.listen()
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -133,6 +133,15 @@
 	return &budgets{opt: opt, rows: map[string]*attempt.Window{}}
 }
 
+// set changes the bounds; counting begins anew where they differ.
+func (b *budgets) set(opt BudgetOptions) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if opt != b.opt {
+		b.opt, b.rows = opt, map[string]*attempt.Window{}
+	}
+}
+
 // fleet divides the allowance among n instances. A process that has just
 // started takes none: the one before it in its place may have used it.
 func (b *budgets) fleet(now time.Duration, n int) {
--- a/node/node.go
+++ b/node/node.go
@@ -70,15 +70,14 @@
 	}
 	n.gateway = gateway.New(gateway.Options{
 		DataCentre: set.DataCentre, DataAddress: set.DataAddress, ReadyAddress: set.ReadyAddress, LookupAddress: set.LookupAddress,
-		Budget:            gateway.BudgetOptions{Share: set.RetryShare, Allowance: set.RetryAllowance, Window: set.RetryWindow},
-		ProbesPerUpstream: set.ProbesPerUpstream, MaxLookupLife: set.MaxLookupLife, Now: n.now, Seed: seed,
+		Limits: limits(set), Now: n.now, Seed: seed,
 	}, a.Dialect, logs.For(l, "gateway"), n.registry)
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Info{
 			Address: set.PeerAddress, DataAddress: set.DataAddress, DataCentre: set.DataCentre, Region: set.Region,
 			Incarnation: uint64(n.started.UnixMilli()),
 		},
-		Seeds: set.Seeds, Now: n.now, Log: logs.For(l, "fleet"),
+		Seeds: set.Seeds, HubsKey: a.Keys.Hubs, Now: n.now, Log: logs.For(l, "fleet"),
 		StoreCall: func(outcome string) {
 			gometrics.GetOrRegisterCounter("store_calls_total."+outcome, n.registry).Inc(1)
 		},
@@ -102,6 +101,11 @@
 	return s.a.Store.Watch(ctx, everything, after, wait)
 }
 
+// Write implements fleet.Source.
+func (s source) Write(ctx context.Context, key string, value []byte, expect int64) error {
+	return s.a.Store.Write(ctx, key, value, expect)
+}
+
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
 // Run serves until ctx ends, then stops in order.
@@ -125,7 +129,7 @@
 		}
 		g.Go(func() error { <-live.Done(); return ln.Close() })
 		g.Go(func() error {
-			if err := metrics.Serve(ln, n.registry); live.Err() == nil {
+			if err := metrics.ServeText(ln, n.registry); live.Err() == nil {
 				return err
 			}
 			return nil
@@ -136,6 +140,34 @@
 	return err
 }
 
+// Reload takes changed settings: seeds, budgets and lifetimes. Addresses and
+// names hold for the life of the process; changes of those are returned.
+func (n *Node) Reload(set Settings) (ignored []string) {
+	for _, f := range []struct{ name, now, next string }{
+		{"data address", n.set.DataAddress, set.DataAddress},
+		{"ready address", n.set.ReadyAddress, set.ReadyAddress},
+		{"lookup address", n.set.LookupAddress, set.LookupAddress},
+		{"peer address", n.set.PeerAddress, set.PeerAddress},
+		{"store address", n.set.StoreAddress, set.StoreAddress},
+		{"data centre", n.set.DataCentre, set.DataCentre},
+	} {
+		if f.now != f.next {
+			ignored = append(ignored, f.name)
+		}
+	}
+	n.fleet.Seed(set.Seeds)
+	n.gateway.SetLimits(limits(set))
+	return ignored
+}
+
+// limits are the settings of the gateway that may change.
+func limits(set Settings) gateway.Limits {
+	return gateway.Limits{
+		Budget:            gateway.BudgetOptions{Share: set.RetryShare, Allowance: set.RetryAllowance, Window: set.RetryWindow},
+		ProbesPerUpstream: set.ProbesPerUpstream, MaxLookupLife: set.MaxLookupLife,
+	}
+}
+
 // upkeepInterval is the time between two looks at what changes by time alone.
 const upkeepInterval = 250 * time.Millisecond
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -5,6 +5,8 @@
 import (
 	"errors"
 	"fmt"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/settings"
@@ -64,6 +66,15 @@
 	return errors.Join(errs...)
 }
 
+// WithPort returns the instance's own IP address with another port.
+func (s *Settings) WithPort(port int) string {
+	host, _, err := net.SplitHostPort(s.PeerAddress)
+	if err != nil {
+		return "" // Check refuses such settings
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
 // Keys names the store's keys that an instance follows.
 type Keys struct {
 	// Configuration holds the operators' newest document.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -196,8 +196,6 @@
 type Candidate struct {
 	// Report is nil where the upstream did not answer.
 	Report *Report
-	// Slots is taken where there is no report.
-	Slots int
 	// SentSince counts own requests that the report can't know of.
 	SentSince   int
 	Cold        bool
@@ -226,10 +224,10 @@
 // Delay estimates the time that the job takes at the candidate: its own work
 // at the pace of now, after that of those before it.
 func (j Job) Delay(c Candidate) time.Duration {
-	pace, wait, slots := silentPace, 0.0, max(1, c.Slots)
+	pace, wait := silentPace, 0.0
 	if r := c.Report; r != nil {
-		pace, slots = r.Pace, max(1, r.Slots)
-		full := 1.0
+		pace = r.Pace
+		slots, full := max(1, r.Slots), 1.0
 		if r.NearlyFull(c.SentSince) {
 			full = j.Fullness.Factor()
 		}
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -43,18 +43,18 @@
 
 // KV is a key-value store that speaks the published protocol over HTTP.
 type KV struct {
-	mu      sync.Mutex
-	items   map[string]kvItem
-	log     []kvItem
-	rev     int64
-	lost    int64 // history up to this revision is gone
-	leases  map[int64]kvLease
-	faults  KVFaults
+	mu     sync.Mutex
+	items  map[string]kvItem
+	log    []kvItem
+	rev    int64
+	lost   int64 // history up to this revision is gone
+	leases map[int64]kvLease
+	faults KVFaults
 	// switched counts the changes of faults.
 	switched int
-	changed chan struct{}
-	calls   int
-	page    int
+	changed  chan struct{}
+	calls    int
+	page     int
 }
 
 type kvItem struct {
