--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -58,6 +58,34 @@
 	return b, binary.Read(bytes.NewReader(p), binary.BigEndian, &b)
 }
 
+// Warning is an instance's word that an upstream failed a request, so that the
+// others need not find out by requests of their own.
+type Warning struct {
+	Format uint8
+	// Upstream is the hash of the upstream's ID.
+	Upstream uint64
+	// Weight is what the failure counts, in hundredths of a request.
+	Weight uint8
+}
+
+// warningFormat changes with the layout of a Warning.
+const warningFormat = 101
+
+func (w Warning) encode() []byte {
+	var out bytes.Buffer
+	// Writing fixed-size fields into memory can't fail.
+	_ = binary.Write(&out, binary.BigEndian, w)
+	return out.Bytes()
+}
+
+// decodeWarning returns false where p is no Warning.
+func decodeWarning(p []byte) (w Warning, ok bool) {
+	if len(p) != binary.Size(w) || p[0] != warningFormat {
+		return w, false
+	}
+	return w, binary.Read(bytes.NewReader(p), binary.BigEndian, &w) == nil
+}
+
 func ageMillis(age time.Duration) uint32 {
 	return uint32(min(max(0, age.Milliseconds()), int64(noAge)-1))
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"net/rpc"
 	"slices"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/catkinrouter/catkinrouter/mirror"
 	"github.com/catkinrouter/catkinrouter/store"
@@ -44,6 +46,8 @@
 	StoreReturned(now time.Duration)
 	// Members takes the live instances.
 	Members(now time.Duration, live []Member)
+	// Warned takes another instance's warning.
+	Warned(now time.Duration, w Warning)
 }
 
 // Options are a Fleet's fixed settings.
@@ -80,6 +84,8 @@
 	// listed is what the store's key of the hubs says.
 	listed hubList
 
+	warnings *rate.Limiter
+
 	conn   *net.UDPConn
 	wake   chan struct{}
 	syncCh chan string
@@ -94,7 +100,8 @@
 	return &Fleet{
 		opt: opt, source: source, listen: listen,
 		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(),
-		knows: map[string]uint64{}, syncing: map[string]bool{},
+		warnings: rate.NewLimiter(warningsPerSecond, warningsPerSecond),
+		knows:    map[string]uint64{}, syncing: map[string]bool{},
 		wake: make(chan struct{}, 1), syncCh: make(chan string, syncRing),
 	}
 }
@@ -259,18 +266,43 @@
 	}
 }
 
+// warningsPerSecond bounds the warnings that this instance sends.
+const warningsPerSecond = 40
+
+// Warn tells the other instances of a failure at an upstream. Those beyond the
+// bound are left out: the upstream is known by then.
+func (f *Fleet) Warn(w Warning) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opt.Now()
+	if f.conn == nil || !f.warnings.AllowN(time.Unix(0, int64(now)), 1) {
+		return
+	}
+	w.Format = warningFormat
+	p := w.encode()
+	for _, m := range f.table.Live() {
+		if m.Address != f.opt.Self.Address {
+			f.write(m.Address, p)
+		}
+	}
+}
+
 // send sends one beat. A lost one is made up for by the next.
 func (f *Fleet) send(to string, flags uint8) {
-	if f.conn == nil {
-		return
+	if f.conn != nil {
+		f.write(to, f.own(flags).encode())
 	}
-	addr, err := net.ResolveUDPAddr("udp4", to)
+}
+
+// write sends a datagram.
+func (f *Fleet) write(to string, p []byte) {
+	addr, err := netip.ParseAddrPort(to)
 	if err != nil {
 		level.Warn(f.opt.Log).Log("msg", "peer address can't be read", "address", to, "err", err)
 		return
 	}
-	if _, err := f.conn.WriteToUDP(f.own(flags).encode(), addr); err != nil && !errors.Is(err, net.ErrClosed) {
-		level.Debug(f.opt.Log).Log("msg", "beat not sent", "to", to, "err", err)
+	if _, err := f.conn.WriteToUDPAddrPort(p, addr); err != nil && !errors.Is(err, net.ErrClosed) {
+		level.Debug(f.opt.Log).Log("msg", "datagram not sent", "to", to, "err", err)
 	}
 }
 
@@ -308,6 +340,10 @@
 		if err != nil {
 			continue // the error of an earlier datagram's target
 		}
+		if w, ok := decodeWarning(buf[:n]); ok {
+			f.listen.Warned(f.opt.Now(), w)
+			continue
+		}
 		b, err := decodeBeat(buf[:n])
 		if err != nil {
 			level.Warn(f.opt.Log).Log("msg", "datagram ignored", "from", from, "err", err)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -125,6 +125,7 @@
 	values   map[string]string
 	live     int
 	returned int
+	warned   []Warning
 }
 
 func (l *learned) Items(_ time.Duration, items []mirror.Item, _ string) {
@@ -147,6 +148,12 @@
 	l.live = len(live)
 }
 
+func (l *learned) Warned(_ time.Duration, w Warning) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.warned = append(l.warned, w)
+}
+
 func (l *learned) value(key string) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -297,6 +304,34 @@
 	}
 }
 
+// A warning reaches the other instances, and a flood of them is bounded.
+func TestWarn(t *testing.T) {
+	s := newFakeStore()
+	a, b := freeAddress(t), freeAddress(t)
+	list := []*instance{start(t, s, a, a), start(t, s, b, a)}
+	eventually(t, all(list, func(in *instance) bool {
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		return in.live == 2
+	}))
+	for range 10 * warningsPerSecond {
+		list[0].f.Warn(Warning{Upstream: 7, Weight: 50})
+	}
+	eventually(t, func() bool {
+		list[1].mu.Lock()
+		defer list[1].mu.Unlock()
+		return len(list[1].warned) > 0 && list[1].warned[0].Upstream == 7
+	})
+	list[1].mu.Lock()
+	if n := len(list[1].warned); n > 5*warningsPerSecond {
+		t.Errorf("%d warnings sent at once", n)
+	}
+	list[1].mu.Unlock()
+	for _, in := range list {
+		in.end(t)
+	}
+}
+
 // Peers that send nonsense, to either port, harm nothing.
 func TestMalformedPeers(t *testing.T) {
 	s := newFakeStore()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
@@ -67,6 +68,9 @@
 	// lookupLife is the lifetime of lookup answers, in nanoseconds.
 	lookupLife atomic.Int64
 
+	// onFailure tells the other instances of an upstream's failure.
+	onFailure func(key uint64, weight float64)
+
 	rngMu sync.Mutex
 	rng   *rand.Rand
 }
@@ -75,6 +79,7 @@
 type State struct {
 	table     *route.Table
 	upstreams map[string][]*discovery.Upstream
+	byKey     map[uint64]*discovery.Upstream
 }
 
 // Instance is an instance of the fleet that callers may use.
@@ -87,7 +92,7 @@
 func New(opt Options, d Dialect, l log.Logger, r gometrics.Registry) *Gateway {
 	m := newCounters(r)
 	g := &Gateway{
-		opt: opt, d: d, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
+		opt: opt, d: d, onFailure: func(uint64, float64) {}, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
 		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), handoff: newHandoff(), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
 	g.SetLimits(opt.Limits)
@@ -96,15 +101,40 @@
 
 // Serve puts a table of routes and the upstreams in force.
 func (g *Gateway) Serve(t *route.Table, upstreams map[string][]*discovery.Upstream) {
-	g.state.Store(&State{table: t, upstreams: upstreams})
-	g.ev.keep(upstreams)
-	n := 0
+	st := &State{table: t, upstreams: upstreams, byKey: map[uint64]*discovery.Upstream{}}
 	for _, l := range upstreams {
-		n += len(l)
+		for _, u := range l {
+			st.byKey[keyOf(u)] = u
+		}
+	}
+	g.state.Store(st)
+	g.ev.keep(upstreams)
+	g.probes.size(len(st.byKey), 0)
+}
+
+// keyOf stands for an upstream in messages between instances.
+func keyOf(u *discovery.Upstream) uint64 { return xxhash.Sum64String(u.ID) }
+
+// OnFailure sets what tells the other instances of an upstream's failure, with
+// its weight as part of a request. It must be called before Run.
+func (g *Gateway) OnFailure(tell func(key uint64, weight float64)) { g.onFailure = tell }
+
+// Warned takes another instance's word that an upstream failed.
+func (g *Gateway) Warned(key uint64, weight float64) {
+	st := g.state.Load()
+	if st == nil {
+		return
+	}
+	if u := st.byKey[key]; u != nil {
+		g.m.warnings.Inc(1)
+		g.ev.record(g.now(), u, true, warnedShare*weight)
 	}
-	g.probes.size(n, 0)
 }
 
+// warnedShare is what another instance's failure counts beside an own one: the
+// others' successes at the upstream are not told.
+const warnedShare = 0.5
+
 // Fleet takes the instances that callers may use, and how many live.
 func (g *Gateway) Fleet(usable []Instance, live int) {
 	g.fleet.Store(&usable)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 	hedges       gometrics.Counter
 	handoffs     gometrics.Counter
 	lookups      gometrics.Counter
+	warnings     gometrics.Counter
 	logFailures  gometrics.Counter
 	latency      gometrics.Histogram
 }
@@ -26,7 +27,7 @@
 	c := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter(name, r) }
 	m := &counters{
 		r: r, opened: c("upstream_connections_opened_total"), probes: c("probes_total"), probesFailed: c("probes_failed_total"),
-		strayReplies: c("stray_replies_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"),
+		strayReplies: c("stray_replies_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
 		logFailures: c("log_failures_total"), latency: metrics.NewHistogram(),
 	}
 	r.GetOrRegister("request_duration_us", m.latency)
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -164,11 +164,18 @@
 	}
 	g.ev.record(now, t.upstream, failed, weight)
 	if failed {
+		if t.outcome != notRun && !t.late(c) {
+			g.onFailure(keyOf(t.upstream), weight)
+		}
 		c.log("attempt failed", "upstream", t.upstream.ID, "outcome", t.outcome.String(), "status", status,
 			"took", t.took, "err", t.err)
 	}
 }
 
+// late tells whether the attempt failed since it took too long, which says
+// less about the upstream than about the request.
+func (t *try) late(c *call) bool { return t.took >= (c.deadline-t.began)*9/10 }
+
 // learn takes the time that an attempt took, less the upstream's pace.
 func (g *Gateway) learn(c *call, t *try) {
 	r := t.report
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,9 @@
 		DataCentre: set.DataCentre, DataAddress: set.DataAddress, ReadyAddress: set.ReadyAddress, LookupAddress: set.LookupAddress,
 		Limits: limits(set), Now: n.now, Seed: seed,
 	}, a.Dialect, logs.For(l, "gateway"), n.registry)
+	n.gateway.OnFailure(func(key uint64, weight float64) {
+		n.fleet.Warn(fleet.Warning{Upstream: key, Weight: uint8(min(weight, 1) * hundredth)})
+	})
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Info{
 			Address: set.PeerAddress, DataAddress: set.DataAddress, DataCentre: set.DataCentre, Region: set.Region,
@@ -291,6 +294,14 @@
 	n.upstream.StoreReturned(now)
 }
 
+// hundredth is the unit of a warning's weight, as part of a request.
+const hundredth = 100
+
+// Warned implements fleet.Listener.
+func (n *Node) Warned(_ time.Duration, w fleet.Warning) {
+	n.gateway.Warned(w.Upstream, float64(w.Weight)/hundredth)
+}
+
 // Members implements fleet.Listener.
 func (n *Node) Members(_ time.Duration, live []fleet.Member) {
 	var usable []gateway.Instance
