--- a/gateway/handoff.go
+++ b/gateway/handoff.go
@@ -62,7 +62,7 @@
 	closes := t.resp.ConnectionClose()
 	if err == nil {
 		g.ev.with(t.upstream, func(ev *pick.Evidence) { ev.Reported(g.now(), &r, g.job(c).Turn()) })
-		free := g.work.full(c.service.Name).Room(&r, 0) && r.Pace <= pick.GoodEnough && !closes
+		free := g.work.full(c.service.Name).Room(g.now(), &r, 0) && r.Pace <= pick.GoodEnough && !closes
 		sound := t.resp.StatusCode() < fasthttp.StatusInternalServerError
 		next := choice{answer: answer{upstream: t.upstream, report: &r, conn: cn}, delay: g.work.of(c.route.Name), known: 1}
 		if free && sound && g.handoff.give(c.service.Name, next) {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -175,7 +175,7 @@
 // room tells whether the chosen upstream works on the call without delay to it
 // or to others.
 func (c *call) room(ch *choice) bool {
-	return ch.report != nil && c.g.work.full(c.service.Name).Room(ch.report, ch.since)
+	return ch.report != nil && c.g.work.full(c.service.Name).Room(c.g.now(), ch.report, ch.since)
 }
 
 // giveBack returns the connection of a choice that is not used.
@@ -243,7 +243,7 @@
 
 func (g *Gateway) job(c *call) pick.Job {
 	return pick.Job{
-		Work: g.work.of(c.route.Name), Fullness: g.work.full(c.service.Name), MeanPace: g.work.pace(c.service.Name),
+		Work: g.work.of(c.route.Name), FullFactor: g.work.full(c.service.Name).Factor(g.now()), MeanPace: g.work.pace(c.service.Name),
 		FailureCost: c.failureCost(),
 	}
 }
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -184,7 +184,7 @@
 	}
 	took := time.Duration(float64(t.took) / max(1, r.Pace))
 	ratio := float64(took) / float64(g.work.of(c.route.Name))
-	g.work.changeFull(c.service.Name, func(f *pick.Fullness) { f.Add(ratio, r.NearlyFull(t.since)) })
+	g.work.changeFull(c.service.Name, func(f *pick.Fullness) { f.Add(g.now(), ratio, r.NearlyFull(t.since)) })
 	if !r.NearlyFull(t.since) {
 		g.work.add(c.route.Name, took)
 	}
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -53,7 +53,7 @@
 	if f := w.fullness[service]; f != nil {
 		return *f
 	}
-	return pick.NewFullness()
+	return pick.Fullness{}
 }
 
 // changeFull changes the fullness of a service.
@@ -62,8 +62,7 @@
 	defer w.mu.Unlock()
 	f := w.fullness[service]
 	if f == nil {
-		first := pick.NewFullness()
-		f = &first
+		f = new(pick.Fullness)
 		w.fullness[service] = f
 	}
 	change(f)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -36,10 +36,14 @@
 	fullFrom = 0.8
 	// slowWhenFull is the factor from which room ends at fullFrom.
 	slowWhenFull = 1.35
-	// fullnessStep is the weight of one request in a Fullness, whose
-	// requests count between fullnessLeast and fullnessMost.
-	fullnessStep  = 0.05
-	fullnessLeast = 0.5
+	// Requests count between fullnessLeast and fullnessMost in a Fullness,
+	// beside priorWeight requests that are as fast as expected; the last
+	// fullnessWeight requests count most.
+	fullnessLeast  = 0.5
+	priorWeight    = 2.0
+	fullnessWeight = 20.0
+	// fullnessWindow is the time after which half of it is forgotten.
+	fullnessWindow = 8 * time.Second
 	// shareStep is the weight of one report in the share of upstreams that
 	// are nearly full, busyShare the share that leaves none to spare.
 	shareStep    = 0.05
@@ -72,23 +76,46 @@
 type Fullness struct {
 	// open and full are mean times of requests, as multiples of what was
 	// expected.
-	open, full float64
+	open, full mean
 	// share is the share of upstreams asked that were nearly full.
 	share float64
 }
 
-// NewFullness returns a Fullness that expects nearly full upstreams to be as
-// fast as others until it is shown otherwise.
-func NewFullness() Fullness { return Fullness{open: 1, full: 1} }
+// mean is a mean of which the first values count most and old ones fade.
+type mean struct {
+	value  float64
+	weight float64
+	at     time.Duration
+}
+
+// add takes a value between fullnessLeast and fullnessMost.
+func (m *mean) add(now time.Duration, v float64) {
+	m.fade(now)
+	m.weight++
+	m.value += (min(max(v, fullnessLeast), fullnessMost) - m.value) / m.weight
+	m.weight = min(m.weight, fullnessWeight)
+}
+
+// fade draws the mean towards 1 with time, so that what was learned once is
+// tried again.
+func (m *mean) fade(now time.Duration) {
+	if m.weight == 0 {
+		*m = mean{value: 1, weight: priorWeight, at: now}
+	}
+	f := math.Exp2(-float64(max(0, now-m.at)) / float64(fullnessWindow))
+	m.value = 1 + (m.value-1)*f
+	m.weight = priorWeight + (m.weight-priorWeight)*f
+	m.at = max(m.at, now)
+}
 
 // Add takes the time of a request, as a multiple of what was expected, that
 // began at an upstream with a slot free.
-func (f *Fullness) Add(ratio float64, nearlyFull bool) {
-	mean := &f.open
+func (f *Fullness) Add(now time.Duration, ratio float64, nearlyFull bool) {
 	if nearlyFull {
-		mean = &f.full
+		f.full.add(now, ratio)
+	} else {
+		f.open.add(now, ratio)
 	}
-	*mean += fullnessStep * (min(max(ratio, fullnessLeast), fullnessMost) - *mean)
 }
 
 // Asked takes a report.
@@ -105,12 +132,16 @@
 func (f Fullness) Busy() bool { return f.share > busyShare }
 
 // Factor is how much longer work takes at nearly full upstreams.
-func (f Fullness) Factor() float64 { return max(1, f.full/f.open) }
+func (f Fullness) Factor(now time.Duration) float64 {
+	f.open.fade(now)
+	f.full.fade(now)
+	return max(1, f.full.value/f.open.value)
+}
 
 // Room tells whether the upstream can take one more request without delay to
 // it or to those that it works on.
-func (f Fullness) Room(r *Report, sentSince int) bool {
-	return r.Free(sentSince) && (f.Factor() < slowWhenFull || !r.NearlyFull(sentSince))
+func (f Fullness) Room(now time.Duration, r *Report, sentSince int) bool {
+	return r.Free(sentSince) && (!r.NearlyFull(sentSince) || f.Factor(now) < slowWhenFull)
 }
 
 // paceStep is the weight of one report in a mean pace.
@@ -208,10 +239,11 @@
 type Job struct {
 	// Work is the time that it takes at an undisturbed upstream.
 	Work time.Duration
-	// Fullness is that of the service, MeanPace the mean of its upstreams'
-	// paces: work that waits before the job is done at any pace.
-	Fullness Fullness
-	MeanPace float64
+	// FullFactor is how much longer work takes at nearly full upstreams of
+	// the service, MeanPace the mean of its upstreams' paces: work that
+	// waits before the job is done at any pace.
+	FullFactor float64
+	MeanPace   float64
 	// FailureCost is what a failure costs, in time.
 	FailureCost time.Duration
 }
@@ -229,7 +261,7 @@
 		pace = r.Pace
 		slots, full := max(1, r.Slots), 1.0
 		if r.NearlyFull(c.SentSince) {
-			full = j.Fullness.Factor()
+			full = j.FullFactor
 		}
 		if r.Unwell {
 			pace += silentPace
