--- a/gateway/call.go
+++ b/gateway/call.go
@@ -142,7 +142,7 @@
 	switch {
 	case !ok:
 		return ch, c.giveUp("no-upstream"), false
-	case ch.report == nil || c.room(&ch) || ch.known < enoughKnown:
+	case ch.report == nil || c.room(&ch) || ch.known < enoughKnown && !c.g.work.full(c.service.Name).Busy():
 		return ch, ending{}, true
 	}
 	c.log("no room", "upstream", ch.answer.upstream.ID, "running", ch.report.Running, "waiting", ch.report.Waiting,
--- a/gateway/handoff.go
+++ b/gateway/handoff.go
@@ -61,8 +61,9 @@
 	r, err := g.d.ParseLoad(string(t.resp.Header.Peek(g.d.Load)))
 	closes := t.resp.ConnectionClose()
 	if err == nil {
-		g.ev.with(t.upstream, func(ev *pick.Evidence) { ev.Reported(g.now(), &r, g.job(c).Turn()) })
-		free := g.work.full(c.service.Name).Room(g.now(), &r, 0) && r.Pace <= pick.GoodEnough && !closes
+		room := g.work.full(c.service.Name).Room(g.now(), &r, 0)
+		g.ev.with(t.upstream, func(ev *pick.Evidence) { ev.Reported(g.now(), &r, room, g.job(c).Turn()) })
+		free := room && r.Pace <= pick.GoodEnough && !closes
 		sound := t.resp.StatusCode() < fasthttp.StatusInternalServerError
 		next := choice{answer: answer{upstream: t.upstream, report: &r, conn: cn}, delay: g.work.of(c.route.Name), known: 1}
 		if free && sound && g.handoff.give(c.service.Name, next) {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -252,12 +252,13 @@
 // connections are given back.
 func (g *Gateway) better(best choice, job pick.Job, answers []answer) choice {
 	now := g.now()
+	full := g.work.full(answers[0].upstream.Service)
 	for _, a := range answers {
 		cand := pick.Candidate{Report: a.report, Cold: now < a.upstream.ColdUntil}
 		g.ev.with(a.upstream, func(ev *pick.Evidence) {
 			cand.FailureRate, cand.SentSince = ev.FailureRate(now), ev.Since(a.mark)
 			if a.report != nil {
-				ev.Reported(now, a.report, job.Turn())
+				ev.Reported(now, a.report, full.Room(now, a.report, 0), job.Turn())
 			}
 		})
 		if a.report != nil {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -184,10 +184,12 @@
 // upstream is not asked again.
 const crowdedTrust = 0.5
 
-// Reported takes a report; turn is the time that a slot takes for one request.
-func (e *Evidence) Reported(now time.Duration, r *Report, turn time.Duration) {
+// Reported takes a report and whether it shows room; turn is the time that a
+// slot takes for one request.
+func (e *Evidence) Reported(now time.Duration, r *Report, room bool, turn time.Duration) {
 	e.crowded = 0
-	if n := r.ahead(0) - r.Slots + 1; n > 0 {
+	if !room {
+		n := max(1, r.ahead(0)-r.Slots+1)
 		e.crowded = now + time.Duration(crowdedTrust*float64(n)/float64(max(1, r.Slots))*float64(turn))
 	}
 }
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -99,11 +99,11 @@
 
 func TestCrowdedForAWhile(t *testing.T) {
 	var e Evidence
-	e.Reported(time.Second, &Report{Running: 6, Waiting: 6, Slots: 6}, 100*time.Millisecond)
+	e.Reported(time.Second, &Report{Running: 6, Waiting: 6, Slots: 6}, false, 100*time.Millisecond)
 	if !e.Crowded(time.Second+50*time.Millisecond) || e.Crowded(time.Second+200*time.Millisecond) {
 		t.Error("a queue of a turn is crowded for about half of it")
 	}
-	e.Reported(time.Second, &Report{Running: 2, Slots: 6}, 100*time.Millisecond)
+	e.Reported(time.Second, &Report{Running: 2, Slots: 6}, true, 100*time.Millisecond)
 	if e.Crowded(time.Second) {
 		t.Error("crowded with slots free")
 	}
