Read the store at once where callers already wait for the first copy

An instance that refuses for want of a configuration, or has no instance to name, reads the store without waiting; at an ordinary start nobody asks, and nothing more is read.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -142,6 +142,17 @@
 	f.table.Seed(addresses)
 }
 
+// Want says that callers wait for the first copy of the store: this instance
+// then reads it without waiting for a peer's.
+func (f *Fleet) Want() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.reader.wanted && f.copy.Revision() == 0 {
+		f.reader.wanted = true
+		f.wakeReader()
+	}
+}
+
 // SetState takes this instance's state and tells the hubs at once.
 func (f *Fleet) SetState(ready, leaving bool) {
 	f.mu.Lock()
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -43,6 +43,8 @@
 	retryAt time.Duration
 	// full asks for a whole copy, since the history is gone or unknown.
 	full bool
+	// wanted is set where callers wait for the first copy.
+	wanted bool
 }
 
 // call is what a reader wants of the store.
@@ -61,7 +63,7 @@
 	switch {
 	case now < r.retryAt:
 		return callNone, r.retryAt - now
-	case !holds && !seed && now < startWait:
+	case !holds && !seed && !r.wanted && now < startWait:
 		return callNone, startWait - now
 	case !holds || r.full:
 		return callReadAll, 0
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -136,6 +136,7 @@
 	}{
 		{"a fresh instance waits for peers", reader{}, 0, 0, false, false, callNone},
 		{"a seed does not", reader{}, 0, 0, false, true, callReadAll},
+		{"nor does one that callers wait for", reader{wanted: true}, 0, -1, false, false, callReadAll},
 		{"without peers it reads", reader{}, startWait, -1, false, false, callReadAll},
 		{"a hub watches", fresh, time.Second, 1, true, false, callWatch},
 		{"a follower with a fresh copy does nothing", fresh, time.Second + staleAge - 1, -1, true, false, callNone},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,8 +68,7 @@
 	// lookupLife is the lifetime of lookup answers, in nanoseconds.
 	lookupLife atomic.Int64
 
-	// onFailure tells the other instances of an upstream's failure.
-	onFailure func(key uint64, weight float64)
+	hooks Hooks
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -92,7 +91,7 @@
 func New(opt Options, d Dialect, l log.Logger, r gometrics.Registry) *Gateway {
 	m := newCounters(r)
 	g := &Gateway{
-		opt: opt, d: d, onFailure: func(uint64, float64) {}, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
+		opt: opt, d: d, hooks: Hooks{Failed: func(uint64, float64) {}, Wanted: func() {}}, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
 		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), handoff: newHandoff(), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
 	g.SetLimits(opt.Limits)
@@ -115,9 +114,17 @@
 // keyOf stands for an upstream in messages between instances.
 func keyOf(u *discovery.Upstream) uint64 { return xxhash.Sum64String(u.ID) }
 
-// OnFailure sets what tells the other instances of an upstream's failure, with
-// its weight as part of a request. It must be called before Run.
-func (g *Gateway) OnFailure(tell func(key uint64, weight float64)) { g.onFailure = tell }
+// Hooks are what a Gateway tells the rest of its instance. They must not block.
+type Hooks struct {
+	// Failed says that an upstream failed a request, with what that counts
+	// as part of a request.
+	Failed func(key uint64, weight float64)
+	// Wanted says that a caller came before there was a configuration.
+	Wanted func()
+}
+
+// SetHooks must be called before Run.
+func (g *Gateway) SetHooks(h Hooks) { g.hooks = h }
 
 // Warned takes another instance's word that an upstream failed.
 func (g *Gateway) Warned(key uint64, weight float64) {
@@ -272,6 +279,7 @@
 	st := g.state.Load()
 	id := string(ctx.Request.Header.Peek(g.d.RequestID))
 	if st == nil {
+		g.hooks.Wanted()
 		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, "no-configuration")
 		return
 	}
--- a/gateway/side.go
+++ b/gateway/side.go
@@ -51,6 +51,7 @@
 	}
 	g.m.lookups.Inc(1)
 	if len(addresses) == 0 {
+		g.hooks.Wanted()
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		if err := level.Warn(g.log).Log("msg", "lookup without an instance to name", "zone", zone); err != nil {
 			g.m.logFailures.Inc(1)
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -165,7 +165,7 @@
 	g.ev.record(now, t.upstream, failed, weight)
 	if failed {
 		if t.outcome != notRun && !t.late(c) {
-			g.onFailure(keyOf(t.upstream), weight)
+			g.hooks.Failed(keyOf(t.upstream), weight)
 		}
 		c.log("attempt failed", "upstream", t.upstream.ID, "outcome", t.outcome.String(), "status", status,
 			"took", t.took, "err", t.err)
--- a/node/node.go
+++ b/node/node.go
@@ -72,8 +72,11 @@
 		DataCentre: set.DataCentre, DataAddress: set.DataAddress, ReadyAddress: set.ReadyAddress, LookupAddress: set.LookupAddress,
 		Limits: limits(set), Now: n.now, Seed: seed,
 	}, a.Dialect, logs.For(l, "gateway"), n.registry)
-	n.gateway.OnFailure(func(key uint64, weight float64) {
-		n.fleet.Warn(fleet.Warning{Upstream: key, Weight: uint8(min(weight, 1) * hundredth)})
+	n.gateway.SetHooks(gateway.Hooks{
+		Failed: func(key uint64, weight float64) {
+			n.fleet.Warn(fleet.Warning{Upstream: key, Weight: uint8(min(weight, 1) * hundredth)})
+		},
+		Wanted: func() { n.fleet.Want() },
 	})
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Info{
