--- a/cmd/catkin-node/main.go
+++ b/cmd/catkin-node/main.go
@@ -96,7 +96,7 @@
 	n := node.New(set, node.Adapter{
 		Keys: platform.Keys(), Store: platform.NewStore(set.StoreAddress), Dialect: platform.Dialect(),
 		DecodeDocument: platform.DecodeDocument, DecodeUpstream: platform.DecodeUpstream, UpstreamID: platform.UpstreamID,
-	}, logs.For(l, "node"))
+	}, l)
 	go reloads(n, logs.For(l, "node"), reload)
 	if err := n.Run(ctx); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -13,7 +13,7 @@
 	DataAddress string
 	DataCentre  string
 	Region      string
-	// Incarnation identifies the process; a later one is higher.
+	// Incarnation identifies the process.
 	Incarnation uint64
 }
 
@@ -45,6 +45,8 @@
 	hubSilence = 3 * BeatInterval
 	// memberSilence is the silence after which a hub gives a member up.
 	memberSilence = 7 * BeatInterval / 2
+	// forgetAfter is when an instance that is silent is forgotten.
+	forgetAfter = 10 * time.Minute
 	// reviveInterval is the time between two beats to a hub that is silent.
 	reviveInterval = 2 * time.Second
 	// hubCount instances read the store for the others.
@@ -73,8 +75,9 @@
 	heard time.Duration
 	// asked is the first beat to it that was not answered; 0 for none.
 	asked time.Duration
-	// revived is the last beat to it while it was silent.
-	revived time.Duration
+	// revived is the last beat to it while it was silent, silentSince when
+	// that began; 0 for not.
+	revived, silentSince time.Duration
 }
 
 // NewTable returns a view that holds this instance and the addresses of seeds.
@@ -160,8 +163,10 @@
 		case m == nil:
 			m = &member{}
 			t.members[l.Address] = m
-		case m.introduced && (m.Incarnation > l.Incarnation || m.Incarnation == l.Incarnation && m.Count > l.Count):
+		case m.introduced && m.Incarnation == l.Incarnation && m.Count > l.Count:
 			continue
+		case m.introduced && m.Incarnation != l.Incarnation && m.heard > 0 && now-m.heard < hubSilence:
+			continue // heard itself; clocks may have stepped, so neither is known to be the later
 		case m.introduced && m.Member == l:
 			continue
 		case l.Silent && now-m.heard < hubSilence && m.heard > 0:
@@ -241,6 +246,10 @@
 			m.Silent = true
 			t.touch(m)
 		}
+		if t.forget(now, m) {
+			delete(t.members, a)
+			continue
+		}
 		if !m.introduced && m.asked == 0 {
 			to = append(to, a)
 		}
@@ -260,6 +269,20 @@
 	return to
 }
 
+// forget tells whether a member was silent for so long that it is not asked
+// again.
+func (t *Table) forget(now time.Duration, m *member) bool {
+	silent := m.Silent || m.asked > 0 && now-m.asked >= hubSilence
+	if !silent {
+		m.silentSince = 0
+		return false
+	}
+	if m.silentSince == 0 {
+		m.silentSince = now
+	}
+	return now-m.silentSince >= forgetAfter
+}
+
 // revival returns a silent member to try again, the one that waited longest.
 func (t *Table) revival(now time.Duration) string {
 	var oldest *member
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -155,13 +155,13 @@
 // then, until there is room or the time for it is over.
 func (c *call) waitForRoom(ch choice) choice {
 	limit := c.arrived + time.Duration(holdShare*float64(c.route.Target))
-	slot := c.g.handoff.wait(c.service.Name)
+	slot := c.g.handoff.wait(c.service.Name, c.route.Priority)
 	for !c.room(&ch) && c.g.now() < limit {
 		select {
 		case next := <-slot:
 			if c.tried[next.answer.upstream.ID] {
 				c.g.giveBack(next)
-				slot = c.g.handoff.wait(c.service.Name)
+				slot = c.g.handoff.wait(c.service.Name, c.route.Priority)
 				continue
 			}
 			c.g.giveBack(ch)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,15 +48,15 @@
 
 // Gateway is the data path of one instance.
 type Gateway struct {
-	opt   Options
-	d     Dialect
-	log   log.Logger
-	now   func() time.Duration
-	m     *counters
-	pool  *pool
-	ev    *evidence
-	work  *works
-	state atomic.Pointer[State]
+	opt  Options
+	d    Dialect
+	log  log.Logger
+	now  func() time.Duration
+	m    *counters
+	pool *pool
+	ev   *evidence
+	work *works
+	view atomic.Pointer[view]
 
 	budgets *budgets
 	probes  *probeBudget
@@ -74,8 +74,8 @@
 	rng   *rand.Rand
 }
 
-// State is what a Gateway serves by. It is not changed once it was set.
-type State struct {
+// view is what a Gateway serves by. It is not changed once it was set.
+type view struct {
 	table     *route.Table
 	upstreams map[string][]*discovery.Upstream
 	byKey     map[uint64]*discovery.Upstream
@@ -100,13 +100,13 @@
 
 // Serve puts a table of routes and the upstreams in force.
 func (g *Gateway) Serve(t *route.Table, upstreams map[string][]*discovery.Upstream) {
-	st := &State{table: t, upstreams: upstreams, byKey: map[uint64]*discovery.Upstream{}}
+	st := &view{table: t, upstreams: upstreams, byKey: map[uint64]*discovery.Upstream{}}
 	for _, l := range upstreams {
 		for _, u := range l {
 			st.byKey[keyOf(u)] = u
 		}
 	}
-	g.state.Store(st)
+	g.view.Store(st)
 	g.ev.keep(upstreams)
 	g.probes.size(len(st.byKey), 0)
 }
@@ -128,7 +128,7 @@
 
 // Warned takes another instance's word that an upstream failed.
 func (g *Gateway) Warned(key uint64, weight float64) {
-	st := g.state.Load()
+	st := g.view.Load()
 	if st == nil {
 		return
 	}
@@ -158,7 +158,7 @@
 }
 
 // Ready tells whether requests can be served.
-func (g *Gateway) Ready() bool { return g.state.Load() != nil && g.phase.Load() == serving }
+func (g *Gateway) Ready() bool { return g.view.Load() != nil && g.phase.Load() == serving }
 
 func (g *Gateway) order(n int, about func(int) pick.Prospect) []int {
 	g.rngMu.Lock()
@@ -232,7 +232,7 @@
 	eg.Go(func() error {
 		select {
 		case <-ctx.Done():
-			g.stopInTurn(stopLimit, lns.front)
+			g.stopInTurn(stopLimit, front)
 		case <-failed.Done():
 		}
 		lns.close()
@@ -276,7 +276,7 @@
 	arrived := g.now()
 	g.flying.Add(1)
 	defer g.flying.Add(-1)
-	st := g.state.Load()
+	st := g.view.Load()
 	id := string(ctx.Request.Header.Peek(g.d.RequestID))
 	if st == nil {
 		g.hooks.Wanted()
@@ -294,7 +294,7 @@
 }
 
 // newCall takes what the request says.
-func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, st *State, r *route.Route, id string, arrived time.Duration) *call {
+func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, st *view, r *route.Route, id string, arrived time.Duration) *call {
 	name := r.Next()
 	svc, _ := st.table.Service(name)
 	svc.Name = name
--- a/gateway/handoff.go
+++ b/gateway/handoff.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/valyala/fasthttp"
@@ -13,18 +14,30 @@
 // probe. It is safe for concurrent use.
 type handoff struct {
 	mu      sync.Mutex
-	waiting map[string][]chan choice // by service, first come first
+	waiting map[string][]waiter // by service, the most urgent first
 }
 
-func newHandoff() *handoff { return &handoff{waiting: map[string][]chan choice{}} }
+// waiter is a call that waits for room.
+type waiter struct {
+	slot     chan choice
+	priority int
+}
+
+func newHandoff() *handoff { return &handoff{waiting: map[string][]waiter{}} }
 
-// wait registers a call that waits for room at a service.
-func (h *handoff) wait(service string) chan choice {
+// wait registers a call that waits for room at a service: behind those as
+// urgent as itself, before less urgent ones. Priority 0 is the most urgent.
+func (h *handoff) wait(service string, priority int) chan choice {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	ch := make(chan choice, 1)
-	h.waiting[service] = append(h.waiting[service], ch)
-	return ch
+	w := waiter{slot: make(chan choice, 1), priority: priority}
+	list := h.waiting[service]
+	i := len(list)
+	for i > 0 && list[i-1].priority > priority {
+		i--
+	}
+	h.waiting[service] = slices.Insert(list, i, w)
+	return w.slot
 }
 
 // leave ends the wait. A choice that came meanwhile is returned.
@@ -32,16 +45,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	list := h.waiting[service]
-	for i, w := range list {
-		if w == ch {
-			h.waiting[service] = append(list[:i], list[i+1:]...)
-			return choice{}, false
-		}
+	i := slices.IndexFunc(list, func(w waiter) bool { return w.slot == ch })
+	if i < 0 {
+		return <-ch, true
 	}
-	return <-ch, true
+	h.waiting[service] = slices.Delete(list, i, i+1)
+	return choice{}, false
 }
 
-// give offers a choice to the call that has waited longest; false where none
+// give offers a choice to the call that is the most urgent; false where none
 // waits.
 func (h *handoff) give(service string, ch choice) bool {
 	h.mu.Lock()
@@ -50,8 +62,8 @@
 	if len(list) == 0 {
 		return false
 	}
-	list[0] <- ch
-	h.waiting[service] = list[1:]
+	list[0].slot <- ch
+	h.waiting[service] = slices.Delete(list, 0, 1)
 	return true
 }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -284,7 +284,7 @@
 // candidates returns the upstreams of the call's service, without those that
 // it was sent to.
 func (g *Gateway) candidates(c *call, nearFirst bool) candidates {
-	all := g.state.Load().upstreams[c.service.Name]
+	all := g.view.Load().upstreams[c.service.Name]
 	list := make([]*discovery.Upstream, 0, len(all))
 	for _, u := range all {
 		if !c.tried[u.ID] {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,10 +1,11 @@
 package gateway
 
 import (
-	"net"
+	"context"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
 )
 
 // Phases of a gateway's life.
@@ -21,26 +22,22 @@
 	// callers that looked up before keep its address for that long.
 	acceptFor = 3200 * time.Millisecond
 	// stopMargin is left of the stop's limit when the process ends.
-	stopMargin = 300 * time.Millisecond
-	// stopPoll is the time between two looks at the requests in flight.
-	stopPoll = 50 * time.Millisecond
+	stopMargin = 500 * time.Millisecond
 )
 
 // Leave begins a planned stop: the instance is no longer ready.
 func (g *Gateway) Leave() { g.phase.Store(leaving) }
 
-// stopInTurn serves on while callers may still come, then finishes what is in
-// flight.
-func (g *Gateway) stopInTurn(limit time.Duration, front net.Listener) {
+// stopInTurn serves on while callers may still come, then closes idle
+// connections and finishes what is in flight.
+func (g *Gateway) stopInTurn(limit time.Duration, front *fasthttp.Server) {
 	g.Leave()
 	began := g.now()
 	time.Sleep(min(acceptFor, limit/2))
-	front.Close()
-	for g.flying.Load() > 0 && g.now()-began < limit-stopMargin {
-		time.Sleep(stopPoll)
-	}
-	if n := g.flying.Load(); n > 0 {
-		if err := level.Warn(g.log).Log("msg", "stopped with requests in flight", "requests", n); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), limit-stopMargin-(g.now()-began))
+	defer cancel()
+	if err := front.ShutdownWithContext(ctx); err != nil {
+		if err := level.Warn(g.log).Log("msg", "stopped with requests in flight", "requests", g.flying.Load(), "err", err); err != nil {
 			g.m.logFailures.Inc(1)
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -65,7 +66,7 @@
 func New(set Settings, a Adapter, l log.Logger) *Node {
 	seed := rand.Uint64()
 	n := &Node{
-		set: set, adapter: a, log: l, started: time.Now(), registry: gometrics.NewRegistry(),
+		set: set, adapter: a, log: logs.For(l, "node"), started: time.Now(), registry: gometrics.NewRegistry(),
 		rng: rand.New(rand.NewPCG(seed, 2)), upstream: discovery.New(), changed: make(chan struct{}, 1),
 	}
 	n.gateway = gateway.New(gateway.Options{
@@ -118,6 +119,10 @@
 func (n *Node) Run(ctx context.Context) error {
 	level.Info(n.log).Log("msg", "start", "id", n.set.ID, "data_centre", n.set.DataCentre, "address", n.set.DataAddress,
 		"peer_address", n.set.PeerAddress, "seeds", strings.Join(n.set.Seeds, ","), "store", n.set.StoreAddress)
+	ln, err := net.Listen("tcp4", n.set.MetricsAddress)
+	if err != nil {
+		return fmt.Errorf("metrics address: %w: set another port", err)
+	}
 	live, end := context.WithCancel(context.Background())
 	defer end()
 	g, live := errgroup.WithContext(live)
@@ -127,21 +132,14 @@
 	})
 	g.Go(func() error { return n.fleet.Run(live) })
 	g.Go(func() error { return n.upkeep(ctx, live) })
-	if n.set.MetricsAddress != "" {
-		ln, err := net.Listen("tcp4", n.set.MetricsAddress)
-		if err != nil {
-			end()
+	g.Go(func() error { <-live.Done(); return ln.Close() })
+	g.Go(func() error {
+		if err := metrics.ServeText(ln, n.registry); live.Err() == nil {
 			return err
 		}
-		g.Go(func() error { <-live.Done(); return ln.Close() })
-		g.Go(func() error {
-			if err := metrics.ServeText(ln, n.registry); live.Err() == nil {
-				return err
-			}
-			return nil
-		})
-	}
-	err := g.Wait()
+		return nil
+	})
+	err = g.Wait()
 	level.Info(n.log).Log("msg", "stop", "id", n.set.ID, "uptime", n.now(), "err", err)
 	return err
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -134,7 +134,8 @@
 	set := node.Settings{
 		ID: fmt.Sprintf("node-%d", i), DataCentre: "otavalo", Region: "sierra-norte",
 		DataAddress: freeAddress(s.t), ReadyAddress: freeAddress(s.t), LookupAddress: freeAddress(s.t), PeerAddress: peer,
-		Seeds: []string{seed}, StoreAddress: s.addr, StopLimit: 400 * time.Millisecond,
+		MetricsAddress: freeAddress(s.t),
+		Seeds:          []string{seed}, StoreAddress: s.addr, StopLimit: 400 * time.Millisecond,
 		RetryShare: 0.2, RetryAllowance: 64, RetryWindow: 10 * time.Second, MaxLookupLife: 5 * time.Second, ProbesPerUpstream: 60,
 	}
 	if err := set.Check(); err != nil {
--- a/node/settings.go
+++ b/node/settings.go
@@ -53,6 +53,7 @@
 		settings.CheckAddress("ready address", s.ReadyAddress),
 		settings.CheckAddress("lookup address", s.LookupAddress),
 		settings.CheckAddress("peer address", s.PeerAddress),
+		settings.CheckAddress("metrics address", s.MetricsAddress),
 		settings.CheckAddress("store address", s.StoreAddress),
 	}
 	for _, d := range []struct {
