--- a/cmd/catkin-node/main.go
+++ b/cmd/catkin-node/main.go
@@ -9,15 +9,14 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strings"
-	"syscall"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/catkinrouter/catkinrouter/internal/daemon"
+	"github.com/catkinrouter/catkinrouter/internal/hangup"
 	"github.com/catkinrouter/catkinrouter/internal/logs"
 	"github.com/catkinrouter/catkinrouter/internal/version"
 	"github.com/catkinrouter/catkinrouter/node"
@@ -30,13 +29,9 @@
 )
 
 func main() {
-	// Signals are taken before anything else: the platform may send one as
-	// soon as the process runs.
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := daemon.Context()
 	defer stop()
-	os.Exit(run(ctx, os.Args[1:], reload, os.Stdout, os.Stderr))
+	os.Exit(run(ctx, os.Args[1:], hangup.Signals, os.Stdout, os.Stderr))
 }
 
 func run(ctx context.Context, args []string, reload <-chan os.Signal, stdout, stderr io.Writer) int {
