Keep a request's body for its attempts alone; take closing health answers as answers

Found by reading: an attempt can outlive its request by a moment, when the server's buffer already holds another request's body (a body is copied now); the room for results was bounded by 16 attempts whatever the operators allow; a health answer that closes its connection counted as half a failure, though upstreams close some at will (TestProbeThatClosesItsConnection failed: rate 0.56 after five).

--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -96,6 +96,23 @@
 	}
 }
 
+// An upstream that closes its connections after health answers is no worse for
+// it, and gets requests on new ones.
+func TestProbeThatClosesItsConnection(t *testing.T) {
+	u := newStub(t, "closes", good)
+	u.closing = true
+	s := newSite(t)
+	s.configure(2*time.Second, u)
+	for i := range 5 {
+		wantStatus(t, s.call("POST", "/purchase/1", fmt.Sprintf("k-%d", i), "pack"), 200)
+	}
+	for _, r := range s.g.ev.byID {
+		if rate := r.ev.FailureRate(s.g.now()); rate > 0.02 {
+			t.Errorf("counts as failing: %.3f", rate)
+		}
+	}
+}
+
 // Where every upstream is known to be full, a call is refused soon, with a time
 // to come back; once one has room, it is served.
 func TestRefusesWhereAllAreFull(t *testing.T) {
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -5,6 +5,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/catkinrouter/catkinrouter/pick"
 )
 
@@ -25,6 +27,10 @@
 	// Load holds an upstream's report of its load.
 	Load      string
 	ParseLoad func(string) (pick.Report, error)
+	// LookupPlace is the query parameter of a lookup that holds the caller's
+	// data centre, and EncodeLookup the body of its answer.
+	LookupPlace  string
+	EncodeLookup func(addresses []string, life time.Duration) ([]byte, error)
 	// LookupPath and ReadyPath are served to callers and to the platform.
 	LookupPath string
 	ReadyPath  string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -305,14 +306,12 @@
 	c := &call{
 		g: g, ctx: ctx, id: id, version: st.table.Version, route: r, service: svc,
 		arrived: arrived, deadline: arrived + wait,
-		head: g.requestHead(ctx), body: ctx.Request.Body(),
+		// An attempt can outlive the request, whose buffers are then reused.
+		head: g.requestHead(ctx), body: bytes.Clone(ctx.Request.Body()),
 		hasBody: ctx.Request.Header.ContentLength() != 0 && !ctx.IsGet() && !ctx.IsHead(), headOnly: ctx.IsHead(),
-		tried: map[string]bool{}, results: make(chan *try, maxUnsent+maxTries),
+		tried: map[string]bool{}, results: make(chan *try, maxUnsent+r.MaxAttempts+1),
 	}
 	g.work.begin(r)
 	g.budgets.call(arrived, name)
 	return c
 }
-
-// maxTries is above the number of attempts that operators allow a request.
-const maxTries = 16
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -65,9 +65,12 @@
 				return a
 			}
 		}
-		a.err = g.askHealth(c, u, path, deadline, &a)
-		if a.err == nil {
-			a.conn = c
+		var closes bool
+		if closes, a.err = g.askHealth(c, u, path, deadline, &a); a.err == nil {
+			if a.conn = c; closes {
+				a.conn = nil
+				c.Close()
+			}
 			return a
 		}
 		c.Close()
@@ -78,29 +81,27 @@
 	}
 }
 
-// askHealth makes one health request on c.
-func (g *Gateway) askHealth(c *conn, u *discovery.Upstream, path string, deadline time.Time, a *answer) error {
+// askHealth makes one health request on c. It returns true where the upstream
+// closes the connection.
+func (g *Gateway) askHealth(c *conn, u *discovery.Upstream, path string, deadline time.Time, a *answer) (closes bool, err error) {
 	out := fmt.Appendf(c.out[:0], "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, u.Address)
 	c.out = out
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	g.m.probes.Inc(1)
 	if _, err := g.exchange(c, out, "", false, deadline, resp); err != nil {
-		return err
+		return false, err
 	}
 	if id := string(resp.Header.Peek(g.d.UpstreamID)); id != u.ID {
-		return fmt.Errorf("%w: got %q for %s", errProbe, id, u.ID)
+		return false, fmt.Errorf("%w: got %q for %s", errProbe, id, u.ID)
 	}
 	r, err := g.d.ParseLoad(string(resp.Header.Peek(g.d.Load)))
 	if err != nil {
 		r = pick.Report{Slots: u.Slots, Pace: 1}
 	}
 	r.Unwell = resp.StatusCode() != fasthttp.StatusOK
-	if resp.ConnectionClose() {
-		return errors.New("upstream closes the connection")
-	}
 	a.report = &r
-	return nil
+	return resp.ConnectionClose(), nil
 }
 
 // ask probes upstreams at the same time and waits a short time for their
--- a/gateway/side.go
+++ b/gateway/side.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -20,13 +19,6 @@
 	nearEnough = 3
 )
 
-// lookupAnswer is the body of a lookup's answer.
-type lookupAnswer struct {
-	Addresses []string `json:"addresses"`
-	// Life is in seconds.
-	Life float64 `json:"ttlS"`
-}
-
 // handleSide serves lookups and the platform's question whether this instance
 // is ready.
 func (g *Gateway) handleSide(ctx *fasthttp.RequestCtx) {
@@ -43,22 +35,22 @@
 }
 
 func (g *Gateway) lookup(ctx *fasthttp.RequestCtx) {
-	zone := string(ctx.QueryArgs().Peek("zone"))
+	place := string(ctx.QueryArgs().Peek(g.d.LookupPlace))
 	list := g.fleet.Load()
 	var addresses []string
 	if list != nil {
-		addresses = chooseInstances(*list, zone)
+		addresses = chooseInstances(*list, place)
 	}
 	g.m.lookups.Inc(1)
 	if len(addresses) == 0 {
 		g.hooks.Wanted()
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		if err := level.Warn(g.log).Log("msg", "lookup without an instance to name", "zone", zone); err != nil {
+		if err := level.Warn(g.log).Log("msg", "lookup without an instance to name", "data_centre", place); err != nil {
 			g.m.logFailures.Inc(1)
 		}
 		return
 	}
-	body, err := json.Marshal(lookupAnswer{Addresses: addresses, Life: time.Duration(g.lookupLife.Load()).Seconds()})
+	body, err := g.d.EncodeLookup(addresses, time.Duration(g.lookupLife.Load()))
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
--- a/gateway/testsite_test.go
+++ b/gateway/testsite_test.go
@@ -29,7 +29,7 @@
 func testDialect() Dialect {
 	return Dialect{
 		RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectUpstream: "Expect-Upstream", UpstreamID: "Upstream-Id",
-		NotRun: "Not-Run", Signature: "Signature", Load: "Load", LookupPath: "/lookup", ReadyPath: "/ready",
+		NotRun: "Not-Run", Signature: "Signature", Load: "Load", LookupPlace: "place", LookupPath: "/lookup", ReadyPath: "/ready",
 		ParseLoad: func(s string) (r pick.Report, err error) {
 			r.Pace = 1
 			_, err = fmt.Sscanf(s, "%d,%d,%d", &r.Running, &r.Waiting, &r.Slots)
@@ -49,6 +49,8 @@
 	load string
 	// early answers come before the body was read.
 	early bool
+	// closing answers to health requests end their connection.
+	closing bool
 
 	mu     sync.Mutex
 	do     behaviour
@@ -86,7 +88,14 @@
 			return
 		}
 		if r.URL.Path == "/health" {
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\nContent-Length: 0\r\n\r\n", s.id, s.load)
+			end := ""
+			if s.closing {
+				end = "Connection: close\r\n"
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%sContent-Length: 0\r\n\r\n", s.id, s.load, end)
+			if s.closing {
+				return
+			}
 			continue
 		}
 		s.mu.Lock()
