Spread requests by what was sent where a service tells no load

Without a load report every upstream looked idle, so that one that a pick found first could take all. The instance's own requests in flight stand in for it (TestServiceThatTellsNoLoad).

--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -96,6 +96,32 @@
 	}
 }
 
+// Where a service tells no load, requests at work spread over its upstreams by
+// what this instance sent there.
+func TestServiceThatTellsNoLoad(t *testing.T) {
+	a, b := newStub(t, "a", hang), newStub(t, "b", hang)
+	a.load, b.load = "unknown", "unknown"
+	s := newSite(t)
+	s.configure(time.Minute, a, b)
+	for i := range 8 {
+		c, err := net.Dial("tcp4", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		id := fmt.Sprintf("w-%d", i)
+		fmt.Fprintf(c, "POST /purchase/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", testHost, id)
+		for a.ran(id)+b.ran(id) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if n := len(a.runs); n < 2 || n > 6 {
+		t.Errorf("%d of 8 requests at one of two upstreams", n)
+	}
+}
+
 // An upstream that closes its connections after health answers is no worse for
 // it, and gets requests on new ones.
 func TestProbeThatClosesItsConnection(t *testing.T) {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -97,7 +97,9 @@
 	}
 	r, err := g.d.ParseLoad(string(resp.Header.Peek(g.d.Load)))
 	if err != nil {
+		// The service tells no load: what this instance sent there is known.
 		r = pick.Report{Slots: u.Slots, Pace: 1}
+		g.ev.with(u, func(ev *pick.Evidence) { r.Running = ev.InFlight() })
 	}
 	r.Unwell = resp.StatusCode() != fasthttp.StatusOK
 	a.report = &r
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -203,6 +203,9 @@
 // Ended counts the end of a request.
 func (e *Evidence) Ended() { e.inFlight-- }
 
+// InFlight returns the number of this instance's requests at the upstream.
+func (e *Evidence) InFlight() int { return e.inFlight }
+
 // Mark returns a mark for Since.
 func (e *Evidence) Mark() int { return e.sent }
 
