Let refused callers come back sooner

A refusal of want of room named 80 to 200 ms; a slot is free much sooner, and a caller that comes back within its target still earns the whole credit.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -47,8 +47,8 @@
 
 // Come-back times of refusals: a spread keeps callers from moving together.
 const (
-	retryAfterLeast  = 80 * time.Millisecond
-	retryAfterSpread = 120 * time.Millisecond
+	retryAfterLeast  = 40 * time.Millisecond
+	retryAfterSpread = 60 * time.Millisecond
 )
 
 // end answers the caller.
