Let calls wait in line for room, ask for all at once, and wait out slow upstreams

Now calls that find no room wait in a line for each service; a call that comes while others as urgent wait asks nobody; only the first in line searches, 2 upstreams every 15 ms; an upstream whose pace would end the call after its target is no room while most others are not slow; slow and silent ones are left alone for 75 and 50 ms.

TestWaitsOutSlowUpstreams and TestCallsWaitInLine are new; on the code before, the line did not exist and a slow upstream with a free slot got the call.

--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/pick"
 )
 
 // hang works until its connection closes, or for a long time.
@@ -170,15 +171,18 @@
 
 // The most urgent of the calls that wait for room gets the slot that is left;
 // among equals the first.
-func TestHandoffByPriority(t *testing.T) {
-	h := newHandoff()
-	late, first, urgent, second := h.wait("s", 2), h.wait("s", 1), h.wait("s", 0), h.wait("s", 1)
-	for i, want := range []chan choice{urgent, first, second, late} {
-		if !h.give("s", choice{known: i}) {
+func TestLineByPriority(t *testing.T) {
+	l := newLine()
+	late, first, urgent, second := l.join("s", 2), l.join("s", 1), l.join("s", 0), l.join("s", 1)
+	for i, want := range []*waiter{urgent, first, second, late} {
+		if !l.heads("s", want) {
+			t.Errorf("slot %d: another call searches", i)
+		}
+		if !l.give("s", choice{known: i}) {
 			t.Fatalf("slot %d: nobody waits", i)
 		}
 		select {
-		case ch := <-want:
+		case ch := <-want.slot:
 			if ch.known != i {
 				t.Errorf("slot %d went to the wrong call", i)
 			}
@@ -186,15 +190,85 @@
 			t.Errorf("slot %d went to another call", i)
 		}
 	}
-	if h.give("s", choice{}) {
+	if l.give("s", choice{}) {
 		t.Error("a slot was taken with nobody waiting")
 	}
-	gone := h.wait("s", 0)
-	if _, came := h.leave("s", gone); came || h.give("s", choice{}) {
+	gone := l.join("s", 1)
+	if l.ahead("s", 0) || !l.ahead("s", 1) || !l.ahead("s", 2) || l.ahead("other", 2) {
+		t.Error("a call goes behind those that are as urgent as itself, and no others")
+	}
+	if _, came := l.leave("s", gone); came || l.give("s", choice{}) {
 		t.Error("a call that left got a slot")
 	}
 }
 
+// A call that finds others waiting asks no upstream; it takes the slot that
+// another leaves.
+func TestCallsWaitInLine(t *testing.T) {
+	u := newStub(t, "u", good)
+	s := newSite(t)
+	s.configure(time.Minute, u)
+	ahead := s.g.line.join(testService, 0)
+	got := make(chan reply, 1)
+	go func() { got <- s.call("POST", "/purchase/1", "line-1", "pack") }()
+	for {
+		s.g.line.mu.Lock()
+		n := len(s.g.line.waiting[testService])
+		s.g.line.mu.Unlock()
+		if n == 2 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if n := s.g.m.probes.Count(); n > 0 {
+		t.Errorf("%d probes while another call waits", n)
+	}
+	up := s.g.view.Load().upstreams[testService][0]
+	for range 2 {
+		s.g.line.give(testService, choice{answer: answer{upstream: up, report: &pick.Report{Slots: 6, Pace: 1}}})
+	}
+	wantStatus(t, <-got, 200)
+	if len(ahead.slot) != 1 {
+		t.Error("the first slot did not go to the first call")
+	}
+}
+
+// An upstream that is slow at this moment gets no call that would then end
+// after its target, while others are only full: their slots are free sooner.
+func TestWaitsOutSlowUpstreams(t *testing.T) {
+	slow := newStub(t, "slow", good)
+	slow.load = "0,0,6,500"
+	full := newStub(t, "full", good)
+	full.load = "6,0,6"
+	s := newSite(t)
+	s.configure(time.Minute, slow, full)
+	for range 100 {
+		s.g.work.addPace(testService, 1)
+	}
+	got := make(chan reply, 1)
+	go func() { got <- s.call("POST", "/purchase/1", "slow-1", "pack") }()
+	for s.g.m.probes.Count() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	full.setLoad("0,0,6")
+	wantStatus(t, <-got, 200)
+	if slow.ran("slow-1") > 0 {
+		t.Error("the slow upstream got the call")
+	}
+}
+
+// Where all upstreams are slow, a call goes to one of them.
+func TestAllSlow(t *testing.T) {
+	u := newStub(t, "slow", good)
+	u.load = "0,0,6,500"
+	s := newSite(t)
+	s.configure(2*time.Second, u)
+	for range 100 {
+		s.g.work.addPace(testService, 5)
+	}
+	wantStatus(t, s.call("POST", "/purchase/1", "all-slow-1", "pack"), 200)
+}
+
 // A planned stop serves what comes on open connections, closes them, and ends
 // what is in flight.
 func TestPlannedStop(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,7 +61,7 @@
 
 	budgets *budgets
 	probes  *probeBudget
-	handoff *handoff
+	line    *line
 	fleet   atomic.Pointer[[]Instance]
 	phase   atomic.Uint32
 	flying  atomic.Int64
@@ -93,7 +93,7 @@
 	m := newCounters(r)
 	g := &Gateway{
 		opt: opt, d: d, hooks: Hooks{Failed: func(uint64, float64) {}, Wanted: func() {}}, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
-		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), handoff: newHandoff(), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
+		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), line: newLine(), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
 	g.SetLimits(opt.Limits)
 	return g
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -19,7 +19,7 @@
 // Probes of a pick.
 const (
 	// probesMore are asked in each further search.
-	probesMore = 4
+	probesMore = 2
 	// enoughKnown is the number of upstreams known to be full from which on
 	// a call is refused.
 	enoughKnown = 6
@@ -175,12 +175,6 @@
 	since int
 }
 
-// room tells whether the chosen upstream works on the call without delay to it
-// or to others.
-func (c *call) room(ch *choice) bool {
-	return ch.report != nil && c.g.work.full(c.service.Name).Room(c.g.now(), ch.report, ch.since)
-}
-
 // giveBack returns the connection of a choice that is not used.
 func (g *Gateway) giveBack(ch choice) {
 	if ch.conn != nil {
@@ -246,7 +240,7 @@
 
 func (g *Gateway) job(c *call) pick.Job {
 	return pick.Job{
-		Work: g.work.of(c.route.Name), FullFactor: g.work.full(c.service.Name).Factor(g.now()), MeanPace: g.work.pace(c.service.Name),
+		Work: g.work.of(c.route.Name), FullFactor: g.work.full(c.service.Name).Factor(g.now()), MeanPace: g.work.paces(c.service.Name).Mean(),
 		FailureCost: c.failureCost(),
 	}
 }
@@ -255,13 +249,16 @@
 // connections are given back.
 func (g *Gateway) better(best choice, job pick.Job, answers []answer) choice {
 	now := g.now()
-	full := g.work.full(answers[0].upstream.Service)
+	full, paces := g.work.full(answers[0].upstream.Service), g.work.paces(answers[0].upstream.Service)
 	for _, a := range answers {
 		cand := pick.Candidate{Report: a.report, Cold: now < a.upstream.ColdUntil}
 		g.ev.with(a.upstream, func(ev *pick.Evidence) {
 			cand.FailureRate, cand.SentSince = ev.FailureRate(now), ev.Since(a.mark)
-			if a.report != nil {
-				ev.Reported(now, a.report, full.Room(now, a.report, 0), job.Turn())
+			switch {
+			case a.report == nil:
+				ev.Silent(now)
+			default:
+				ev.Reported(now, a.report, full.Room(now, a.report, 0), paces.Slow(a.report.Pace), job.Turn())
 			}
 		})
 		if a.report != nil {
--- a/gateway/testsite_test.go
+++ b/gateway/testsite_test.go
@@ -31,8 +31,11 @@
 		RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectUpstream: "Expect-Upstream", UpstreamID: "Upstream-Id",
 		NotRun: "Not-Run", Signature: "Signature", Load: "Load", LookupPlace: "place", LookupPath: "/lookup", ReadyPath: "/ready",
 		ParseLoad: func(s string) (r pick.Report, err error) {
-			r.Pace = 1
-			_, err = fmt.Sscanf(s, "%d,%d,%d", &r.Running, &r.Waiting, &r.Slots)
+			var percent float64
+			n, err := fmt.Sscanf(s, "%d,%d,%d,%f", &r.Running, &r.Waiting, &r.Slots, &percent)
+			if r.Pace = percent / 100; n == 3 {
+				r.Pace, err = 1, nil
+			}
 			return r, err
 		},
 	}
@@ -44,15 +47,15 @@
 
 // stub is an upstream whose behaviour a test sets.
 type stub struct {
-	id   string
-	ln   net.Listener
-	load string
+	id string
+	ln net.Listener
 	// early answers come before the body was read.
 	early bool
 	// closing answers to health requests end their connection.
 	closing bool
 
 	mu     sync.Mutex
+	load   string
 	do     behaviour
 	runs   map[string]int
 	bodies []string
@@ -92,7 +95,10 @@
 			if s.closing {
 				end = "Connection: close\r\n"
 			}
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%sContent-Length: 0\r\n\r\n", s.id, s.load, end)
+			s.mu.Lock()
+			load := s.load
+			s.mu.Unlock()
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%sContent-Length: 0\r\n\r\n", s.id, load, end)
 			if s.closing {
 				return
 			}
@@ -117,6 +123,13 @@
 	}
 }
 
+// setLoad sets what health answers tell.
+func (s *stub) setLoad(load string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load = load
+}
+
 // run counts that the stub ran the request.
 func (s *stub) run(r *http.Request) string {
 	id := r.Header.Get("Request-Id")
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -23,27 +23,29 @@
 	rows     map[string]*attempt.Quantile
 	first    map[string]time.Duration
 	fullness map[string]*pick.Fullness
-	paces    map[string]float64
+	pace     map[string]pick.Paces
 }
 
 func newWorks() *works {
 	return &works{
 		rows: map[string]*attempt.Quantile{}, first: map[string]time.Duration{}, fullness: map[string]*pick.Fullness{},
-		paces: map[string]float64{},
+		pace: map[string]pick.Paces{},
 	}
 }
 
-// pace returns the mean pace of a service's upstreams, 0 before any report.
-func (w *works) pace(service string) float64 {
+// paces returns the paces of a service's upstreams.
+func (w *works) paces(service string) pick.Paces {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.paces[service]
+	return w.pace[service]
 }
 
 func (w *works) addPace(service string, pace float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.paces[service] = pick.AddPace(w.paces[service], pace)
+	p := w.pace[service]
+	p.Add(pace)
+	w.pace[service] = p
 }
 
 // full returns the fullness of a service.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -144,17 +144,45 @@
 	return r.Free(sentSince) && (!r.NearlyFull(sentSince) || f.Factor(now) < slowWhenFull)
 }
 
-// paceStep is the weight of one report in a mean pace.
-const paceStep = 0.02
+// Weights of the paces of a service.
+const (
+	// paceStep is the weight of one report.
+	paceStep = 0.02
+	// slowPace is the pace from which an upstream counts as slow at this
+	// moment.
+	slowPace = 2.0
+	// mostSlow is the share of slow reports from which slowness is usual,
+	// and nothing to wait out.
+	mostSlow = 0.7
+)
+
+// Paces follows how long work takes at a service's upstreams. The zero value
+// has no reports.
+type Paces struct {
+	mean float64
+	// slow is the share of reports that were slow.
+	slow float64
+}
 
-// AddPace takes a report's pace into a mean, which is 0 at first.
-func AddPace(mean, pace float64) float64 {
-	if mean == 0 {
-		return pace
+// Add takes a report's pace.
+func (p *Paces) Add(pace float64) {
+	if p.mean == 0 {
+		p.mean = pace
+	}
+	p.mean += paceStep * (pace - p.mean)
+	v := 0.0
+	if pace >= slowPace {
+		v = 1
 	}
-	return mean + paceStep*(pace-mean)
+	p.slow += paceStep * (v - p.slow)
 }
 
+// Mean is the mean pace, 0 before any report.
+func (p Paces) Mean() float64 { return p.mean }
+
+// Slow tells whether a pace is well above what most upstreams have.
+func (p Paces) Slow(pace float64) bool { return pace >= slowPace && p.slow < mostSlow }
+
 // outcomes counts requests to one upstream; older ones count less.
 type outcomes struct {
 	total, failed float64
@@ -176,25 +204,38 @@
 	inFlight int
 	// sent counts the requests sent, to tell which a report knows of.
 	sent int
-	// crowded is until when a report makes it likely that no slot is free.
+	// crowded is until when a report makes it likely that there is no use
+	// in asking again.
 	crowded time.Duration
 }
 
-// crowdedTrust is the part of the expected wait for a slot during which the
-// upstream is not asked again.
-const crowdedTrust = 0.5
+// Times for which an upstream is not asked again.
+const (
+	// crowdedTrust is a part of the expected wait for a slot.
+	crowdedTrust = 0.5
+	// slowTrust follows a slow pace, silentTrust no answer: most likely the
+	// question itself waits for a slot.
+	slowTrust   = 75 * time.Millisecond
+	silentTrust = 50 * time.Millisecond
+)
 
-// Reported takes a report and whether it shows room; turn is the time that a
-// slot takes for one request.
-func (e *Evidence) Reported(now time.Duration, r *Report, room bool, turn time.Duration) {
+// Reported takes a report, whether it shows room and whether it is slow; turn
+// is the time that a slot takes for one request.
+func (e *Evidence) Reported(now time.Duration, r *Report, room, slow bool, turn time.Duration) {
 	e.crowded = 0
 	if !room {
 		n := max(1, r.ahead(0)-r.Slots+1)
 		e.crowded = now + time.Duration(crowdedTrust*float64(n)/float64(max(1, r.Slots))*float64(turn))
 	}
+	if slow {
+		e.crowded = max(e.crowded, now+slowTrust)
+	}
 }
 
-// Crowded tells whether a slot is unlikely to be free yet.
+// Silent takes that the upstream did not answer in time.
+func (e *Evidence) Silent(now time.Duration) { e.crowded = now + silentTrust }
+
+// Crowded tells whether the upstream has most likely no use for a request yet.
 func (e *Evidence) Crowded(now time.Duration) bool { return now < e.crowded }
 
 // Sent counts a request that goes to the upstream.
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -99,14 +99,37 @@
 
 func TestCrowdedForAWhile(t *testing.T) {
 	var e Evidence
-	e.Reported(time.Second, &Report{Running: 6, Waiting: 6, Slots: 6}, false, 100*time.Millisecond)
+	e.Reported(time.Second, &Report{Running: 6, Waiting: 6, Slots: 6}, false, false, 100*time.Millisecond)
 	if !e.Crowded(time.Second+50*time.Millisecond) || e.Crowded(time.Second+200*time.Millisecond) {
 		t.Error("a queue of a turn is crowded for about half of it")
 	}
-	e.Reported(time.Second, &Report{Running: 2, Slots: 6}, true, 100*time.Millisecond)
+	e.Reported(time.Second, &Report{Running: 2, Slots: 6}, true, false, 100*time.Millisecond)
 	if e.Crowded(time.Second) {
 		t.Error("crowded with slots free")
 	}
+	e.Reported(time.Second, &Report{Running: 2, Slots: 6}, true, true, 100*time.Millisecond)
+	if !e.Crowded(time.Second+slowTrust/2) || e.Crowded(time.Second+2*slowTrust) {
+		t.Error("a slow one is left alone for a moment")
+	}
+	e.Silent(time.Second)
+	if !e.Crowded(time.Second+silentTrust/2) || e.Crowded(time.Second+2*silentTrust) {
+		t.Error("a silent one is left alone for a moment")
+	}
+}
+
+// A slow upstream is one that others outpace: where most are slow, none is.
+func TestSlowAmongOthers(t *testing.T) {
+	var some, most Paces
+	for i := range 200 {
+		some.Add(1 + 4*float64(i%3/2))
+		most.Add(5 - 4*float64(i%10/9))
+	}
+	if !some.Slow(5) || some.Slow(1.2) {
+		t.Errorf("a third slow: mean %.2f", some.Mean())
+	}
+	if most.Slow(5) {
+		t.Errorf("most are slow, mean %.2f, and yet one of them counts as slow", most.Mean())
+	}
 }
 
 // Near upstreams with an open connection come first, crowded ones last, and
