Read the store at a restart without waiting, and let the first callers wait for the copy

The platform says when the whole system starts for the first time; only then instances wait for a peer's copy. Callers that come before the first configuration, and lookups before there is an instance to name, now wait up to 80 ms for it in place of a refusal that costs one of their few tries.

TestReadsFirst, TestFirstCallersWait and TestFirstLookupsWait are new.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,9 @@
 type Options struct {
 	Self  Info
 	Seeds []string
+	// ReadFirst lets the instance read the store at its start, without
+	// waiting for a peer's copy.
+	ReadFirst bool
 	// HubsKey is the store's key that tells where the hubs are, for
 	// instances whose seeds are gone.
 	HubsKey string
@@ -93,7 +96,7 @@
 func New(opt Options, source Source, listen Listener) *Fleet {
 	return &Fleet{
 		opt: opt, source: source, listen: listen,
-		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(),
+		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(), reader: reader{wanted: opt.ReadFirst},
 		warnings: rate.NewLimiter(warningsPerSecond, warningsPerSecond),
 		knows:    map[string]uint64{}, syncing: map[string]bool{},
 		wake: make(chan struct{}, 1), syncCh: make(chan string, syncRing),
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -43,7 +43,7 @@
 	retryAt time.Duration
 	// full asks for a whole copy, since the history is gone or unknown.
 	full bool
-	// wanted is set where callers wait for the first copy.
+	// wanted is set where the first copy is read without waiting for a peer's.
 	wanted bool
 }
 
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -217,3 +217,15 @@
 		}
 	})
 }
+
+// An instance that comes back into traffic reads the store without waiting for
+// a peer's copy; at a first start it waits.
+func TestReadsFirst(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		f := New(Options{Self: Info{Address: "10.0.0.2:1"}, Seeds: []string{"10.0.0.1:1"}, ReadFirst: first}, nil, nil)
+		what, _ := f.reader.due(0, -1, false, false)
+		if (what == callReadAll) != first {
+			t.Errorf("ReadFirst %v: call %v", first, what)
+		}
+	}
+}
--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -68,6 +68,24 @@
 	}
 }
 
+// The first callers after a start wait for the configuration that the instance
+// reads just then.
+func TestFirstCallersWait(t *testing.T) {
+	s := newSite(t)
+	u := newStub(t, "u", good)
+	s.g.hooks.Wanted = func() { s.configure(time.Second, u) }
+	wantStatus(t, s.call("POST", "/purchase/1", "first-1", "pack"), 200)
+}
+
+// The first lookups after a start wait for an instance to name.
+func TestFirstLookupsWait(t *testing.T) {
+	s := newUnnamedSite(t)
+	s.g.hooks.Wanted = func() { s.g.Fleet([]Instance{{Address: s.addr, DataCentre: "otavalo"}}, 1) }
+	if st := get(t, s.side, "/lookup?place=otavalo"); st != 200 {
+		t.Errorf("lookup answered %d", st)
+	}
+}
+
 func get(t *testing.T, addr, path string) int {
 	t.Helper()
 	resp, err := http.Get("http://" + addr + path)
@@ -218,7 +236,11 @@
 		if n == 2 {
 			break
 		}
-		time.Sleep(time.Millisecond)
+		select {
+		case r := <-got:
+			t.Fatalf("did not wait: %+v", r)
+		case <-time.After(time.Millisecond):
+		}
 	}
 	if n := s.g.m.probes.Count(); n > 0 {
 		t.Errorf("%d probes while another call waits", n)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,9 +63,13 @@
 	probes  *probeBudget
 	line    *line
 	fleet   atomic.Pointer[[]Instance]
-	phase   atomic.Uint32
-	flying  atomic.Int64
-	live    atomic.Int64
+	// configured and named close with the first configuration, and with the
+	// first instance that lookups can name.
+	configured, named chan struct{}
+	nameOnce          sync.Once
+	phase             atomic.Uint32
+	flying            atomic.Int64
+	live              atomic.Int64
 	// lookupLife is the lifetime of lookup answers, in nanoseconds.
 	lookupLife atomic.Int64
 
@@ -93,7 +97,7 @@
 	m := newCounters(r)
 	g := &Gateway{
 		opt: opt, d: d, hooks: Hooks{Failed: func(uint64, float64) {}, Wanted: func() {}}, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
-		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), line: newLine(), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
+		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), line: newLine(), configured: make(chan struct{}), named: make(chan struct{}), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
 	g.SetLimits(opt.Limits)
 	return g
@@ -107,7 +111,9 @@
 			st.byKey[keyOf(u)] = u
 		}
 	}
-	g.view.Store(st)
+	if g.view.Swap(st) == nil {
+		close(g.configured)
+	}
 	g.ev.keep(upstreams)
 	g.probes.size(len(st.byKey), 0)
 }
@@ -146,6 +152,9 @@
 // Fleet takes the instances that callers may use, and how many live.
 func (g *Gateway) Fleet(usable []Instance, live int) {
 	g.fleet.Store(&usable)
+	if len(usable) > 0 {
+		g.nameOnce.Do(func() { close(g.named) })
+	}
 	g.live.Store(int64(live))
 	g.budgets.fleet(g.now(), live)
 	g.probes.size(0, live)
@@ -277,10 +286,9 @@
 	arrived := g.now()
 	g.flying.Add(1)
 	defer g.flying.Add(-1)
-	st := g.view.Load()
+	st := g.firstView()
 	id := string(ctx.Request.Header.Peek(g.d.RequestID))
 	if st == nil {
-		g.hooks.Wanted()
 		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, "no-configuration")
 		return
 	}
@@ -294,6 +302,31 @@
 	g.end(c, e)
 }
 
+// firstWait is how long the first callers after a start wait for what the
+// instance reads just then; the store answers in milliseconds, and a refusal
+// would cost them one of their few tries.
+const firstWait = 80 * time.Millisecond
+
+// firstView returns what to serve by; a caller that comes before there is a
+// configuration waits a moment for it.
+func (g *Gateway) firstView() *view {
+	if st := g.view.Load(); st != nil {
+		return st
+	}
+	g.hooks.Wanted()
+	awaitFirst(g.configured)
+	return g.view.Load()
+}
+
+func awaitFirst(ch <-chan struct{}) {
+	t := time.NewTimer(firstWait)
+	defer t.Stop()
+	select {
+	case <-ch:
+	case <-t.C:
+	}
+}
+
 // newCall takes what the request says.
 func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, st *view, r *route.Route, id string, arrived time.Duration) *call {
 	name := r.Next()
--- a/gateway/side.go
+++ b/gateway/side.go
@@ -36,14 +36,14 @@
 
 func (g *Gateway) lookup(ctx *fasthttp.RequestCtx) {
 	place := string(ctx.QueryArgs().Peek(g.d.LookupPlace))
-	list := g.fleet.Load()
-	var addresses []string
-	if list != nil {
-		addresses = chooseInstances(*list, place)
+	addresses := g.addresses(place)
+	if len(addresses) == 0 && !g.hasNamed() {
+		g.hooks.Wanted()
+		awaitFirst(g.named)
+		addresses = g.addresses(place)
 	}
 	g.m.lookups.Inc(1)
 	if len(addresses) == 0 {
-		g.hooks.Wanted()
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		if err := level.Warn(g.log).Log("msg", "lookup without an instance to name", "data_centre", place); err != nil {
 			g.m.logFailures.Inc(1)
@@ -59,6 +59,24 @@
 	ctx.SetBody(body)
 }
 
+// addresses returns the instances to name to a caller.
+func (g *Gateway) addresses(place string) []string {
+	if list := g.fleet.Load(); list != nil {
+		return chooseInstances(*list, place)
+	}
+	return nil
+}
+
+// hasNamed tells whether there was an instance to name since the start.
+func (g *Gateway) hasNamed() bool {
+	select {
+	case <-g.named:
+		return true
+	default:
+		return false
+	}
+}
+
 // chooseInstances returns the instances to name to a caller: those of its data
 // centre, and others only where these are few.
 func chooseInstances(list []Instance, dataCentre string) []string {
--- a/gateway/testsite_test.go
+++ b/gateway/testsite_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -30,6 +31,7 @@
 	return Dialect{
 		RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectUpstream: "Expect-Upstream", UpstreamID: "Upstream-Id",
 		NotRun: "Not-Run", Signature: "Signature", Load: "Load", LookupPlace: "place", LookupPath: "/lookup", ReadyPath: "/ready",
+		EncodeLookup: func(addresses []string, _ time.Duration) ([]byte, error) { return json.Marshal(addresses) },
 		ParseLoad: func(s string) (r pick.Report, err error) {
 			var percent float64
 			n, err := fmt.Sscanf(s, "%d,%d,%d,%f", &r.Running, &r.Waiting, &r.Slots, &percent)
@@ -163,6 +165,14 @@
 }
 
 func newSite(t *testing.T) *site {
+	t.Helper()
+	s := newUnnamedSite(t)
+	s.g.Fleet([]Instance{{Address: s.addr, DataCentre: "otavalo"}}, 1)
+	return s
+}
+
+// newUnnamedSite returns a site without an instance that callers may use.
+func newUnnamedSite(t *testing.T) *site {
 	t.Helper()
 	began := time.Now()
 	g := New(Options{
@@ -186,7 +196,6 @@
 			t.Errorf("gateway ended with %v", err)
 		}
 	})
-	g.Fleet([]Instance{{Address: s.addr, DataCentre: "otavalo"}}, 1)
 	return s
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -84,7 +84,10 @@
 			Address: set.PeerAddress, DataAddress: set.DataAddress, DataCentre: set.DataCentre, Region: set.Region,
 			Incarnation: uint64(n.started.UnixMilli()),
 		},
-		Seeds: set.Seeds, HubsKey: a.Keys.Hubs, Now: n.now, Log: logs.For(l, "fleet"),
+		// At a first start no caller waits yet, and one instance can read for
+		// all; later ones come back into traffic.
+		ReadFirst: !set.FirstStart,
+		Seeds:     set.Seeds, HubsKey: a.Keys.Hubs, Now: n.now, Log: logs.For(l, "fleet"),
 		StoreCall: func(outcome string) {
 			gometrics.GetOrRegisterCounter("store_calls_total."+outcome, n.registry).Inc(1)
 		},
--- a/node/settings.go
+++ b/node/settings.go
@@ -28,7 +28,9 @@
 	// Seeds are peer addresses of instances that may live.
 	Seeds        []string
 	StoreAddress string
-	MemoryBytes  int64
+	// FirstStart is set when the whole system starts for the first time.
+	FirstStart  bool
+	MemoryBytes int64
 	// StopLimit is the time from the request to stop until the process is
 	// killed.
 	StopLimit time.Duration
