Leave what is left of the budget of repeats to more urgent calls

A call that finds nothing left now keeps less urgent calls of its service away from the budget for 3 s.

TestBudgetByPriority is new; TestBudgetBoundsEverySpan now draws priorities.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -129,14 +129,14 @@
 	}
 	c.hedges++
 	work := c.g.work.of(c.route.Name)
-	if c.left() < work || c.g.work.full(c.service.Name).Busy() || !c.g.budgets.spare(c.g.now(), c.service.Name) {
+	if c.left() < work || c.g.work.full(c.service.Name).Busy() || !c.g.budgets.spare(c.g.now(), c.service.Name, c.route.Priority) {
 		return
 	}
 	ch, ok := c.g.choose(c)
 	if !ok {
 		return
 	}
-	if ch.report == nil || ch.report.NearlyFull(ch.since) || ch.report.Pace > pickPaceLimit || !c.g.budgets.take(c.g.now(), c.service.Name) {
+	if ch.report == nil || ch.report.NearlyFull(ch.since) || ch.report.Pace > pickPaceLimit || !c.g.budgets.take(c.g.now(), c.service.Name, c.route.Priority) {
 		c.g.giveBack(ch)
 		timer.Reset(hedgeAgain)
 		return
@@ -195,7 +195,7 @@
 		return attempt.DeniedAttempts
 	case c.left() < c.g.work.of(c.route.Name)/2:
 		return attempt.DeniedDeadline
-	case c.sends > 0 && !c.g.budgets.take(c.g.now(), c.service.Name):
+	case c.sends > 0 && !c.g.budgets.take(c.g.now(), c.service.Name, c.route.Priority):
 		return attempt.DeniedBudget
 	}
 	return ""
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -109,7 +109,25 @@
 	opt       BudgetOptions
 	mu        sync.Mutex
 	allowance float64
-	rows      map[string]*attempt.Window
+	rows      map[string]*budget // by service
+}
+
+// budget is a service's.
+type budget struct {
+	*attempt.Window
+	// denied holds when calls of a priority last found nothing left.
+	denied map[int]time.Duration
+}
+
+// yields tells whether a more urgent call found nothing left a short time ago:
+// what there is now is kept for such calls.
+func (b *budget) yields(now time.Duration, priority int) bool {
+	for p, at := range b.denied {
+		if p < priority && now-at < yieldFor {
+			return true
+		}
+	}
+	return false
 }
 
 // BudgetOptions bound the attempts beyond the first of all instances together.
@@ -128,10 +146,13 @@
 	// hedgePart is the part of the budget that hedges may use; the rest is
 	// kept for repeats of what failed.
 	hedgePart = 0.6
+	// yieldFor is how long less urgent calls leave the budget to more urgent
+	// ones that found nothing left.
+	yieldFor = 3 * time.Second
 )
 
 func newBudgets(opt BudgetOptions) *budgets {
-	return &budgets{opt: opt, rows: map[string]*attempt.Window{}}
+	return &budgets{opt: opt, rows: map[string]*budget{}}
 }
 
 // set changes the bounds; counting begins anew where they differ.
@@ -139,7 +160,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if opt != b.opt {
-		b.opt, b.rows = opt, map[string]*attempt.Window{}
+		b.opt, b.rows = opt, map[string]*budget{}
 	}
 }
 
@@ -157,10 +178,10 @@
 	}
 }
 
-func (b *budgets) row(service string) *attempt.Window {
+func (b *budgets) row(service string) *budget {
 	w := b.rows[service]
 	if w == nil {
-		w = attempt.NewWindow(shareUsed*b.opt.Share, b.allowance, b.opt.Window)
+		w = &budget{attempt.NewWindow(shareUsed*b.opt.Share, b.allowance, b.opt.Window), map[int]time.Duration{}}
 		b.rows[service] = w
 	}
 	return w
@@ -173,15 +194,26 @@
 	b.row(service).Call(now)
 }
 
-// spare tells whether a hedge may be made.
-func (b *budgets) spare(now time.Duration, service string) bool {
+// spare tells whether a call of the priority may make a hedge.
+func (b *budgets) spare(now time.Duration, service string, priority int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.row(service).Spare(now, hedgePart)
+	r := b.row(service)
+	return !r.yields(now, priority) && r.Spare(now, hedgePart)
 }
 
-func (b *budgets) take(now time.Duration, service string) bool {
+// take uses one attempt beyond the first for a call of the priority, or
+// returns false where none is left for it. Priority 0 is the most urgent.
+func (b *budgets) take(now time.Duration, service string, priority int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.row(service).Take(now)
+	r := b.row(service)
+	switch {
+	case r.yields(now, priority):
+		return false
+	case r.Take(now):
+		return true
+	}
+	r.denied[priority] = now
+	return false
 }
--- a/gateway/work_test.go
+++ b/gateway/work_test.go
@@ -38,7 +38,7 @@
 			w.call(now, testService)
 			events = append(events, event{now, false})
 			for range rapid.IntRange(0, 6).Draw(t, "failures") {
-				if w.take(now, testService) {
+				if w.take(now, testService, rapid.IntRange(0, 2).Draw(t, "priority")) {
 					events = append(events, event{now, true})
 				}
 			}
@@ -66,11 +66,11 @@
 func TestFreshProcessHasNoAllowance(t *testing.T) {
 	b := newBudgets(BudgetOptions{Share: 0.2, Allowance: 64, Window: 10 * time.Second})
 	b.fleet(time.Second, 1)
-	if b.take(time.Second, testService) {
+	if b.take(time.Second, testService, 0) {
 		t.Error("an extra attempt without a call, a second after the start")
 	}
 	b.fleet(10*time.Second, 1)
-	if !b.take(10*time.Second, testService) {
+	if !b.take(10*time.Second, testService, 0) {
 		t.Error("no extra attempt after a whole span")
 	}
 }
@@ -105,3 +105,28 @@
 		t.Errorf("%d probes beyond the budget", n)
 	}
 }
+
+// What is left of a budget goes to the most urgent calls that want it.
+func TestBudgetByPriority(t *testing.T) {
+	b := newBudgets(BudgetOptions{Share: 0, Allowance: 10 / allowanceUsed, Window: 10 * time.Second})
+	now := 20 * time.Second
+	b.fleet(now, 1)
+	for i := range 10 {
+		if !b.take(now, testService, 2) {
+			t.Fatalf("take %d: nothing left, and nobody more urgent wants it", i)
+		}
+	}
+	if b.take(now, testService, 0) || b.take(now, testService, 2) {
+		t.Fatal("more than the budget")
+	}
+	now += 11 * time.Second
+	if b.take(now-yieldFor/2, testService, 0) {
+		t.Fatal("the budget came back too soon")
+	}
+	if b.take(now, testService, 1) || b.spare(now, testService, 1) || !b.spare(now, testService, 0) || !b.take(now, testService, 0) {
+		t.Error("a less urgent call gets what a more urgent one found missing")
+	}
+	if !b.take(now+yieldFor, testService, 1) {
+		t.Error("a less urgent call gets nothing later on")
+	}
+}
