End calls whose caller has left before they are placed or repeated

Found by reading: a call that waits for room did not look at its caller's connection, and a purchase that an upstream did not run was sent to another though its caller had left meanwhile. With targets of some seconds, as an unseen deployment may have, that reaches upstreams long after the close. Both tests fail on the code before: ran though its caller had left; sent to b, then to a. A route without a target counts no upstream as too slow.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -92,13 +92,19 @@
 		case <-timeout.C:
 			return c.timedOut()
 		case <-watch.C:
-			if netpeek.Conn(c.ctx.Conn()) == netpeek.Closed && c.route.Idempotent {
-				return ending{kind: endGone, reason: "caller-left"}
+			if c.route.Idempotent && c.callerLeft() {
+				return gone
 			}
 		}
 	}
 }
 
+// gone ends a call whose caller left.
+var gone = ending{kind: endGone, reason: "caller-left"}
+
+// callerLeft tells whether the caller closed its connection.
+func (c *call) callerLeft() bool { return netpeek.Conn(c.ctx.Conn()) == netpeek.Closed }
+
 // cancel gives up the attempts in progress.
 func (c *call) cancel() {
 	for _, t := range c.live {
@@ -169,6 +175,9 @@
 	if len(c.live) > 0 {
 		return ending{}, false
 	}
+	if c.callerLeft() {
+		return gone, true
+	}
 	if denied := c.denied(t); denied != "" {
 		c.log("not repeated", "reason", denied, "after", t.outcome.String(), "upstream", t.upstream.ID)
 		return c.giveUp(t.outcome.String()), true
--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -50,6 +50,67 @@
 	<-u.cut
 }
 
+// send sends a request and leaves its connection open.
+func send(t *testing.T, s *site, path, id string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp4", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", path, testHost, id)
+	return c
+}
+
+// idle waits until no request is in flight.
+func (s *site) idle() {
+	for s.g.flying.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A caller that leaves while its call waits for room ends it: nothing is sent
+// for it.
+func TestCallerLeavesTheLine(t *testing.T) {
+	u := newStub(t, "full", good)
+	u.load = "6,9,6"
+	s := newSite(t)
+	s.configure(10*time.Second, u)
+	c := send(t, s, "/purchase/1", "line-2")
+	for !s.g.line.ahead(testService, 9) {
+		time.Sleep(time.Millisecond)
+	}
+	c.Close()
+	s.idle()
+	if u.ran("line-2") > 0 {
+		t.Error("ran though its caller had left")
+	}
+}
+
+// A request that an upstream did not run isn't sent to another once its caller
+// has left.
+func TestNoRepeatForCallerThatLeft(t *testing.T) {
+	release := make(chan struct{})
+	arrived := make(chan string, 4)
+	shed := func(s *stub, c net.Conn, r *http.Request, _ string) bool {
+		arrived <- s.id
+		<-release
+		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		return true
+	}
+	s := newSite(t)
+	s.configure(10*time.Second, newStub(t, "a", shed), newStub(t, "b", shed))
+	c := send(t, s, "/purchase/1", "left-1")
+	first := <-arrived
+	c.Close()
+	close(release)
+	s.idle()
+	select {
+	case second := <-arrived:
+		t.Errorf("sent to %s, then to %s", first, second)
+	default:
+	}
+}
+
 // Before a configuration is known, requests are refused as not run, and the
 // instance is not ready.
 func TestNoConfiguration(t *testing.T) {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -27,7 +27,11 @@
 	if !c.room(&ch) {
 		ch = c.waitForRoom(ch, limit)
 	}
-	if c.room(&ch) || c.worthQueueing(&ch) {
+	switch {
+	case c.callerLeft():
+		c.g.giveBack(ch)
+		return ch, gone, false
+	case c.room(&ch) || c.worthQueueing(&ch):
 		return ch, ending{}, true
 	}
 	c.logNoRoom(ch)
@@ -52,11 +56,11 @@
 }
 
 // waitForRoom waits in line for a slot that another call leaves, until there
-// is room or the limit has passed. The call at the head of the line searches
+// is room, the limit has passed or the caller has left. The call at the head of the line searches
 // for all: probes of many that wait would take the slots that they look for.
 func (c *call) waitForRoom(ch choice, limit time.Duration) choice {
 	w := c.g.line.join(c.service.Name, c.route.Priority)
-	for !c.room(&ch) && c.g.now() < limit {
+	for !c.room(&ch) && c.g.now() < limit && !c.callerLeft() {
 		select {
 		case next := <-w.slot:
 			if c.tried[next.answer.upstream.ID] {
@@ -90,7 +94,7 @@
 // tooSlow tells whether the call would end after its target at an upstream
 // that is slow at this moment, while most are not.
 func (c *call) tooSlow(ch *choice) bool {
-	if !c.g.work.paces(c.service.Name).Slow(ch.report.Pace) {
+	if c.route.Target == 0 || !c.g.work.paces(c.service.Name).Slow(ch.report.Pace) {
 		return false
 	}
 	return c.g.now()-c.arrived+c.expected(*ch) > c.route.Target
