One client of the store for both worlds, and one stand-in of it

The agents spoke an older protocol of their own to the store, by a second client and a second stand-in. Now platform.Store is the only client: it has what the agents need besides (leases, keys, a watch of one key that ends with its context), package store keeps the interface, the kinds of faults and the list.

Tests moved with the client. Two checks were replaced, since the published protocol has no mark by which the store signs a refusal: a 503 or 429 alone says that nothing was done (its pages say so), where the older protocol took it as a doubt without the mark. In their place: a 412 that does not tell what was found, and statuses without a meaning (500, 502), leave a write in doubt; an answer without a revision does too.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -43,7 +43,8 @@
 	set     Settings
 	log     log.Logger
 	metrics gometrics.Registry
-	store   *store.Client
+	store   store.Store
+	list    *store.ListClient
 	reader  *config.Committer
 	started time.Time
 	node    *Node // owned by the loop
@@ -65,12 +66,11 @@
 }
 
 // NewDaemon returns a Daemon for checked settings.
-func NewDaemon(set Settings, l log.Logger) *Daemon {
-	c := store.NewClient(set.StoreAddress, set.ListAddress)
+func NewDaemon(set Settings, c store.Store, l log.Logger) *Daemon {
 	r := gometrics.NewRegistry()
 	now := time.Now()
 	return &Daemon{
-		set: set, log: l, metrics: r, store: c, reader: config.NewCommitter(c), started: now,
+		set: set, log: l, metrics: r, store: c, list: store.NewListClient(set.ListAddress), reader: config.NewCommitter(c), started: now,
 		node: NewNode(Options{
 			ID: set.ID, DataCentre: set.DataCentre, Region: set.Region, PeerAddress: set.PeerAddress,
 			EntryAddress: set.EntryAddress, Incarnation: uint64(now.UnixMilli()), Seed: uint64(now.UnixNano()),
@@ -278,7 +278,7 @@
 	bounded, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	d.count("list.reads")
-	l, err := d.store.Instances(bounded)
+	l, err := d.list.Instances(bounded)
 	if err != nil {
 		d.count("list.failed")
 	}
--- a/cmd/catkin-agent/main.go
+++ b/cmd/catkin-agent/main.go
@@ -9,6 +9,7 @@
 	"github.com/catkinrouter/catkinrouter/agent"
 	"github.com/catkinrouter/catkinrouter/internal/daemon"
 	"github.com/catkinrouter/catkinrouter/internal/logs"
+	"github.com/catkinrouter/catkinrouter/platform"
 )
 
 const name = "catkin-agent"
@@ -27,7 +28,7 @@
 	l := logs.For(daemon.Logger(s.LogLevel), "agent")
 	ctx, stop := daemon.Context()
 	defer stop()
-	if err := agent.NewDaemon(s, l).Run(ctx); err != nil {
+	if err := agent.NewDaemon(s, platform.NewStore(s.StoreAddress), l).Run(ctx); err != nil {
 		level.Error(l).Log("msg", "stopped by a fault", "err", err)
 		return daemon.ExitFault
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -26,9 +26,8 @@
 // Store is the platform's store.
 type Store interface {
 	ReadAll(ctx context.Context, prefix string) (mirror.Delta, error)
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (mirror.Delta, error)
-	Read(ctx context.Context, key string) (mirror.Item, error)
-	Write(ctx context.Context, key string, value []byte, expect int64) error
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (mirror.Delta, error)
+	Put(ctx context.Context, key string, data []byte, expect, lease int64) (int64, error)
 }
 
 // Adapter is what an instance needs of a platform.
@@ -108,12 +107,13 @@
 
 // Watch implements fleet.Source.
 func (s source) Watch(ctx context.Context, after int64, wait time.Duration) (mirror.Delta, error) {
-	return s.a.Store.Watch(ctx, everything, after, wait)
+	return s.a.Store.Changes(ctx, everything, after, wait)
 }
 
 // Write implements fleet.Source.
 func (s source) Write(ctx context.Context, key string, value []byte, expect int64) error {
-	return s.a.Store.Write(ctx, key, value, expect)
+	_, err := s.a.Store.Put(ctx, key, value, expect, 0)
+	return err
 }
 
 func (n *Node) now() time.Duration { return time.Since(n.started) }
--- a/standin/platformfaults.go
+++ b/standin/platformfaults.go
@@ -1,5 +1,11 @@
 package standin
 
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
 // PlatformFaults are the faults that a Platform shows, as JSON over HTTP.
 type PlatformFaults struct {
 	// Down refuses every call and ends the watches that wait.
@@ -20,3 +26,19 @@
 	// ListLagMillis is the age of the list's answers, in milliseconds.
 	ListLagMillis int `json:"list_lag_ms"`
 }
+
+// ofStore returns the faults that one call of the store meets.
+func (f PlatformFaults) ofStore() KVFaults {
+	out := KVFaults{Slow: millis(f.SlowMillis)}
+	switch {
+	case f.Down:
+		out.Status = fasthttp.StatusServiceUnavailable
+	case f.LoseCalls > 0:
+		out.Reset = true
+	case f.LateWrites > 0:
+		out.LateWrites = max(millis(f.LateMillis), time.Millisecond)
+	case f.LoseAnswers > 0:
+		out.LoseWrites = true
+	}
+	return out
+}
--- a/standin/site.go
+++ b/standin/site.go
@@ -11,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinrouter/catkinrouter/settings"
-	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // UpstreamFaultsPath, followed by an upstream's ID, takes a POST of
@@ -99,7 +98,7 @@
 	id, ok := strings.CutPrefix(path, UpstreamFaultsPath)
 	u := s.upstreams[id]
 	if !ok || u == nil {
-		reply(ctx, fasthttp.StatusNotFound, store.Answer{Error: "unknown path or upstream: use " + CountsPath + " or " + UpstreamFaultsPath + "ID"})
+		reply(ctx, fasthttp.StatusNotFound, fault{"unknown path or upstream: use " + CountsPath + " or " + UpstreamFaultsPath + "ID"})
 		return
 	}
 	var f UpstreamFaults
--- a/store/store.go
+++ b/store/store.go
@@ -1,8 +1,13 @@
-// Package store talks to the platform's key-value store and instance list.
+// Package store says what the product needs of a platform's key-value store and
+// list of instances, and of which kinds their faults are. Package platform has
+// the client of the store.
 package store
 
 import "context"
 
+// MaxValue is the greatest size of a stored value, in bytes.
+const MaxValue = 1 << 20
+
 // Value is a stored value with the store revision that wrote it. The store's
 // revision rises with every write to any key.
 type Value struct {
