Let news of the store cross to each data centre once, through a relay there

Now the lowest address that lives in a data centre, its relay, fetches what hubs tell, and tells the others there; they wait 0.5 s for it, then fetch themselves. Who a peer is is asked before its copy. Lists of members come from the first hub alone, since each hub hears all beats itself.

Ruled out as the cause: lists of members (8,000 rows), beats (2 MB in 18 s). TestRelayFetchesForItsDataCentre and TestMembersOnly are new.

--- a/fleet/beating.go
+++ b/fleet/beating.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -179,13 +178,25 @@
 			f.listen.StoreReturned(now)
 		}
 	}
-	behind := b.Revision > f.copy.Revision() || f.isHub(now, from) && f.knows[from] != b.Members
-	if behind || !known || b.Flags&flagUnknown != 0 {
+	news := b.Revision > f.copy.Revision()
+	if news && f.behind == 0 {
+		f.behind = now
+	}
+	joined := f.isFirstHub(now, from) && f.knows[from] != b.Members
+	if news && f.fetches(now, from) || joined || !known || b.Flags&flagUnknown != 0 {
 		f.askSync(from)
 	}
 	f.show()
 }
 
-func (f *Fleet) isHub(now time.Duration, address string) bool {
-	return slices.Contains(f.table.Hubs(now), address)
+// isFirstHub tells whether the list of members is taken from a peer: each hub
+// hears all beats itself, so the lists of others bring nothing more. The hub
+// takes the next one's.
+func (f *Fleet) isFirstHub(now time.Duration, address string) bool {
+	for _, h := range f.table.Hubs(now) {
+		if h != f.opt.Self.Address {
+			return h == address
+		}
+	}
+	return false
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -74,6 +74,9 @@
 	state  State
 	// knows is the version of each hub's list that was taken.
 	knows map[string]uint64
+	// behind is when a peer of another data centre first had news that this
+	// instance lacks; 0 for none.
+	behind time.Duration
 	// syncing holds the peers with a fetch under way.
 	syncing map[string]bool
 	shown   uint64 // version of the list that the Listener has
@@ -191,6 +194,7 @@
 	if !ok {
 		return false
 	}
+	f.behind = 0
 	if f.reader.prove(proof) {
 		level.Info(f.opt.Log).Log("msg", "store regained", "source", source, "revision", f.copy.Revision())
 		f.listen.StoreReturned(now)
@@ -203,14 +207,27 @@
 	return true
 }
 
-// push tells all members at once of a change, where this instance is a hub.
+// push tells members at once of a change: a hub all, a relay those of its data
+// centre.
 func (f *Fleet) push() {
-	if f.table.Rank(f.opt.Now()) < 0 {
-		return
-	}
+	now := f.opt.Now()
+	hub, relay := f.table.Rank(now) >= 0, f.table.Relay(now) == f.opt.Self.Address
 	for _, m := range f.table.Live() {
-		if m.Address != f.opt.Self.Address {
+		if m.Address != f.opt.Self.Address && (hub || relay && f.table.near(m.Address)) {
 			f.send(m.Address, 0)
 		}
 	}
 }
+
+// relayWait is how long an instance that lacks news waits for its data
+// centre's relay before it fetches them from another data centre itself.
+const relayWait = 500 * time.Millisecond
+
+// fetches tells whether this instance takes news from a peer itself: one of
+// its data centre, or any where it is the relay or has waited for it.
+func (f *Fleet) fetches(now time.Duration, from string) bool {
+	if f.table.near(from) || f.table.Relay(now) == f.opt.Self.Address {
+		return true
+	}
+	return f.behind > 0 && now-f.behind >= relayWait
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -353,3 +353,52 @@
 	eventually(t, func() bool { return in.value("op") == "2" })
 	in.end(t)
 }
+
+// News cross to another data centre once: its relay, the lowest address that
+// lives there, fetches them; the others take them from it, or themselves where
+// it does not bring them soon.
+func TestRelayFetchesForItsDataCentre(t *testing.T) {
+	info := func(address, dataCentre string) Info {
+		return Info{Address: address, DataCentre: dataCentre, Incarnation: 1}
+	}
+	const hub, relay, other = "10.0.0.1:1", "10.0.1.1:1", "10.0.1.2:1"
+	f := New(Options{Self: info(other, "otavalo")}, nil, nil)
+	now := time.Second
+	if !f.fetches(now, hub) {
+		t.Fatal("an instance that knows no nearer one fetches itself")
+	}
+	f.table.Introduce(now, info(hub, "ibarra"), State{})
+	f.table.Introduce(now, info(relay, "otavalo"), State{})
+	if f.fetches(now, hub) || !f.fetches(now, relay) {
+		t.Error("news come from the relay")
+	}
+	f.behind = now
+	if !f.fetches(now+relayWait, hub) {
+		t.Error("the relay brings nothing, and the instance waits on")
+	}
+	f.behind = 0
+	f.table.Learn(now+time.Minute, []Member{{Info: info(relay, "otavalo"), Silent: true}})
+	if f.table.Relay(now+time.Minute) != other || !f.fetches(now+time.Minute, hub) {
+		t.Error("a relay that is silent is still waited for")
+	}
+	f.table.Introduce(now, info(relay, "otavalo"), State{Leaving: true, Count: 2})
+	if f.table.Relay(now) != other {
+		t.Error("a relay that leaves is still waited for")
+	}
+}
+
+// A peer that asks for members only gets no copy.
+func TestMembersOnly(t *testing.T) {
+	f := New(Options{Self: Info{Address: "10.0.0.1:1"}, Now: func() time.Duration { return time.Second }}, nil, &learned{values: map[string]string{}})
+	f.copy.Apply(mirror.Delta{Full: true, Revision: 3, Items: []mirror.Item{{Key: "k", Revision: 2}}})
+	p := &Peer{f}
+	for _, only := range []bool{true, false} {
+		var reply SyncReply
+		if err := p.Sync(&SyncArgs{Info: Info{Address: "10.0.0.2:1"}, MembersOnly: only}, &reply); err != nil {
+			t.Fatal(err)
+		}
+		if got := len(reply.Delta.Items) == 0; got != only || len(reply.Members) == 0 {
+			t.Errorf("members only %v: %+v", only, reply)
+		}
+	}
+}
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -17,13 +17,16 @@
 	Revision int64
 	// Members is the version of the peer's list that the sender has.
 	Members uint64
+	// MembersOnly is set where the sender takes its copy from a nearer peer.
+	MembersOnly bool
 }
 
 // SyncReply brings a peer up to date.
 type SyncReply struct {
 	Info  Info
 	State State
-	// Delta follows the asker's revision. Proven is set where the copy is
+	// Delta follows the asker's revision, and is empty for one that asked for
+	// members only. Proven is set where the copy is
 	// known to have been complete, Age ago.
 	Delta  mirror.Delta
 	Proven bool
@@ -44,7 +47,9 @@
 	now := f.opt.Now()
 	f.table.Introduce(now, args.Info, args.State)
 	reply.Info, reply.State = f.opt.Self, f.state
-	reply.Delta = f.copy.Since(args.Revision)
+	if !args.MembersOnly {
+		reply.Delta = f.copy.Since(args.Revision)
+	}
 	reply.Proven, reply.Age = f.reader.proven, f.reader.age(now)
 	reply.Members, reply.Version = f.table.Since(args.Members), f.table.Version()
 	f.show()
--- a/fleet/syncing.go
+++ b/fleet/syncing.go
@@ -38,6 +38,8 @@
 func (f *Fleet) sync(ctx context.Context, from string) {
 	f.mu.Lock()
 	args := SyncArgs{Info: f.opt.Self, State: f.state, Revision: f.copy.Revision(), Members: f.knows[from]}
+	// Who a peer is, and which are nearer, is asked before the copy.
+	args.MembersOnly = !f.table.knows(from) || !f.fetches(f.opt.Now(), from)
 	f.mu.Unlock()
 	began := f.opt.Now()
 	var reply SyncReply
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -208,7 +208,7 @@
 	var good, poor []string
 	for a, m := range t.members {
 		switch {
-		case a != t.self && (m.Silent || m.asked > 0 && now-m.asked >= hubSilence):
+		case a != t.self && m.lost(now):
 		case m.Blind || m.Leaving || !m.introduced:
 			poor = append(poor, a)
 		default:
@@ -232,6 +232,35 @@
 	return rank
 }
 
+// Relay returns the address of the member that fetches changes for this
+// instance's data centre, so that each crosses to it once: the lowest address
+// of those that live there, this instance's perhaps.
+func (t *Table) Relay(now time.Duration) string {
+	relay := t.self
+	for a, m := range t.members {
+		if a < relay && t.near(a) && !m.Leaving && !m.lost(now) {
+			relay = a
+		}
+	}
+	return relay
+}
+
+// near tells whether a member is known to be in this instance's data centre.
+func (t *Table) near(address string) bool {
+	return t.knows(address) && t.members[address].DataCentre == t.members[t.self].DataCentre
+}
+
+// knows tells whether a member's own word about itself was taken.
+func (t *Table) knows(address string) bool {
+	m := t.members[address]
+	return m != nil && m.introduced
+}
+
+// lost tells whether the member gives no sign of life.
+func (m *member) lost(now time.Duration) bool {
+	return m.Silent || m.asked > 0 && now-m.asked >= hubSilence
+}
+
 // Tick gives up the members that this instance, as a hub, no longer hears, and
 // returns the addresses to beat to: the hubs, the seeds while they are not
 // known, and at times one that is silent.
@@ -272,8 +301,7 @@
 // forget tells whether a member was silent for so long that it is not asked
 // again.
 func (t *Table) forget(now time.Duration, m *member) bool {
-	silent := m.Silent || m.asked > 0 && now-m.asked >= hubSilence
-	if !silent {
+	if !m.lost(now) {
 		m.silentSince = 0
 		return false
 	}
@@ -287,7 +315,7 @@
 func (t *Table) revival(now time.Duration) string {
 	var oldest *member
 	for _, m := range t.members {
-		if m.Address == t.self || !m.Silent && (m.asked == 0 || now-m.asked < hubSilence) {
+		if m.Address == t.self || !m.lost(now) {
 			continue
 		}
 		if oldest == nil || m.revived < oldest.revived || m.revived == oldest.revived && m.Address < oldest.Address {
