--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 	"github.com/catkinrouter/catkinrouter/pick"
 	"github.com/catkinrouter/catkinrouter/route"
 )
@@ -227,17 +228,17 @@
 	front := &fasthttp.Server{
 		Handler: g.handle, ErrorHandler: g.malformed, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
-		NoDefaultContentType: true, DisablePreParseMultipartForm: true, LazyRequestTime: true, Logger: quiet{},
+		NoDefaultContentType: true, DisablePreParseMultipartForm: true, LazyRequestTime: true, Logger: httpserve.Quiet{},
 	}
 	side := &fasthttp.Server{
-		Handler: g.handleSide, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: quiet{},
+		Handler: g.handleSide, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: httpserve.Quiet{},
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	eg, failed := errgroup.WithContext(work)
-	eg.Go(func() error { return ignoreClosed(front.Serve(lns.front)) })
-	eg.Go(func() error { return ignoreClosed(side.Serve(lns.ready)) })
-	eg.Go(func() error { return ignoreClosed(side.Serve(lns.lookup)) })
+	eg.Go(func() error { return httpserve.IgnoreClosed(front.Serve(lns.front)) })
+	eg.Go(func() error { return httpserve.IgnoreClosed(side.Serve(lns.ready)) })
+	eg.Go(func() error { return httpserve.IgnoreClosed(side.Serve(lns.lookup)) })
 	eg.Go(func() error { return g.upkeep(failed) })
 	eg.Go(func() error {
 		select {
@@ -268,19 +269,6 @@
 	}
 }
 
-type quiet struct{}
-
-// Printf drops what fasthttp says of single connections; faults of requests
-// are logged by the Gateway.
-func (quiet) Printf(string, ...any) {}
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
 // handle serves one request of a caller.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	arrived := g.now()
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 	"github.com/catkinrouter/catkinrouter/link"
 )
 
@@ -51,7 +52,7 @@
 	for {
 		c, err := l.ln.Accept()
 		if err != nil {
-			return ignoreClosed(err)
+			return httpserve.IgnoreClosed(err)
 		}
 		l.add(c)
 		go func() {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -19,6 +19,7 @@
 
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/entry"
+	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
 	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/locate"
@@ -85,7 +86,7 @@
 	g, failed := errgroup.WithContext(work)
 	g.Go(func() error { return srv.Serve(lns.data) })
 	g.Go(ls.serve)
-	g.Go(func() error { return ignoreClosed(metrics.Serve(lns.metrics, s.registry)) })
+	g.Go(func() error { return httpserve.IgnoreClosed(metrics.Serve(lns.metrics, s.registry)) })
 	g.Go(func() error { return s.tick(work) })
 	g.Go(func() error { return s.watch(work) })
 	g.Go(func() error { return s.upkeep(work) })
@@ -146,7 +147,7 @@
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ExpectHandler: s.expect, HeaderReceived: s.headerReceived,
 		NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, LazyRequestTime: true,
-		CloseOnShutdown: true, Logger: quiet{},
+		CloseOnShutdown: true, Logger: httpserve.Quiet{},
 	}
 }
 
@@ -159,17 +160,6 @@
 	idleTimeout = 90 * time.Second
 )
 
-type quiet struct{}
-
-func (quiet) Printf(string, ...any) {}
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
 func (s *Server) now() time.Duration { return time.Since(s.started) }
 
 func (s *Server) tick(ctx context.Context) error {
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 )
 
 // stopPoll is the time between two looks at a planned stop.
@@ -20,7 +22,7 @@
 func (s *Server) stopInTurn(ctx, failed context.Context, srv *fasthttp.Server, data net.Listener) error {
 	select {
 	case <-failed.Done():
-		return ignoreClosed(shut(srv, data, 0))
+		return httpserve.IgnoreClosed(shut(srv, data, 0))
 	case <-ctx.Done():
 	}
 	var p stopPlan
@@ -32,7 +34,7 @@
 		level.Warn(s.log).Log("msg", "stop_timeout is too short for every lookup answer to expire: raise it", "stop_timeout", s.times.limit)
 	}
 	s.follow(&p, failed, finishing)
-	err := ignoreClosed(shut(srv, data, p.limit-s.now()))
+	err := httpserve.IgnoreClosed(shut(srv, data, p.limit-s.now()))
 	s.follow(&p, failed, stopped)
 	if n := s.d.status().InFlight; n > 0 {
 		level.Warn(s.log).Log("msg", "calls were cut at the limit of the stop", "calls", n)
--- a/proxy/testsite_test.go
+++ b/proxy/testsite_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/headers"
+	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 	"github.com/catkinrouter/catkinrouter/link"
 )
 
@@ -155,7 +156,7 @@
 		}
 		handler(ctx)
 	}
-	srv := &fasthttp.Server{Handler: answer, NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: quiet{}}
+	srv := &fasthttp.Server{Handler: answer, NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: httpserve.Quiet{}}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ln) }()
 	t.Cleanup(func() {
