Let the tests of first callers and of slow upstreams fail without what they are for

Run as broken variants, TestFirstCallersWait and TestFirstLookupsWait passed without the wait, since what they wait for came before it, and TestAllSlow without looking at how many are slow, since one upstream is too few to refuse.

--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -134,14 +134,18 @@
 func TestFirstCallersWait(t *testing.T) {
 	s := newSite(t)
 	u := newStub(t, "u", good)
-	s.g.hooks.Wanted = func() { s.configure(time.Second, u) }
+	s.g.firstWait = time.Minute
+	s.g.hooks.Wanted = func() { time.AfterFunc(time.Millisecond, func() { s.configure(time.Second, u) }) }
 	wantStatus(t, s.call("POST", "/purchase/1", "first-1", "pack"), 200)
 }
 
 // The first lookups after a start wait for an instance to name.
 func TestFirstLookupsWait(t *testing.T) {
 	s := newUnnamedSite(t)
-	s.g.hooks.Wanted = func() { s.g.Fleet([]Instance{{Address: s.addr, DataCentre: "otavalo"}}, 1) }
+	s.g.firstWait = time.Minute
+	s.g.hooks.Wanted = func() {
+		time.AfterFunc(time.Millisecond, func() { s.g.Fleet([]Instance{{Address: s.addr, DataCentre: "otavalo"}}, 1) })
+	}
 	if st := get(t, s.side, "/lookup?place=otavalo"); st != 200 {
 		t.Errorf("lookup answered %d", st)
 	}
@@ -342,10 +346,14 @@
 
 // Where all upstreams are slow, a call goes to one of them.
 func TestAllSlow(t *testing.T) {
-	u := newStub(t, "slow", good)
-	u.load = "0,0,6,500"
+	var stubs []*stub
+	for i := range enoughKnown + 2 {
+		u := newStub(t, fmt.Sprintf("slow-%d", i), good)
+		u.load = "0,0,6,500"
+		stubs = append(stubs, u)
+	}
 	s := newSite(t)
-	s.configure(2*time.Second, u)
+	s.configure(2*time.Second, stubs...)
 	for range 100 {
 		s.g.work.addPace(testService, 5)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	// first instance that lookups can name.
 	configured, named chan struct{}
 	nameOnce          sync.Once
+	firstWait         time.Duration
 	phase             atomic.Uint32
 	flying            atomic.Int64
 	live              atomic.Int64
@@ -98,7 +99,7 @@
 	m := newCounters(r)
 	g := &Gateway{
 		opt: opt, d: d, hooks: Hooks{Failed: func(uint64, float64) {}, Wanted: func() {}}, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
-		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), line: newLine(), configured: make(chan struct{}), named: make(chan struct{}), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
+		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), line: newLine(), configured: make(chan struct{}), named: make(chan struct{}), firstWait: firstWait, rng: rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
 	g.SetLimits(opt.Limits)
 	return g
@@ -302,12 +303,13 @@
 		return st
 	}
 	g.hooks.Wanted()
-	awaitFirst(g.configured)
+	g.awaitFirst(g.configured)
 	return g.view.Load()
 }
 
-func awaitFirst(ch <-chan struct{}) {
-	t := time.NewTimer(firstWait)
+// awaitFirst waits until ch closes, for at most firstWait.
+func (g *Gateway) awaitFirst(ch <-chan struct{}) {
+	t := time.NewTimer(g.firstWait)
 	defer t.Stop()
 	select {
 	case <-ch:
--- a/gateway/side.go
+++ b/gateway/side.go
@@ -39,7 +39,7 @@
 	addresses := g.addresses(place)
 	if len(addresses) == 0 && !g.hasNamed() {
 		g.hooks.Wanted()
-		awaitFirst(g.named)
+		g.awaitFirst(g.named)
 		addresses = g.addresses(place)
 	}
 	g.m.lookups.Inc(1)
