--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,13 +1,7 @@
 package gateway
 
 import (
-	"bytes"
-	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
-	"net"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,18 +9,12 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	gometrics "github.com/rcrowley/go-metrics"
-	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
-	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 	"github.com/catkinrouter/catkinrouter/pick"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
-// errCancelled ends an attempt that the call gave up before it was sent.
-var errCancelled = errors.New("attempt was cancelled")
-
 // Options are a Gateway's fixed settings.
 type Options struct {
 	DataCentre    string
@@ -98,8 +86,12 @@
 func New(opt Options, d Dialect, l log.Logger, r gometrics.Registry) *Gateway {
 	m := newCounters(r)
 	g := &Gateway{
-		opt: opt, d: d, hooks: Hooks{Failed: func(uint64, float64) {}, Wanted: func() {}}, log: l, now: opt.Now, m: m, pool: newPool(m), ev: newEvidence(), work: newWorks(),
-		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream), line: newLine(), configured: make(chan struct{}), named: make(chan struct{}), firstWait: firstWait, rng: rand.New(rand.NewPCG(opt.Seed, 1)),
+		opt: opt, d: d, log: l, now: opt.Now, m: m,
+		pool: newPool(m), ev: newEvidence(), work: newWorks(), line: newLine(),
+		budgets: newBudgets(opt.Limits.Budget), probes: newProbeBudget(opt.Limits.ProbesPerUpstream),
+		configured: make(chan struct{}), named: make(chan struct{}), firstWait: firstWait,
+		hooks: Hooks{Failed: func(uint64, float64) {}, Wanted: func() {}},
+		rng:   rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
 	g.SetLimits(opt.Limits)
 	return g
@@ -177,164 +169,3 @@
 	defer g.rngMu.Unlock()
 	return pick.Order(n, about, g.rng)
 }
-
-// Bounds of callers' connections.
-const (
-	// maxHeader is above what operators let callers send.
-	maxHeader = 20 << 10 // bytes
-	maxBody   = 64 << 20 // bytes
-	// readTimeout bounds the arrival of a request, idleTimeout the wait for
-	// the next; both are above what operators set.
-	readTimeout = 10 * time.Second
-	idleTimeout = 30 * time.Second
-)
-
-// listeners are what a Gateway serves on.
-type listeners struct{ front, ready, lookup net.Listener }
-
-func (g *Gateway) listen() (*listeners, error) {
-	var l listeners
-	for _, a := range []struct {
-		addr string
-		ln   *net.Listener
-	}{{g.opt.DataAddress, &l.front}, {g.opt.ReadyAddress, &l.ready}, {g.opt.LookupAddress, &l.lookup}} {
-		ln, err := net.Listen("tcp4", a.addr)
-		if err != nil {
-			l.close()
-			return nil, fmt.Errorf("address %s: %w: is another process using it?", a.addr, err)
-		}
-		*a.ln = ln
-	}
-	return &l, nil
-}
-
-func (l *listeners) close() {
-	for _, ln := range []net.Listener{l.front, l.ready, l.lookup} {
-		if ln != nil {
-			ln.Close()
-		}
-	}
-}
-
-// Run serves until ctx ends, then stops in order within the limit given.
-func (g *Gateway) Run(ctx context.Context, stopLimit time.Duration) error {
-	lns, err := g.listen()
-	if err != nil {
-		return err
-	}
-	return g.serve(ctx, lns, stopLimit)
-}
-
-func (g *Gateway) serve(ctx context.Context, lns *listeners, stopLimit time.Duration) error {
-	front := &fasthttp.Server{
-		Handler: g.handle, ErrorHandler: g.malformed, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
-		NoDefaultContentType: true, DisablePreParseMultipartForm: true, LazyRequestTime: true, Logger: httpserve.Quiet{},
-	}
-	side := &fasthttp.Server{
-		Handler: g.handleSide, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: httpserve.Quiet{},
-	}
-	work, stop := context.WithCancel(context.Background())
-	defer stop()
-	eg, failed := errgroup.WithContext(work)
-	eg.Go(func() error { return httpserve.IgnoreClosed(front.Serve(lns.front)) })
-	eg.Go(func() error { return httpserve.IgnoreClosed(side.Serve(lns.ready)) })
-	eg.Go(func() error { return httpserve.IgnoreClosed(side.Serve(lns.lookup)) })
-	eg.Go(func() error { return g.upkeep(failed) })
-	eg.Go(func() error {
-		select {
-		case <-ctx.Done():
-			g.stopInTurn(stopLimit, front)
-		case <-failed.Done():
-		}
-		lns.close()
-		stop()
-		return nil
-	})
-	err := eg.Wait()
-	g.pool.close()
-	return err
-}
-
-func (g *Gateway) upkeep(ctx context.Context) error {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			g.pool.sweep()
-			g.budgets.fleet(g.now(), int(g.live.Load()))
-		}
-	}
-}
-
-// handle serves one request of a caller.
-func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
-	arrived := g.now()
-	g.flying.Add(1)
-	defer g.flying.Add(-1)
-	st := g.firstView()
-	id := string(ctx.Request.Header.Peek(g.d.RequestID))
-	if st == nil {
-		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, "no-configuration")
-		return
-	}
-	r := st.table.Match(string(ctx.Host()), string(ctx.Path()))
-	if r == nil {
-		g.refuse(ctx, id, fasthttp.StatusNotFound, "no-route")
-		return
-	}
-	c := g.newCall(ctx, st, r, id, arrived)
-	e := c.run()
-	g.end(c, e)
-}
-
-// firstWait is how long the first callers after a start wait for what the
-// instance reads just then; the store answers in milliseconds, and a refusal
-// would cost them one of their few tries.
-const firstWait = 80 * time.Millisecond
-
-// firstView returns what to serve by; a caller that comes before there is a
-// configuration waits a moment for it.
-func (g *Gateway) firstView() *view {
-	if st := g.view.Load(); st != nil {
-		return st
-	}
-	g.hooks.Wanted()
-	g.awaitFirst(g.configured)
-	return g.view.Load()
-}
-
-// awaitFirst waits until ch closes, for at most firstWait.
-func (g *Gateway) awaitFirst(ch <-chan struct{}) {
-	t := time.NewTimer(g.firstWait)
-	defer t.Stop()
-	select {
-	case <-ch:
-	case <-t.C:
-	}
-}
-
-// newCall takes what the request says.
-func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, st *view, r *route.Route, id string, arrived time.Duration) *call {
-	name := r.Next()
-	svc, _ := st.table.Service(name)
-	svc.Name = name
-	wait := r.Timeout
-	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(g.d.Deadline))); err == nil && ms > 0 {
-		wait = min(wait, time.Duration(ms)*time.Millisecond)
-	}
-	c := &call{
-		g: g, ctx: ctx, id: id, version: st.table.Version, route: r, service: svc,
-		arrived: arrived, deadline: arrived + wait,
-		// An attempt can outlive the request, whose buffers are then reused.
-		head: g.requestHead(ctx), body: bytes.Clone(ctx.Request.Body()),
-		hasBody: ctx.Request.Header.ContentLength() != 0 && !ctx.IsGet() && !ctx.IsHead(), headOnly: ctx.IsHead(),
-		tried: map[string]bool{}, results: make(chan *try, maxUnsent+r.MaxAttempts+1),
-	}
-	g.work.begin(r)
-	g.budgets.call(arrived, name)
-	return c
-}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -24,7 +24,7 @@
 			return ch, c.giveUp("no-upstream"), false
 		}
 	}
-	if !c.room(&ch) {
+	if !c.room(&ch) && !c.unknown(&ch) {
 		ch = c.waitForRoom(ch, limit)
 	}
 	switch {
@@ -39,6 +39,12 @@
 	return ch, c.giveUp("no-room"), false
 }
 
+// unknown tells whether the chosen upstream did not answer the probe, while
+// nothing says that the service is full: then its health path is at fault.
+func (c *call) unknown(ch *choice) bool {
+	return ch.upstream != nil && ch.report == nil && !c.g.work.full(c.service.Name).Busy()
+}
+
 // worthQueueing tells whether the call goes to an upstream without room: where
 // there is no reason to think that all others are full too.
 func (c *call) worthQueueing(ch *choice) bool {
@@ -52,12 +58,13 @@
 			return false
 		}
 	}
-	return ch.report == nil || ch.known < enoughKnown
+	return c.room(ch) || ch.report == nil || ch.known < enoughKnown
 }
 
 // waitForRoom waits in line for a slot that another call leaves, until there
-// is room, the limit has passed or the caller has left. The call at the head of the line searches
-// for all: probes of many that wait would take the slots that they look for.
+// is room, the limit has passed or the caller has left. The call at the head
+// of the line searches for all: probes of many that wait would take the slots
+// that they look for.
 func (c *call) waitForRoom(ch choice, limit time.Duration) choice {
 	w := c.g.line.join(c.service.Name, c.route.Priority)
 	for !c.room(&ch) && c.g.now() < limit && !c.callerLeft() {
--- a/gateway/testsite_test.go
+++ b/gateway/testsite_test.go
@@ -55,6 +55,8 @@
 	early bool
 	// closing answers to health requests end their connection.
 	closing bool
+	// deaf stubs answer no health requests.
+	deaf bool
 
 	mu     sync.Mutex
 	load   string
@@ -93,6 +95,9 @@
 			return
 		}
 		if r.URL.Path == "/health" {
+			if s.deaf {
+				continue
+			}
 			end := ""
 			if s.closing {
 				end = "Connection: close\r\n"
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -57,6 +58,9 @@
 	whole bool
 }
 
+// errCancelled ends an attempt that the call gave up before it was sent.
+var errCancelled = errors.New("attempt was cancelled")
+
 // launch starts an attempt at the upstream chosen.
 func (c *call) launch(ch choice, why string) *try {
 	t := &try{choice: ch, upstream: ch.answer.upstream, why: why, began: c.g.now(), resp: fasthttp.AcquireResponse()}
