Send nothing to an upstream that has no time left to answer

A request whose time ran out while it was placed went out with one millisecond: work for nothing, and its outcome was then unknown where 'not run' is true.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -147,7 +147,7 @@
 // appendRequest appends a whole request for one attempt.
 func (g *Gateway) appendRequest(b []byte, c *call, upstream string, left time.Duration) []byte {
 	b = append(b, c.head...)
-	b = fmt.Appendf(b, "%s: %d\r\n%s: %s\r\n", g.d.Deadline, max(1, left.Milliseconds()), g.d.ExpectUpstream, upstream)
+	b = fmt.Appendf(b, "%s: %d\r\n%s: %s\r\n", g.d.Deadline, left.Milliseconds(), g.d.ExpectUpstream, upstream)
 	if len(c.body) > 0 || c.hasBody {
 		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(c.body))
 	}
--- a/gateway/outcome_test.go
+++ b/gateway/outcome_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -210,3 +211,22 @@
 		t.Errorf("got body %q", u.bodies[0])
 	}
 }
+
+// A request without time left is not sent for form's sake.
+func TestNothingSentWithoutTime(t *testing.T) {
+	u := newStub(t, "u", good)
+	s := newSite(t)
+	s.configure(time.Second, u)
+	c, err := net.Dial("tcp4", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /purchase/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: late-1\r\nDeadline-Ms: 1\r\nContent-Length: 0\r\n\r\n", testHost)
+	if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Fatal(err)
+	}
+	if u.ran("late-1") > 0 {
+		t.Error("sent with no time left")
+	}
+}
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -61,6 +61,12 @@
 // errCancelled ends an attempt that the call gave up before it was sent.
 var errCancelled = errors.New("attempt was cancelled")
 
+// leastTime is the time below which an upstream could not answer.
+const leastTime = 5 * time.Millisecond
+
+// errNoTime ends an attempt before it was sent.
+var errNoTime = errors.New("no time left for the upstream")
+
 // launch starts an attempt at the upstream chosen.
 func (c *call) launch(ch choice, why string) *try {
 	t := &try{choice: ch, upstream: ch.answer.upstream, why: why, began: c.g.now(), resp: fasthttp.AcquireResponse()}
@@ -91,7 +97,13 @@
 		t.err = errCancelled
 		return
 	}
-	left = c.deadline - g.now()
+	if left = c.deadline - g.now(); left < leastTime {
+		t.err = errNoTime
+		if t.drop() {
+			g.pool.put(cn)
+		}
+		return
+	}
 	cn.out = g.appendRequest(cn.out[:0], c, t.upstream.ID, left)
 	sent := g.now()
 	t.wrote, t.err = g.exchange(cn, cn.out, c.id, c.headOnly, time.Now().Add(left+replyMargin), t.resp)
@@ -150,6 +162,8 @@
 	status := t.resp.StatusCode()
 	failed, weight := true, 1.0
 	switch {
+	case errors.Is(t.err, errNoTime):
+		t.outcome, weight = notRun, 0 // says nothing about the upstream
 	case t.err != nil && !t.wrote:
 		t.outcome = notRun
 	case t.err != nil:
