--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,9 +1,10 @@
 // Package fleet joins the instances: each knows which others live, and holds a
 // copy of the store's keys that two of them, the hubs, read for all. Beats go
 // as datagrams from every instance to the hubs; what changed is fetched by
-// net/rpc. Nothing is agreed upon: instances that take different hubs cost
-// further calls of the store, and a copy never goes back. An instance that
-// hears no fresh hub reads the store itself.
+// net/rpc, once for each other data centre, by the relay there. Nothing is
+// agreed upon: instances that take different hubs or relays cost further calls
+// and bytes, and a copy never goes back. An instance that hears no fresh hub
+// reads the store itself.
 package fleet
 
 import (
