Bind all addresses of an instance before it serves any

Cause: tests picked a free port, gave it back and let the node bind it later; another process could take it in between. The node then ended, the test went on waiting (its loops had no way to fail), and a node whose fleet could not bind went on serving without it: gateway.Run only ends with its context, and the errgroup waited for it.

Ruled out: a longer wait in the tests, since the node was gone for good.

Change: node.Listen binds the metrics, peer, data, readiness and lookup addresses, all or none, and an error names the address; Run takes the bound sockets. Tests bind port 0 and read the port. Each waiting loop fails once the node or instance it waits for has ended.

--- a/cmd/catkin-node/main.go
+++ b/cmd/catkin-node/main.go
@@ -89,12 +89,17 @@
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return daemon.ExitUsage
 	}
+	lns, err := node.Listen(&settings)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return daemon.ExitError
+	}
 	n := node.New(settings, node.Adapter{
 		Keys: platform.Keys(), Store: platform.NewStore(settings.StoreAddress), Protocol: platform.Protocol(),
 		DecodeDocument: platform.DecodeDocument, DecodeUpstream: platform.DecodeUpstream, UpstreamID: platform.UpstreamID,
 	}, l)
 	go reloadOnSignal(n, logs.WithPart(l, "node"), reload)
-	if err := n.Run(ctx); err != nil {
+	if err := n.Run(ctx, lns); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return daemon.ExitError
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,31 +112,21 @@
 	}
 }
 
-// Run listens on the peer address and exchanges state with the peers until ctx
-// ends.
-func (f *Fleet) Run(ctx context.Context) error {
-	addr, err := net.ResolveUDPAddr("udp4", f.opt.Self.Address)
-	if err != nil {
-		return err
-	}
-	if f.conn, err = net.ListenUDP("udp4", addr); err != nil {
-		return err
-	}
-	ln, err := net.Listen("tcp4", f.opt.Self.Address)
-	if err != nil {
-		f.conn.Close()
-		return err
-	}
+// Run exchanges state with the peers over sockets until ctx ends, and closes
+// them.
+func (f *Fleet) Run(ctx context.Context, sockets *Sockets) error {
+	f.mu.Lock()
+	f.conn = sockets.udp
+	f.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return f.serve(ln) })
+	g.Go(func() error { return f.serve(sockets.tcp) })
 	g.Go(f.receive)
 	g.Go(func() error { return f.heartbeatLoop(ctx) })
 	g.Go(func() error { return f.readLoop(ctx) })
 	g.Go(func() error { return f.syncLoop(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
-		f.conn.Close()
-		ln.Close()
+		sockets.Close()
 		return nil
 	})
 	return g.Wait()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -166,59 +166,80 @@
 	f    *Fleet
 	id   string
 	stop context.CancelFunc
-	done chan error
+	done chan struct{} // closed when Run has returned err
+	err  error
 }
 
-func freeAddress(t *testing.T) string {
+// unusedAddress is an address at which no instance listens.
+const unusedAddress = "127.0.0.1:9"
+
+func listen(t *testing.T) *Sockets {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	sockets, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return sockets
+}
+
+// startInstance starts an instance; without seeds it is its own seed.
+func startInstance(t *testing.T, s *fakeStore, seeds ...string) *instance {
+	t.Helper()
+	return startOn(t, s, listen(t), seeds...)
 }
 
-func startInstance(t *testing.T, s *fakeStore, address string, seeds ...string) *instance {
+func startOn(t *testing.T, s *fakeStore, sockets *Sockets, seeds ...string) *instance {
 	t.Helper()
-	began := time.Now()
-	in := &instance{recordingListener: &recordingListener{values: map[string]string{}}, id: address, done: make(chan error, 1)}
+	began, address := time.Now(), sockets.Address()
+	if len(seeds) == 0 {
+		seeds = []string{address}
+	}
+	in := &instance{recordingListener: &recordingListener{values: map[string]string{}}, id: address, done: make(chan struct{})}
 	ctx, stop := context.WithCancel(context.Background())
 	in.stop = stop
 	in.f = New(Options{
 		Self: Info{Address: address, DataAddress: address, DataCentre: "ibarra", Incarnation: uint64(began.UnixNano())}, Seeds: seeds, HubsKey: "hubs",
 		Now: func() time.Duration { return time.Since(began) }, Log: log.NewNopLogger(), OnStoreCall: func(string) {},
 	}, storeClient{s, address}, in.recordingListener)
-	go func() { in.done <- in.f.Run(ctx) }()
+	go func() {
+		defer close(in.done)
+		in.err = in.f.Run(ctx, sockets)
+	}()
 	return in
 }
 
 func (in *instance) stopAndWait(t *testing.T) {
 	t.Helper()
 	in.stop()
-	if err := <-in.done; err != nil {
-		t.Errorf("Run of %s returned %v", in.id, err)
+	<-in.done
+	if in.err != nil {
+		t.Errorf("Run of %s returned %v", in.id, in.err)
 	}
 }
 
-// waitUntil polls until condition holds. It has no timeout other than the
-// test's.
-func waitUntil(t *testing.T, condition func() bool) {
+// waitUntil polls until condition holds for all instances of list at once. It
+// fails once one of them has ended; it has no other timeout than the test's.
+func waitUntil(t *testing.T, list []*instance, condition func(*instance) bool) {
 	t.Helper()
-	for !condition() {
+	for !allInstances(list, condition) {
+		for _, in := range list {
+			select {
+			case <-in.done:
+				t.Fatalf("instance %s ended with %v while the test waited for it", in.id, in.err)
+			default:
+			}
+		}
 		time.Sleep(5 * time.Millisecond)
 	}
 }
 
-func allInstances(list []*instance, condition func(*instance) bool) func() bool {
-	return func() bool {
-		for _, in := range list {
-			if !condition(in) {
-				return false
-			}
+func allInstances(list []*instance, condition func(*instance) bool) bool {
+	for _, in := range list {
+		if !condition(in) {
+			return false
 		}
-		return true
 	}
+	return true
 }
 
 // Instances with one common seed must discover each other and copy the store's
@@ -227,24 +248,20 @@
 func TestStoreChangesReachAllInstances(t *testing.T) {
 	s := newFakeStore()
 	s.put("op", "1")
-	var addresses []string
-	for range 6 {
-		addresses = append(addresses, freeAddress(t))
-	}
-	var list []*instance
-	for _, a := range addresses {
-		list = append(list, startInstance(t, s, a, addresses[0]))
+	list := []*instance{startInstance(t, s)}
+	for range 5 {
+		list = append(list, startInstance(t, s, list[0].id))
 	}
-	waitUntil(t, allInstances(list, func(in *instance) bool { return in.value("op") == "1" }))
-	waitUntil(t, allInstances(list, func(in *instance) bool {
+	waitUntil(t, list, func(in *instance) bool { return in.value("op") == "1" })
+	waitUntil(t, list, func(in *instance) bool {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		return in.live == len(list)
-	}))
+	})
 
-	s.update(func() { s.down[addresses[1]], s.down[addresses[2]], s.down[addresses[3]] = true, true, true })
+	s.update(func() { s.down[list[1].id], s.down[list[2].id], s.down[list[3].id] = true, true, true })
 	s.put("op", "2")
-	waitUntil(t, allInstances(list, func(in *instance) bool { return in.value("op") == "2" }))
+	waitUntil(t, list, func(in *instance) bool { return in.value("op") == "2" })
 
 	now := list[0].f.opt.Now()
 	list[0].f.mu.Lock()
@@ -259,7 +276,7 @@
 		rest = append(rest, in)
 	}
 	s.put("op", "3")
-	waitUntil(t, allInstances(rest, func(in *instance) bool { return in.value("op") == "3" }))
+	waitUntil(t, rest, func(in *instance) bool { return in.value("op") == "3" })
 	for _, in := range rest {
 		in.stopAndWait(t)
 	}
@@ -270,15 +287,14 @@
 func TestInstanceWithoutSeedsUsesStoredHubs(t *testing.T) {
 	s := newFakeStore()
 	s.put("op", "1")
-	a := freeAddress(t)
-	first := startInstance(t, s, a, a)
-	waitUntil(t, func() bool { return first.value("hubs") != "" })
-	late := startInstance(t, s, freeAddress(t), freeAddress(t))
-	waitUntil(t, allInstances([]*instance{first, late}, func(in *instance) bool {
+	first := startInstance(t, s)
+	waitUntil(t, []*instance{first}, func(in *instance) bool { return in.value("hubs") != "" })
+	late := startInstance(t, s, unusedAddress)
+	waitUntil(t, []*instance{first, late}, func(in *instance) bool {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		return in.live == 2
-	}))
+	})
 	late.stopAndWait(t)
 	first.stopAndWait(t)
 }
@@ -289,19 +305,19 @@
 func TestStoreAway(t *testing.T) {
 	s := newFakeStore()
 	s.put("op", "1")
-	a, b := freeAddress(t), freeAddress(t)
-	list := []*instance{startInstance(t, s, a, a), startInstance(t, s, b, a)}
-	waitUntil(t, allInstances(list, func(in *instance) bool { return in.value("op") == "1" }))
+	first := startInstance(t, s)
+	list := []*instance{first, startInstance(t, s, first.id)}
+	waitUntil(t, list, func(in *instance) bool { return in.value("op") == "1" })
 	s.update(func() { s.down["*"] = true })
-	waitUntil(t, allInstances(list, func(in *instance) bool { return in.f.CopyAge() > outageAge+100*time.Millisecond }))
+	waitUntil(t, list, func(in *instance) bool { return in.f.CopyAge() > outageAge+100*time.Millisecond })
 	s.put("op", "2")
 	s.update(func() { s.down["*"], s.compactedTo = false, s.rev })
-	waitUntil(t, allInstances(list, func(in *instance) bool { return in.value("op") == "2" }))
-	waitUntil(t, allInstances(list, func(in *instance) bool {
+	waitUntil(t, list, func(in *instance) bool { return in.value("op") == "2" })
+	waitUntil(t, list, func(in *instance) bool {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		return in.returned > 0
-	}))
+	})
 	for _, in := range list {
 		in.stopAndWait(t)
 	}
@@ -311,17 +327,17 @@
 // limited.
 func TestWarningsAreSentWithinRateLimit(t *testing.T) {
 	s := newFakeStore()
-	a, b := freeAddress(t), freeAddress(t)
-	list := []*instance{startInstance(t, s, a, a), startInstance(t, s, b, a)}
-	waitUntil(t, allInstances(list, func(in *instance) bool {
+	first := startInstance(t, s)
+	list := []*instance{first, startInstance(t, s, first.id)}
+	waitUntil(t, list, func(in *instance) bool {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		return in.live == 2
-	}))
+	})
 	for range 10 * maxWarningsPerSecond {
 		list[0].f.Warn(Warning{Upstream: 7, Weight: 50})
 	}
-	waitUntil(t, func() bool {
+	waitUntil(t, list[1:], func(*instance) bool {
 		list[1].mu.Lock()
 		defer list[1].mu.Unlock()
 		return len(list[1].warned) > 0 && list[1].warned[0].Upstream == 7
@@ -340,21 +356,21 @@
 func TestMalformedPeers(t *testing.T) {
 	s := newFakeStore()
 	s.put("op", "1")
-	a := freeAddress(t)
-	in := startInstance(t, s, a, a)
-	waitUntil(t, func() bool { return in.value("op") == "1" })
+	in := startInstance(t, s)
+	list := []*instance{in}
+	waitUntil(t, list, func(in *instance) bool { return in.value("op") == "1" })
 	for i := range 20 {
-		if c, err := net.Dial("tcp4", a); err == nil {
+		if c, err := net.Dial("tcp4", in.id); err == nil {
 			fmt.Fprintf(c, "nonsense %d\r\n\r\n", i)
 			c.Close()
 		}
-		if c, err := net.Dial("udp4", a); err == nil {
+		if c, err := net.Dial("udp4", in.id); err == nil {
 			fmt.Fprintf(c, "nonsense %d", i)
 			c.Close()
 		}
 	}
 	s.put("op", "2")
-	waitUntil(t, func() bool { return in.value("op") == "2" })
+	waitUntil(t, list, func(in *instance) bool { return in.value("op") == "2" })
 	in.stopAndWait(t)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,13 +17,10 @@
 
 // Options are the fixed settings of a Gateway.
 type Options struct {
-	DataCentre    string
-	DataAddress   string
-	ReadyAddress  string
-	LookupAddress string
-	Limits        Limits
-	Now           func() time.Duration
-	Seed          uint64
+	DataCentre string
+	Limits     Limits
+	Now        func() time.Duration
+	Seed       uint64
 }
 
 // Limits are the settings that may change while a Gateway runs.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -23,18 +23,19 @@
 	idleTimeout = 30 * time.Second
 )
 
-// listeners are the listeners of a Gateway.
-type listeners struct{ data, ready, lookup net.Listener }
+// Listeners are the bound listeners of a Gateway.
+type Listeners struct{ Data, Ready, Lookup net.Listener }
 
-func (g *Gateway) listen() (*listeners, error) {
-	var l listeners
+// Listen binds the addresses for callers, readiness checks and lookups.
+func Listen(data, ready, lookup string) (*Listeners, error) {
+	var l Listeners
 	for _, a := range []struct {
 		addr string
 		ln   *net.Listener
-	}{{g.opt.DataAddress, &l.data}, {g.opt.ReadyAddress, &l.ready}, {g.opt.LookupAddress, &l.lookup}} {
+	}{{data, &l.Data}, {ready, &l.Ready}, {lookup, &l.Lookup}} {
 		ln, err := net.Listen("tcp4", a.addr)
 		if err != nil {
-			l.close()
+			l.Close()
 			return nil, fmt.Errorf("listen on %s: %w: check that no other process uses the address", a.addr, err)
 		}
 		*a.ln = ln
@@ -42,24 +43,18 @@
 	return &l, nil
 }
 
-func (l *listeners) close() {
-	for _, ln := range []net.Listener{l.data, l.ready, l.lookup} {
+// Close closes the listeners that are bound.
+func (l *Listeners) Close() {
+	for _, ln := range []net.Listener{l.Data, l.Ready, l.Lookup} {
 		if ln != nil {
 			ln.Close()
 		}
 	}
 }
 
-// Run serves until ctx is done, then shuts down gracefully within stopLimit.
-func (g *Gateway) Run(ctx context.Context, stopLimit time.Duration) error {
-	lns, err := g.listen()
-	if err != nil {
-		return err
-	}
-	return g.serve(ctx, lns, stopLimit)
-}
-
-func (g *Gateway) serve(ctx context.Context, lns *listeners, stopLimit time.Duration) error {
+// Run serves until ctx is done, then shuts down gracefully within stopLimit. It
+// closes the listeners.
+func (g *Gateway) Run(ctx context.Context, lns *Listeners, stopLimit time.Duration) error {
 	dataServer := &fasthttp.Server{
 		Handler: g.handle, ErrorHandler: g.handleReadError, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
@@ -71,9 +66,9 @@
 	baseCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	eg, groupCtx := errgroup.WithContext(baseCtx)
-	eg.Go(func() error { return httpserve.IgnoreClosed(dataServer.Serve(lns.data)) })
-	eg.Go(func() error { return httpserve.IgnoreClosed(auxServer.Serve(lns.ready)) })
-	eg.Go(func() error { return httpserve.IgnoreClosed(auxServer.Serve(lns.lookup)) })
+	eg.Go(func() error { return httpserve.IgnoreClosed(dataServer.Serve(lns.Data)) })
+	eg.Go(func() error { return httpserve.IgnoreClosed(auxServer.Serve(lns.Ready)) })
+	eg.Go(func() error { return httpserve.IgnoreClosed(auxServer.Serve(lns.Lookup)) })
 	eg.Go(func() error { return g.maintain(groupCtx) })
 	eg.Go(func() error {
 		select {
@@ -81,7 +76,7 @@
 			g.shutDown(stopLimit, dataServer)
 		case <-groupCtx.Done():
 		}
-		lns.close()
+		lns.Close()
 		stop()
 		return nil
 	})
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -182,20 +182,20 @@
 	t.Helper()
 	began := time.Now()
 	g := New(Options{
-		DataCentre: "otavalo", DataAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", LookupAddress: "127.0.0.1:0",
+		DataCentre: "otavalo",
 		Limits: Limits{
 			RetryBudget:       RetryBudgetOptions{Share: 1, Allowance: 100, Window: 10 * time.Second},
 			ProbesPerUpstream: 1000, MaxLookupTTL: 5 * time.Second,
 		},
 		Now: func() time.Duration { return time.Since(began) + time.Minute }, Seed: 1,
 	}, testProtocol(), log.NewNopLogger(), gometrics.NewRegistry())
-	lns, err := g.listen()
+	lns, err := Listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	tg := &testGateway{t: t, g: g, addr: lns.data.Addr().String(), auxAddr: lns.ready.Addr().String(), stop: stop, done: make(chan error, 1)}
-	go func() { tg.done <- g.serve(ctx, lns, testStop) }()
+	tg := &testGateway{t: t, g: g, addr: lns.Data.Addr().String(), auxAddr: lns.Ready.Addr().String(), stop: stop, done: make(chan error, 1)}
+	go func() { tg.done <- g.Run(ctx, lns, testStop) }()
 	t.Cleanup(func() {
 		stop()
 		if err := <-tg.done; err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -70,8 +68,7 @@
 		rng: rand.New(rand.NewPCG(seed, 2)), upstreams: discovery.New(), maintainNow: make(chan struct{}, 1),
 	}
 	n.gateway = gateway.New(gateway.Options{
-		DataCentre: settings.DataCentre, DataAddress: settings.DataAddress, ReadyAddress: settings.ReadyAddress, LookupAddress: settings.LookupAddress,
-		Limits: gatewayLimits(settings), Now: n.now, Seed: seed,
+		DataCentre: settings.DataCentre, Limits: gatewayLimits(settings), Now: n.now, Seed: seed,
 	}, adapter.Protocol, logs.WithPart(l, "gateway"), n.registry)
 	n.gateway.SetHooks(gateway.Hooks{
 		UpstreamFailed: func(key uint64, weight float64) {
@@ -121,32 +118,28 @@
 
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
-// Run serves until ctx is done. It then drains the gateway before it ends the
-// fleet, the maintenance loop and the metrics endpoint.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves on lns until ctx is done. It then drains the gateway before it ends
+// the fleet, the maintenance loop and the metrics endpoint. It closes lns.
+func (n *Node) Run(ctx context.Context, lns *Listeners) error {
 	level.Info(n.log).Log("msg", "start", "id", n.settings.ID, "data_centre", n.settings.DataCentre, "address", n.settings.DataAddress,
 		"peer_address", n.settings.PeerAddress, "seeds", strings.Join(n.settings.Seeds, ","), "store", n.settings.StoreAddress)
-	metricsListener, err := net.Listen("tcp4", n.settings.MetricsAddress)
-	if err != nil {
-		return fmt.Errorf("metrics address: %w: set another port", err)
-	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, runCtx := errgroup.WithContext(runCtx)
 	g.Go(func() error {
 		defer cancel()
-		return n.gateway.Run(ctx, n.settings.GracePeriod)
+		return n.gateway.Run(ctx, lns.gateway, n.settings.GracePeriod)
 	})
-	g.Go(func() error { return n.fleet.Run(runCtx) })
+	g.Go(func() error { return n.fleet.Run(runCtx, lns.peers) })
 	g.Go(func() error { return n.maintain(ctx, runCtx) })
-	g.Go(func() error { <-runCtx.Done(); return metricsListener.Close() })
+	g.Go(func() error { <-runCtx.Done(); return lns.metrics.Close() })
 	g.Go(func() error {
-		if err := metrics.ServeText(metricsListener, n.registry); runCtx.Err() == nil {
+		if err := metrics.ServeText(lns.metrics, n.registry); runCtx.Err() == nil {
 			return err
 		}
 		return nil
 	})
-	err = g.Wait()
+	err := g.Wait()
 	level.Info(n.log).Log("msg", "stop", "id", n.settings.ID, "uptime", n.now(), "err", err)
 	return err
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -92,18 +93,12 @@
 type running struct {
 	set  node.Settings
 	stop context.CancelFunc
-	done chan error
+	done chan struct{} // closed when Run has returned err
+	err  error
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
+// anyPort is an address at which a node binds a free port.
+const anyPort = "127.0.0.1:0"
 
 func newSite(t *testing.T, nodes int) *site {
 	t.Helper()
@@ -115,13 +110,8 @@
 	srv := &fasthttp.Server{Handler: s.kv.Handle}
 	go srv.Serve(ln)
 	t.Cleanup(func() { ln.Close() })
-	seed := freeAddress(t)
 	for i := range nodes {
-		peer := seed
-		if i > 0 {
-			peer = freeAddress(t)
-		}
-		s.list = append(s.list, s.start(i, peer, seed))
+		s.list = append(s.list, s.start(i))
 	}
 	t.Cleanup(func() {
 		for _, r := range s.list {
@@ -131,14 +121,23 @@
 	return s
 }
 
-func (s *site) start(i int, peer, seed string) *running {
+// start starts a node. The first one is the seed of all.
+func (s *site) start(i int) *running {
+	s.t.Helper()
 	set := node.Settings{
 		ID: fmt.Sprintf("node-%d", i), DataCentre: "otavalo", Region: "sierra-norte",
-		DataAddress: freeAddress(s.t), ReadyAddress: freeAddress(s.t), LookupAddress: freeAddress(s.t), PeerAddress: peer,
-		MetricsAddress: freeAddress(s.t),
-		Seeds:          []string{seed}, StoreAddress: s.addr, GracePeriod: 400 * time.Millisecond,
+		DataAddress: anyPort, ReadyAddress: anyPort, LookupAddress: anyPort, PeerAddress: anyPort, MetricsAddress: anyPort,
+		StoreAddress: s.addr, GracePeriod: 400 * time.Millisecond,
 		RetryShare: 0.2, RetryAllowance: 64, RetryWindow: 10 * time.Second, MaxLookupTTL: 5 * time.Second, ProbesPerUpstream: 60,
 	}
+	lns, err := node.Listen(&set)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	set.Seeds = []string{set.PeerAddress}
+	if len(s.list) > 0 {
+		set.Seeds = s.list[0].set.Seeds
+	}
 	if err := set.Check(); err != nil {
 		s.t.Fatal(err)
 	}
@@ -147,16 +146,33 @@
 		DecodeDocument: platform.DecodeDocument, DecodeUpstream: platform.DecodeUpstream, UpstreamID: platform.UpstreamID,
 	}, log.NewNopLogger())
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{set: set, stop: stop, done: make(chan error, 1)}
-	go func() { r.done <- n.Run(ctx) }()
+	r := &running{set: set, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(r.done)
+		r.err = n.Run(ctx, lns)
+	}()
 	return r
 }
 
 func (r *running) end(t *testing.T) {
 	t.Helper()
 	r.stop()
-	if err := <-r.done; err != nil {
-		t.Errorf("%s ended with %v", r.set.ID, err)
+	<-r.done
+	if r.err != nil {
+		t.Errorf("%s ended with %v", r.set.ID, r.err)
+	}
+}
+
+// waitUntil polls until condition holds. It fails once the node has ended; it has
+// no other timeout than the test's.
+func (r *running) waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		select {
+		case <-r.done:
+			t.Fatalf("%s ended with %v while the test waited for it", r.set.ID, r.err)
+		case <-time.After(10 * time.Millisecond):
+		}
 	}
 }
 
@@ -182,17 +198,13 @@
 }
 
 // waitAll waits until every node answers path with the given status and body.
-// It has no timeout but that of the test.
 func (s *site) waitAll(path string, status int, body string) {
 	s.t.Helper()
 	for _, r := range s.list {
-		for {
+		r.waitUntil(s.t, func() bool {
 			st, b := r.call(path)
-			if st == status && strings.TrimSpace(b) == body {
-				break
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
+			return st == status && strings.TrimSpace(b) == body
+		})
 	}
 }
 
@@ -285,15 +297,48 @@
 		return a.Addresses
 	}
 	for _, r := range s.list {
-		for len(lookup(r)) != len(s.list) {
-			time.Sleep(10 * time.Millisecond)
-		}
+		r.waitUntil(t, func() bool { return len(lookup(r)) == len(s.list) })
 	}
 	s.list[2].end(t)
 	s.list = s.list[:2]
 	for _, r := range s.list {
-		for len(lookup(r)) != len(s.list) {
-			time.Sleep(10 * time.Millisecond)
+		r.waitUntil(t, func() bool { return len(lookup(r)) == len(s.list) })
+	}
+}
+
+// An address that is in use must end Listen with an error that names it, and
+// leave none of the other addresses bound.
+func TestListenBindsAllAddressesOrNone(t *testing.T) {
+	busy, err := net.Listen("tcp4", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer busy.Close()
+	for name, setBusy := range map[string]func(*node.Settings, string){
+		"data":    func(s *node.Settings, a string) { s.DataAddress = a },
+		"ready":   func(s *node.Settings, a string) { s.ReadyAddress = a },
+		"lookup":  func(s *node.Settings, a string) { s.LookupAddress = a },
+		"peer":    func(s *node.Settings, a string) { s.PeerAddress = a },
+		"metrics": func(s *node.Settings, a string) { s.MetricsAddress = a },
+	} {
+		set := node.Settings{DataAddress: anyPort, ReadyAddress: anyPort, LookupAddress: anyPort, PeerAddress: anyPort, MetricsAddress: anyPort}
+		setBusy(&set, busy.Addr().String())
+		before := openFiles(t)
+		if _, err := node.Listen(&set); err == nil || !strings.Contains(err.Error(), busy.Addr().String()) {
+			t.Errorf("%s address in use: got error %v, want one that names the address", name, err)
+		}
+		if after := openFiles(t); after != before {
+			t.Errorf("%s address in use: %d files open after the error, %d before it", name, after, before)
 		}
 	}
 }
+
+// openFiles returns the number of file descriptors of this process.
+func openFiles(t *testing.T) int {
+	t.Helper()
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(list)
+}
