--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -116,7 +116,7 @@
 	if ch.report != nil {
 		pace = max(1, ch.report.Pace)
 	}
-	return time.Duration(pace * float64(c.g.estimates.workOf(c.route.Name)))
+	return time.Duration(pace * float64(c.work()))
 }
 
 // logNoRoom logs the evidence on which the call was refused.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -64,11 +64,17 @@
 // time.
 func (c *call) failureCost() time.Duration {
 	if c.route.Idempotent {
-		return 2 * c.g.estimates.workOf(c.route.Name)
+		return 2 * c.work()
 	}
-	return 10 * c.g.estimates.workOf(c.route.Name)
+	return 10 * c.work()
 }
 
+// workKey identifies the kind of work that the call is.
+func (c *call) workKey() workKey { return workKey{route: c.route.Name, service: c.service.Name} }
+
+// work returns the expected work of the call.
+func (c *call) work() time.Duration { return c.g.estimates.workOf(c.workKey()) }
+
 // timeLeft returns the time until the call's deadline.
 func (c *call) timeLeft() time.Duration { return c.deadline - c.g.now() }
 
@@ -138,7 +144,7 @@
 		return
 	}
 	c.hedgeSearches++
-	work := c.g.estimates.workOf(c.route.Name)
+	work := c.work()
 	if c.timeLeft() < work || c.g.estimates.fullnessOf(c.service.Name).Busy() || !c.g.retryBudgets.allowsHedge(c.g.now(), c.service.Name, c.route.Priority) {
 		return
 	}
@@ -208,7 +214,7 @@
 		return attempt.DeniedNotIdempotent
 	case c.sent >= c.route.MaxAttempts || c.unsent >= maxUnsent:
 		return attempt.DeniedAttempts
-	case c.timeLeft() < c.g.estimates.workOf(c.route.Name)/2:
+	case c.timeLeft() < c.work()/2:
 		return attempt.DeniedDeadline
 	case c.sent > 0 && !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.route.Priority):
 		return attempt.DeniedBudget
--- a/gateway/estimates.go
+++ b/gateway/estimates.go
@@ -6,7 +6,6 @@
 
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/pick"
-	"github.com/catkinrouter/catkinrouter/route"
 )
 
 // workQuantile is the quantile of the measured times that is used as the
@@ -17,21 +16,25 @@
 // the route has been measured.
 const targetWorkDivisor = 3
 
-// workEstimates tracks the work of each route, which is the time that a
+// workKey identifies one kind of work: the requests of a route to one service.
+// Another service of the same route may need another time.
+type workKey struct{ route, service string }
+
+// workEstimates tracks the work of each workKey, which is the time that a
 // request takes at an upstream that is neither slow nor nearly full, and how
 // the upstreams of each service behave when they are nearly full. It is safe
 // for concurrent use.
 type workEstimates struct {
 	mu        sync.Mutex
-	quantiles map[string]*attempt.Quantile
-	initial   map[string]time.Duration
+	quantiles map[workKey]*attempt.Quantile
+	initial   map[workKey]time.Duration
 	fullness  map[string]*pick.Fullness
 	paces     map[string]pick.Paces
 }
 
 func newWorkEstimates() *workEstimates {
 	return &workEstimates{
-		quantiles: map[string]*attempt.Quantile{}, initial: map[string]time.Duration{}, fullness: map[string]*pick.Fullness{},
+		quantiles: map[workKey]*attempt.Quantile{}, initial: map[workKey]time.Duration{}, fullness: map[string]*pick.Fullness{},
 		paces: map[string]pick.Paces{},
 	}
 }
@@ -74,35 +77,36 @@
 	change(f)
 }
 
-// initRoute sets the expected work of a route that has not been measured yet.
-func (w *workEstimates) initRoute(r *route.Route) {
+// init sets the expected work of a key that has not been measured yet from the
+// route's target latency, 0 for none.
+func (w *workEstimates) init(key workKey, target time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.quantiles[r.Name] == nil {
-		w.quantiles[r.Name] = &attempt.Quantile{}
-		w.initial[r.Name] = pick.DefaultWork
-		if r.TargetLatency > 0 {
-			w.initial[r.Name] = r.TargetLatency / targetWorkDivisor
+	if w.quantiles[key] == nil {
+		w.quantiles[key] = &attempt.Quantile{}
+		w.initial[key] = pick.DefaultWork
+		if target > 0 {
+			w.initial[key] = target / targetWorkDivisor
 		}
 	}
 }
 
-func (w *workEstimates) recordWork(name string, d time.Duration) {
+func (w *workEstimates) recordWork(key workKey, d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if q := w.quantiles[name]; q != nil {
+	if q := w.quantiles[key]; q != nil {
 		q.Add(d, workQuantile)
 	}
 }
 
-func (w *workEstimates) workOf(name string) time.Duration {
+func (w *workEstimates) workOf(key workKey) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if q := w.quantiles[name]; q != nil {
+	if q := w.quantiles[key]; q != nil {
 		if d, ok := q.Value(); ok {
 			return d
 		}
-		return w.initial[name]
+		return w.initial[key]
 	}
 	return pick.DefaultWork
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -76,7 +76,7 @@
 		hasBody: ctx.Request.Header.ContentLength() != 0 && !ctx.IsGet() && !ctx.IsHead(), isHead: ctx.IsHead(),
 		tried: map[string]bool{}, finished: make(chan *try, maxUnsent+r.MaxAttempts+1),
 	}
-	g.estimates.initRoute(r)
+	g.estimates.init(c.workKey(), r.TargetLatency)
 	g.retryBudgets.recordCall(arrived, name)
 	return c
 }
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -106,7 +106,7 @@
 
 func (g *Gateway) job(c *call) pick.Job {
 	return pick.Job{
-		Work: g.estimates.workOf(c.route.Name), FullFactor: g.estimates.fullnessOf(c.service.Name).Factor(g.now()), MeanPace: g.estimates.pacesOf(c.service.Name).Mean(),
+		Work: c.work(), FullFactor: g.estimates.fullnessOf(c.service.Name).Factor(g.now()), MeanPace: g.estimates.pacesOf(c.service.Name).Mean(),
 		FailureCost: c.failureCost(),
 	}
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -98,7 +98,7 @@
 		})
 		usable := room && r.Pace <= pick.AcceptableDelayFactor && !closes
 		healthy := t.resp.StatusCode() < fasthttp.StatusInternalServerError
-		next := choice{probeResult: probeResult{upstream: t.upstream, report: &r, conn: cn}, delay: g.estimates.workOf(c.route.Name), known: 1}
+		next := choice{probeResult: probeResult{upstream: t.upstream, report: &r, conn: cn}, delay: c.work(), known: 1}
 		if usable && healthy && g.queue.handOff(c.service.Name, next) {
 			g.metrics.handoffs.Inc(1)
 			return
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -208,9 +208,9 @@
 		return
 	}
 	took := time.Duration(float64(t.took) / max(1, r.Pace))
-	ratio := float64(took) / float64(g.estimates.workOf(c.route.Name))
+	ratio := float64(took) / float64(c.work())
 	g.estimates.updateFullness(c.service.Name, func(f *pick.Fullness) { f.Add(g.now(), ratio, r.NearlyFull(t.sentSince)) })
 	if !r.NearlyFull(t.sentSince) {
-		g.estimates.recordWork(c.route.Name, took)
+		g.estimates.recordWork(c.workKey(), took)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -248,6 +248,9 @@
 		level.Info(n.log).Log("msg", "configuration ignored", "reason", "not newer", "version", doc.Version, "in_force", n.table.Version, "source", source)
 		return
 	}
+	for _, w := range doc.Warnings {
+		level.Warn(n.log).Log("msg", "configuration warning", "version", doc.Version, "warning", w)
+	}
 	n.table = route.NewTable(doc, n.rng)
 	gometrics.GetOrRegisterGauge("configuration_version", n.registry).Update(int64(doc.Version))
 	level.Info(n.log).Log("msg", "configuration in force", "version", doc.Version, "revision", it.Revision, "routes", len(doc.Rules),
--- a/route/route.go
+++ b/route/route.go
@@ -61,6 +61,8 @@
 	Rules    []Rule
 	Services []Service
 	Limits   Limits
+	// Warnings states what could not be decoded as written, for the log.
+	Warnings []string
 }
 
 // Table finds the route of a request. It is safe for concurrent use.
