--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -18,6 +19,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-f.tickNow:
 		case <-t.C:
 		}
 		t.Reset(f.tick())
@@ -30,13 +32,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opt.Now()
+	f.countSuspension()
 	if b := f.reader.blind(now); b != f.state.Blind {
 		f.state.Blind = b
 		f.stateChanged()
 		level.Info(f.opt.Log).Log("msg", "store access changed", "blind", b, "copy_age", f.reader.age(now))
 	}
-	f.sendHeartbeats(f.table.Tick(now), 0)
-	f.logHubChange(now)
+	to := f.table.Tick(now)
+	f.publishedVersion = f.table.Version()
+	f.sendHeartbeats(to, 0)
+	f.logRoleChange(now)
 	f.notifyMembers()
 	f.wakeReader()
 	if f.copy.Revision() == 0 {
@@ -45,15 +50,31 @@
 	return HeartbeatInterval
 }
 
-// logHubChange logs the hubs if they changed.
-func (f *Fleet) logHubChange(now time.Duration) {
-	hubs := ""
-	for _, h := range f.table.Hubs(now) {
-		hubs += h + " "
+// countSuspension adds the time for which the machine was suspended to the age of
+// the copy: the clock that Now reads did not count it.
+func (f *Fleet) countSuspension() {
+	total := f.opt.Suspended()
+	lost := total - f.suspended
+	if lost < minSuspension {
+		return
 	}
-	if hubs != f.loggedHubs {
-		level.Info(f.opt.Log).Log("msg", "hubs changed", "hubs", hubs, "before", f.loggedHubs, "members", len(f.table.Live()))
-		f.loggedHubs = hubs
+	f.suspended = total
+	f.reader.confirmedAt -= lost
+	level.Warn(f.opt.Log).Log("msg", "machine was suspended", "for", lost, "copy_age", f.reader.age(f.opt.Now()))
+}
+
+// minSuspension is the shortest suspension that is counted; less is the
+// difference between two clocks that are not read at the same moment.
+const minSuspension = 100 * time.Millisecond
+
+// logRoleChange logs the hubs and the leaders of this data centre if they
+// changed.
+func (f *Fleet) logRoleChange(now time.Duration) {
+	text := strings.Join(f.table.Hubs(now), " ") + ", " + strings.Join(f.table.Leaders(now), " ")
+	if text != f.loggedRoles {
+		level.Info(f.opt.Log).Log("msg", "hubs or leaders changed", "hubs", strings.Join(f.table.Hubs(now), " "),
+			"leaders", strings.Join(f.table.Leaders(now), " "), "live", f.live)
+		f.loggedRoles = text
 	}
 }
 
@@ -71,28 +92,6 @@
 	}
 }
 
-// maxWarningsPerSecond bounds the rate of warnings that this instance sends,
-// and their burst.
-const maxWarningsPerSecond = 40
-
-// Warn sends a warning to all other instances. Warnings above the rate limit are
-// dropped: the peers have heard of the failing upstream by then.
-func (f *Fleet) Warn(w Warning) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.opt.Now()
-	if f.conn == nil || !f.warningLimiter.AllowN(time.Unix(0, int64(now)), 1) {
-		return
-	}
-	w.Format = warningFormat
-	p := w.encode()
-	for _, m := range f.table.Live() {
-		if m.Address != f.opt.Self.Address {
-			f.sendDatagram(m.Address, p)
-		}
-	}
-}
-
 // sendHeartbeat sends one heartbeat. A lost datagram needs no retry, since the
 // next heartbeat carries the current state.
 func (f *Fleet) sendHeartbeat(to string, flags uint8) {
@@ -117,7 +116,7 @@
 func (f *Fleet) newHeartbeat(flags uint8) heartbeat {
 	b := heartbeat{
 		Format: heartbeatFormat, Flags: flags, Incarnation: f.opt.Self.Incarnation, Count: f.state.Count,
-		Revision: f.copy.Revision(), AgeMillis: ageUnknown, Members: f.table.Version(),
+		Revision: f.copy.Revision(), AgeMillis: ageUnknown, Members: f.publishedVersion,
 	}
 	if f.reader.confirmed {
 		b.AgeMillis = ageMillis(f.reader.age(f.opt.Now()))
@@ -149,7 +148,7 @@
 			continue // the error concerns the destination of an earlier datagram
 		}
 		if w, ok := decodeWarning(buf[:n]); ok {
-			f.listener.WarningReceived(f.opt.Now(), w)
+			f.receiveWarning(from.String(), w)
 			continue
 		}
 		b, err := decodeHeartbeat(buf[:n])
@@ -173,36 +172,65 @@
 	if !known {
 		delete(f.memberVersions, from) // a new incarnation restarts its list version
 	}
-	if b.Flags&flagReply == 0 {
+	isReply := b.Flags&flagReply != 0
+	if !isReply {
 		flags := uint8(flagReply)
 		if !known {
-			flags |= flagInfoMissing
+			flags |= flagInfoMissing // the sender then begins a sync
 		}
 		f.sendHeartbeat(from, flags)
 	}
-	if b.AgeMillis != ageUnknown && b.Revision <= f.copy.Revision() && f.copy.Revision() > 0 {
-		if at := now - time.Duration(b.AgeMillis)*time.Millisecond; at > f.reader.confirmedAt && f.reader.confirm(at) {
-			f.listener.StoreRecovered(now)
-		}
-	}
+	f.confirmFrom(now, b)
 	newer := b.Revision > f.copy.Revision()
 	if newer && f.behindSince == 0 {
 		f.behindSince = now
 	}
-	membersChanged := f.fetchesMembersFrom(now, from) && f.memberVersions[from] != b.Members
-	if newer && f.shouldFetchFrom(now, from) || membersChanged || !known || b.Flags&flagInfoMissing != 0 {
-		f.enqueueSync(from)
+	fetch := newer && f.shouldFetchFrom(now, from) && !f.fetching(now)
+	membersChanged := b.Members > f.memberVersions[from] && f.fetchesMembersFrom(now, from)
+	if fetch || membersChanged || isReply && (!known || b.Flags&flagInfoMissing != 0) {
+		f.enqueueSync(now, from)
 	}
 	f.notifyMembers()
 }
 
-// fetchesMembersFrom reports whether member lists are fetched from the peer. All
-// instances use the first hub other than themselves: each hub receives all
-// heartbeats directly, so the lists of further hubs add nothing.
+// confirmFrom records a peer's confirmation of its copy as one of this copy, if
+// this copy is at least as new.
+func (f *Fleet) confirmFrom(now time.Duration, b heartbeat) {
+	if b.AgeMillis == ageUnknown || b.Revision > f.copy.Revision() || f.copy.Revision() == 0 {
+		return
+	}
+	at := now - time.Duration(b.AgeMillis)*time.Millisecond
+	if at > f.reader.confirmedAt && f.reader.confirm(at) {
+		f.listener.StoreRecovered(now)
+	}
+}
+
+// fetchesMembersFrom reports whether member lists are fetched from the peer: from
+// the first leader of the data centre other than this instance, and by leaders
+// also from the first hub other than themselves. The lists of further ones add
+// nothing, since each receives all heartbeats itself. A hub also fetches the
+// summary of each data centre from its first leader.
 func (f *Fleet) fetchesMembersFrom(now time.Duration, address string) bool {
-	for _, h := range f.table.Hubs(now) {
-		if h != f.opt.Self.Address {
-			return h == address
+	firstOther := func(list []string) string {
+		for _, a := range list {
+			if a != f.opt.Self.Address {
+				return a
+			}
+		}
+		return ""
+	}
+	if address == firstOther(f.table.Leaders(now)) {
+		return true
+	}
+	if f.table.IsLeader(now) && address == firstOther(f.table.Hubs(now)) {
+		return true
+	}
+	if f.table.HubRank(now) < 0 {
+		return false
+	}
+	for _, leaders := range f.table.rolesAt(now).leaders {
+		if len(leaders) > 0 && leaders[0] == address {
+			return true
 		}
 	}
 	return false
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,16 +1,24 @@
-// Package fleet tracks which instances are live and replicates the store's
-// keys to all of them. Two instances, the hubs, read the store on behalf of
-// the others. Every instance sends heartbeats to the hubs as UDP datagrams;
-// changes are then fetched by net/rpc, once for each other data centre, by the
-// relay of that data centre. Hubs and relays are not chosen by consensus:
-// instances that choose different ones only cause extra calls and traffic, and
-// a copy never returns to an older revision. An instance that receives no
-// recent confirmation of its copy reads the store itself.
+// Package fleet tracks which instances are live and replicates the store's keys
+// to all of them, along a tree: two instances, the hubs, read the store; the two
+// leaders of each data centre fetch changes from them, and the other instances
+// from the leaders of their data centre. Heartbeats are UDP datagrams along the
+// same tree; changes are fetched by net/rpc over kept connections. So no
+// instance's load grows with the fleet but that of the leaders, which grows with
+// their data centre. Leaders and hubs are the instances with the most capacity;
+// they are not chosen by consensus: instances that choose different ones only
+// cause extra calls and traffic, and a copy never returns to an older revision.
+// An instance whose copy is confirmed by no peer reads the store itself.
+//
+// The tree follows the supernode designs of peer-to-peer systems (B. Yang and
+// H. Garcia-Molina, "Designing a super-peer network", 2003) rather than gossip:
+// changes must reach all instances within a bounded time.
 package fleet
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +34,12 @@
 type Source interface {
 	// ReadAll reads all keys.
 	ReadAll(ctx context.Context) (mirror.Delta, error)
+	// ReadAllStale reads all keys at a fraction of the cost. The result may be
+	// seconds old.
+	ReadAllStale(ctx context.Context) (mirror.Delta, error)
+	// ReadStale returns the value of a key, which may be seconds old. The error
+	// of a missing key has kind store.NotFound.
+	ReadStale(ctx context.Context, key string) ([]byte, error)
 	// Watch waits for changes after a revision. An error of kind
 	// store.NotFound means that the store no longer has this history.
 	Watch(ctx context.Context, after int64, wait time.Duration) (mirror.Delta, error)
@@ -43,8 +57,8 @@
 	ItemsChanged(now time.Duration, items []mirror.Item, source string)
 	// StoreRecovered reports the end of an outage of the store.
 	StoreRecovered(now time.Duration)
-	// MembersChanged receives the live instances.
-	MembersChanged(now time.Duration, live []Member)
+	// MembersChanged receives the fleet as this instance sees it.
+	MembersChanged(now time.Duration, v View)
 	// WarningReceived receives a warning that another instance sent.
 	WarningReceived(now time.Duration, w Warning)
 }
@@ -53,15 +67,21 @@
 type Options struct {
 	Self  Info
 	Seeds []string
-	// ReadAtStart makes the instance read the store at startup, without
-	// waiting for a peer's copy.
-	ReadAtStart bool
-	// HubsKey is the store key that holds the addresses of hubs, for
-	// instances that cannot reach any of their seeds.
-	HubsKey string
-	// Now returns the time since the process started.
-	Now func() time.Duration
-	Log log.Logger
+	// FirstStart is set when the whole system starts for the first time: no
+	// callers wait yet, so the seeds read the store for all. An instance that
+	// starts later receives traffic and needs a copy at once.
+	FirstStart bool
+	// DirectoryKey is the store key that holds the addresses of leaders, for
+	// instances that start or cannot reach any of their seeds.
+	DirectoryKey string
+	// MaxCopyAge is the age of the copy from which an instance reads the store
+	// itself; 0 stands for defaultMaxCopyAge.
+	MaxCopyAge time.Duration
+	// Now returns the time since the process started, Suspended the total time
+	// for which the machine was suspended, which Now does not count.
+	Now       func() time.Duration
+	Suspended func() time.Duration
+	Log       log.Logger
 	// OnStoreCall is called with the outcome of each call to the store.
 	OnStoreCall func(outcome string)
 }
@@ -80,20 +100,30 @@
 	// memberVersions maps a peer's address to the version of its member list
 	// that was last merged.
 	memberVersions map[string]uint64
+	// publishedVersion is the version of the member list in heartbeats. It
+	// follows the table's once per tick, so that many changes cause one sync.
+	publishedVersion uint64
 	// behindSince is when a peer first reported a revision newer than the
 	// copy; 0 for none since the last applied delta.
 	behindSince time.Duration
-	// syncing holds the peers with a sync queued or in flight.
-	syncing         map[string]bool
+	// syncing holds the peers with a sync queued or in flight, by the time at
+	// which it was queued.
+	syncing         map[string]time.Duration
 	notifiedVersion uint64 // version of the member list last passed to the Listener
-	loggedHubs      string
-	// storedHubs is the hub list read from the store.
-	storedHubs hubList
+	live            int    // number of live instances
+	loggedRoles     string
+	// storedDirectory is the directory read from the store.
+	storedDirectory directory
+	packed          packedCopy
+	// suspended is the value of opt.Suspended that the copy's age includes.
+	suspended time.Duration
 
-	warningLimiter *rate.Limiter
+	warningLimiter, forwardLimiter *rate.Limiter
 
 	conn      *net.UDPConn
+	peers     *peerClients
 	wake      chan struct{}
+	tickNow   chan struct{}
 	syncQueue chan string
 }
 
@@ -101,15 +131,28 @@
 // queued again on the peer's next heartbeat.
 const syncQueueSize = 16
 
+// syncWorkers is the number of concurrent syncs, so that a peer that does not
+// answer does not hold up a sync with another one.
+const syncWorkers = 2
+
 // New returns a Fleet that knows only this instance and the seed addresses.
 func New(opt Options, source Source, listener Listener) *Fleet {
-	return &Fleet{
+	if opt.MaxCopyAge == 0 {
+		opt.MaxCopyAge = defaultMaxCopyAge
+	}
+	if opt.Suspended == nil {
+		opt.Suspended = func() time.Duration { return 0 }
+	}
+	f := &Fleet{
 		opt: opt, source: source, listener: listener,
-		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(), reader: reader{skipPeerWait: opt.ReadAtStart},
+		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(), reader: reader{maxAge: opt.MaxCopyAge},
 		warningLimiter: rate.NewLimiter(maxWarningsPerSecond, maxWarningsPerSecond),
-		memberVersions: map[string]uint64{}, syncing: map[string]bool{},
-		wake: make(chan struct{}, 1), syncQueue: make(chan string, syncQueueSize),
+		forwardLimiter: rate.NewLimiter(maxForwardsPerSecond, maxForwardsPerSecond),
+		memberVersions: map[string]uint64{}, syncing: map[string]time.Duration{}, live: 1,
+		suspended: opt.Suspended(), peers: newPeerClients(), wake: make(chan struct{}, 1), tickNow: make(chan struct{}, 1), syncQueue: make(chan string, syncQueueSize),
 	}
+	f.reader.start(opt.FirstStart, slices.Contains(opt.Seeds, opt.Self.Address), opt.DirectoryKey != "", rand.Float64())
+	return f
 }
 
 // Run exchanges state with the peers over sockets until ctx ends, and closes
@@ -119,14 +162,17 @@
 	f.conn = sockets.udp
 	f.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return f.serve(sockets.tcp) })
+	g.Go(func() error { return f.serve(ctx, sockets.tcp) })
 	g.Go(f.receive)
 	g.Go(func() error { return f.heartbeatLoop(ctx) })
 	g.Go(func() error { return f.readLoop(ctx) })
-	g.Go(func() error { return f.syncLoop(ctx) })
+	for range syncWorkers {
+		g.Go(func() error { return f.syncLoop(ctx) })
+	}
 	g.Go(func() error {
 		<-ctx.Done()
 		sockets.Close()
+		f.peers.close()
 		return nil
 	})
 	return g.Wait()
@@ -136,16 +182,17 @@
 func (f *Fleet) AddSeeds(addresses []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.table.AddSeeds(addresses)
+	f.table.AddSeeds(f.opt.Now(), addresses)
 }
 
 // RequestCopy makes the instance read the store at once if it has no copy yet,
-// since callers are waiting for it; it no longer waits for a peer's copy.
+// since callers are waiting for it; it no longer waits for a peer's copy at the
+// first start of the fleet.
 func (f *Fleet) RequestCopy() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.reader.skipPeerWait && f.copy.Revision() == 0 {
-		f.reader.skipPeerWait = true
+	if f.opt.FirstStart && f.copy.Revision() == 0 {
+		f.reader.firstReadAt = 0
 		f.wakeReader()
 	}
 }
@@ -179,17 +226,25 @@
 	return f.reader.age(f.opt.Now())
 }
 
-// notifyMembers passes the live members to the Listener if the list changed.
+// notifyMembers passes the view of the fleet to the Listener if it changed.
 func (f *Fleet) notifyMembers() {
 	if v := f.table.Version(); v != f.notifiedVersion {
 		f.notifiedVersion = v
-		f.listener.MembersChanged(f.opt.Now(), f.table.Live())
+		view := f.table.View()
+		f.live = view.Live
+		f.listener.MembersChanged(f.opt.Now(), view)
 	}
 }
 
+// storeName is the source of changes that this instance read from the store.
+const storeName = "store"
+
 // apply merges a delta into the copy, which is then complete as of confirmedAt.
-// It returns false if the delta leaves a gap, so that a full copy is needed.
+// It returns false if the delta leaves a gap, so that a full copy is needed. What
+// is new, and each confirmation by the store, is told to the instances that rely
+// on this one.
 func (f *Fleet) apply(now time.Duration, d mirror.Delta, confirmedAt time.Duration, source string) bool {
+	first := f.copy.Revision() == 0
 	changed, ok := f.copy.Apply(d)
 	if !ok {
 		return false
@@ -199,36 +254,29 @@
 		level.Info(f.opt.Log).Log("msg", "store recovered", "source", source, "revision", f.copy.Revision())
 		f.listener.StoreRecovered(now)
 	}
+	if first {
+		level.Info(f.opt.Log).Log("msg", "first copy of the store", "source", source, "revision", f.copy.Revision(), "items", len(d.Items))
+	}
 	if len(changed) > 0 {
-		f.applyHubList(changed)
+		f.applyDirectory(changed)
 		f.listener.ItemsChanged(now, changed, source)
-		f.pushHeartbeats()
 	}
-	return true
-}
-
-// pushHeartbeats announces a change of the copy by heartbeats at once: a hub to
-// all members, a relay to those of its data centre.
-func (f *Fleet) pushHeartbeats() {
-	now := f.opt.Now()
-	hub, relay := f.table.HubRank(now) >= 0, f.table.Relay(now) == f.opt.Self.Address
-	for _, m := range f.table.Live() {
-		if m.Address != f.opt.Self.Address && (hub || relay && f.table.sameDataCentre(m.Address)) {
-			f.sendHeartbeat(m.Address, 0)
-		}
+	if len(changed) > 0 || first || source == storeName {
+		f.sendHeartbeats(f.table.receivers(now), 0)
 	}
+	return true
 }
 
-// relayWait is how long an instance waits for its data centre's relay to bring
-// a change before it fetches it from another data centre itself.
-const relayWait = 500 * time.Millisecond
+// leaderWait is how long an instance waits for a leader of its data centre to
+// bring a change before it fetches it from another data centre itself.
+const leaderWait = 500 * time.Millisecond
 
 // shouldFetchFrom reports whether this instance fetches changes from the peer:
-// if the peer is in the same data centre, if this instance is the relay of its
-// data centre, or if it has waited for the relay long enough.
+// if the peer is in the same data centre, if this instance is a leader, or if it
+// has waited for its leaders long enough.
 func (f *Fleet) shouldFetchFrom(now time.Duration, from string) bool {
-	if f.table.sameDataCentre(from) || f.table.Relay(now) == f.opt.Self.Address {
+	if f.table.sameDataCentre(from) || f.table.IsLeader(now) {
 		return true
 	}
-	return f.behindSince > 0 && now-f.behindSince >= relayWait
+	return f.behindSince > 0 && now-f.behindSince >= leaderWait
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -23,6 +23,7 @@
 	calls       int
 	down        map[string]bool
 	compactedTo int64 // history before this revision is gone
+	staleBy     int   // number of changes that stale reads lack
 }
 
 func newFakeStore() *fakeStore {
@@ -75,6 +76,33 @@
 	return d, nil
 }
 
+// ReadAllStale returns the items of staleBy revisions ago.
+func (c storeClient) ReadAllStale(ctx context.Context) (mirror.Delta, error) {
+	c.s.mu.Lock()
+	items, rev := c.s.items, c.s.rev
+	c.s.items, c.s.rev = items[:max(0, len(items)-c.s.staleBy)], max(0, rev-int64(c.s.staleBy))
+	c.s.mu.Unlock()
+	d, err := c.ReadAll(ctx)
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.s.items, c.s.rev = items, rev
+	return d, err
+}
+
+func (c storeClient) ReadStale(_ context.Context, key string) ([]byte, error) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if err := c.startCall(); err != nil {
+		return nil, err
+	}
+	for i := len(c.s.items) - 1; i >= 0; i-- {
+		if it := c.s.items[i]; it.Key == key {
+			return it.Value, nil
+		}
+	}
+	return nil, &store.Error{Kind: store.NotFound}
+}
+
 func (c storeClient) Watch(ctx context.Context, after int64, wait time.Duration) (mirror.Delta, error) {
 	timeout := time.After(wait)
 	for {
@@ -123,6 +151,7 @@
 type recordingListener struct {
 	mu       sync.Mutex
 	values   map[string]string
+	received []string // all received values
 	live     int
 	returned int
 	warned   []Warning
@@ -133,6 +162,7 @@
 	defer l.mu.Unlock()
 	for _, it := range items {
 		l.values[it.Key] = string(it.Value)
+		l.received = append(l.received, string(it.Value))
 	}
 }
 
@@ -142,10 +172,10 @@
 	l.returned++
 }
 
-func (l *recordingListener) MembersChanged(_ time.Duration, live []Member) {
+func (l *recordingListener) MembersChanged(_ time.Duration, v View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.live = len(live)
+	l.live = v.Live
 }
 
 func (l *recordingListener) WarningReceived(_ time.Duration, w Warning) {
@@ -198,7 +228,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	in.stop = stop
 	in.f = New(Options{
-		Self: Info{Address: address, DataAddress: address, DataCentre: "ibarra", Incarnation: uint64(began.UnixNano())}, Seeds: seeds, HubsKey: "hubs",
+		Self: Info{Address: address, DataAddress: address, DataCentre: "ibarra", Incarnation: uint64(began.UnixNano())}, Seeds: seeds, DirectoryKey: "directory",
 		Now: func() time.Duration { return time.Since(began) }, Log: log.NewNopLogger(), OnStoreCall: func(string) {},
 	}, storeClient{s, address}, in.recordingListener)
 	go func() {
@@ -288,7 +318,7 @@
 	s := newFakeStore()
 	s.put("op", "1")
 	first := startInstance(t, s)
-	waitUntil(t, []*instance{first}, func(in *instance) bool { return in.value("hubs") != "" })
+	waitUntil(t, []*instance{first}, func(in *instance) bool { return in.value("directory") != "" })
 	late := startInstance(t, s, unusedAddress)
 	waitUntil(t, []*instance{first, late}, func(in *instance) bool {
 		in.mu.Lock()
@@ -374,36 +404,80 @@
 	in.stopAndWait(t)
 }
 
-// A change must be transferred to another data centre once, by its relay (the
-// lowest live address there). The other instances must fetch it from the relay,
-// or from the hub if the relay is too slow, silent or leaving.
-func TestRelayFetchesForItsDataCentre(t *testing.T) {
+// A change must be transferred to another data centre by its leaders only. The
+// other instances must fetch it from them, or from the hub if they are too slow,
+// silent or leaving.
+func TestLeadersFetchForTheirDataCentre(t *testing.T) {
 	info := func(address, dataCentre string) Info {
 		return Info{Address: address, DataCentre: dataCentre, Incarnation: 1}
 	}
-	const hub, relay, other = "10.0.0.1:1", "10.0.1.1:1", "10.0.1.2:1"
+	const hub, first, second, other = "10.0.0.1:1", "10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"
 	f := New(Options{Self: info(other, "otavalo")}, nil, nil)
 	now := time.Second
 	if !f.shouldFetchFrom(now, hub) {
 		t.Fatal("an instance without members in its data centre does not fetch from the hub")
 	}
+	for _, a := range []string{first, second} {
+		f.table.UpdateMember(now, info(a, "otavalo"), State{})
+	}
 	f.table.UpdateMember(now, info(hub, "ibarra"), State{})
-	f.table.UpdateMember(now, info(relay, "otavalo"), State{})
-	if f.shouldFetchFrom(now, hub) || !f.shouldFetchFrom(now, relay) {
-		t.Error("changes are not fetched from the relay only")
+	if f.shouldFetchFrom(now, hub) || !f.shouldFetchFrom(now, first) {
+		t.Error("changes are not fetched from the leaders only")
 	}
 	f.behindSince = now
-	if !f.shouldFetchFrom(now+relayWait, hub) {
-		t.Error("still waiting for the relay after relayWait")
+	if !f.shouldFetchFrom(now+leaderWait, hub) {
+		t.Error("still waiting for the leaders after leaderWait")
 	}
 	f.behindSince = 0
-	f.table.MergeMembers(now+time.Minute, []Member{{Info: info(relay, "otavalo"), Silent: true}})
-	if f.table.Relay(now+time.Minute) != other || !f.shouldFetchFrom(now+time.Minute, hub) {
-		t.Error("still waiting for a silent relay")
+	f.table.MergeMembers(now+time.Minute, []Member{{Info: info(first, "otavalo"), Silent: true}})
+	if !f.shouldFetchFrom(now+time.Minute, hub) {
+		t.Error("does not take over from a silent leader")
+	}
+	f.table.UpdateMember(now+time.Minute, info(first, "otavalo"), State{Leaving: true, Count: 2})
+	if !f.shouldFetchFrom(now+time.Minute, hub) {
+		t.Error("does not take over from a leaving leader")
+	}
+}
+
+// A first copy from a stale read must hold what was changed since, and must not
+// be used before that is known: an upstream that has left, or an older
+// configuration, would be in use again.
+func TestFirstCopyIsUpToDate(t *testing.T) {
+	for _, compacted := range []bool{false, true} {
+		s := newFakeStore()
+		s.put("op", "1")
+		s.put("op", "2")
+		s.put("op", "3")
+		s.update(func() {
+			if s.staleBy = 2; compacted {
+				s.compactedTo = s.rev
+			}
+		})
+		in := startInstance(t, s)
+		waitUntil(t, []*instance{in}, func(in *instance) bool { return in.value("op") == "3" })
+		in.stopAndWait(t)
+		if v := in.received[0]; v != "3" {
+			t.Errorf("history compacted %v: value %q was in use after the start", compacted, v)
+		}
+	}
+}
+
+// The time for which the machine was suspended counts as age of the copy, so that
+// an instance that wakes reads the store, or a peer, before it relies on it.
+func TestSuspensionAgesTheCopy(t *testing.T) {
+	var slept time.Duration
+	f := New(Options{
+		Self: Info{Address: "10.0.0.1:1"}, Now: func() time.Duration { return 10 * time.Second },
+		Suspended: func() time.Duration { return slept }, Log: log.NewNopLogger(),
+	}, nil, &recordingListener{values: map[string]string{}})
+	f.reader.confirm(9900 * time.Millisecond)
+	slept = 5 * time.Second
+	var reply SyncReply
+	if err := (&Peer{f}).Sync(&SyncArgs{Info: Info{Address: "10.0.0.2:1"}}, &reply); err != nil {
+		t.Fatal(err)
 	}
-	f.table.UpdateMember(now, info(relay, "otavalo"), State{Leaving: true, Count: 2})
-	if f.table.Relay(now) != other {
-		t.Error("still waiting for a leaving relay")
+	if reply.Age < slept {
+		t.Errorf("copy confirmed before a suspension of %v is sent as %v old", slept, reply.Age)
 	}
 }
 
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -25,7 +25,7 @@
 }
 
 // heartbeatFormat changes with the layout of a heartbeat.
-const heartbeatFormat = 1
+const heartbeatFormat = 2
 
 // Flags of a heartbeat.
 const (
@@ -67,10 +67,12 @@
 	Upstream uint64
 	// Weight is the weight of the failure, in hundredths of a request.
 	Weight uint8
+	// Forward asks the receiver to pass the warning on to its data centre.
+	Forward bool
 }
 
 // warningFormat changes with the layout of a Warning.
-const warningFormat = 101
+const warningFormat = 102
 
 func (w Warning) encode() []byte {
 	var out bytes.Buffer
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/rpc"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/catkinrouter/catkinrouter/mirror"
 )
 
@@ -27,16 +30,19 @@
 type SyncReply struct {
 	Info  Info
 	State State
-	// Delta holds the changes after the requested revision; it is empty if
-	// MembersOnly was set. Proven reports whether the copy was ever confirmed
-	// complete, Age the time since the last confirmation.
+	// Delta holds the changes after the requested revision, Packed the same
+	// compressed if there are many; both are empty if MembersOnly was set.
+	// Proven reports whether the copy was ever confirmed complete, Age the time
+	// since the last confirmation.
 	Delta  mirror.Delta
+	Packed []byte
 	Proven bool
 	Age    time.Duration
-	// Members holds the members that changed after the requested version, up
+	// Members and Summaries hold what changed after the requested version, up
 	// to Version.
-	Members []Member
-	Version uint64
+	Members   []Member
+	Summaries []Summary
+	Version   uint64
 }
 
 // Peer is the net/rpc service for the other instances.
@@ -48,19 +54,24 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opt.Now()
+	f.countSuspension()
 	f.table.UpdateMember(now, args.Info, args.State)
 	reply.Info, reply.State = f.opt.Self, f.state
-	if !args.MembersOnly {
-		reply.Delta = f.copy.Since(args.Revision)
-	}
 	reply.Proven, reply.Age = f.reader.confirmed, f.reader.age(now)
-	reply.Members, reply.Version = f.table.ChangedSince(args.Members), f.table.Version()
+	reply.Members = f.table.ChangedSince(now, args.Members, args.Info.DataCentre)
+	reply.Summaries, reply.Version = f.table.summariesSince(args.Members), f.table.Version()
 	f.notifyMembers()
-	return nil
+	if args.MembersOnly {
+		return nil
+	}
+	return f.setDelta(reply, f.copy.Since(args.Revision))
 }
 
+// acceptRetryDelay is the pause after a failed accept.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // serve accepts peer connections until ln is closed.
-func (f *Fleet) serve(ln net.Listener) error {
+func (f *Fleet) serve(ctx context.Context, ln net.Listener) error {
 	s := rpc.NewServer()
 	if err := s.Register(&Peer{f}); err != nil {
 		return err
@@ -71,12 +82,32 @@
 			return nil
 		}
 		if err != nil {
-			return err
-		}
-		if err := conn.SetDeadline(time.Now().Add(syncTimeout)); err != nil {
-			conn.Close()
-			continue // the peer has closed the connection
+			// Such as too few file descriptors: the other connections go on.
+			level.Warn(f.opt.Log).Log("msg", "peer connection not accepted", "err", err)
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
-		go s.ServeConn(conn)
+		go func() {
+			defer context.AfterFunc(ctx, func() { conn.Close() })()
+			s.ServeConn(idleConn{conn})
+		}()
+	}
+}
+
+// idleConn is a connection that fails once the peer sends nothing, or takes
+// nothing, for peerIdleTimeout.
+type idleConn struct{ net.Conn }
+
+func (c idleConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(peerIdleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+func (c idleConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(peerIdleTimeout)); err != nil {
+		return 0, err
 	}
+	return c.Conn.Write(p)
 }
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -38,28 +37,57 @@
 	f.mu.Lock()
 	now := f.opt.Now()
 	rank, after := f.table.HubRank(now), f.copy.Revision()
-	kind, wait := f.reader.due(now, rank, after > 0, slices.Contains(f.opt.Seeds, f.opt.Self.Address))
+	kind, wait := f.reader.due(now, readState{rank: rank, hasCopy: after > 0, live: f.live, isolated: f.table.isolated(now)}, rand.Float64())
 	f.mu.Unlock()
 	var d mirror.Delta
 	var err error
+	confirmedAt := now
 	switch kind {
 	case callNone:
 		return wait
+	case callDirectory:
+		f.readDirectory(ctx, rand.Float64())
+		return 0
+	case callReadFirst:
+		d, confirmedAt, err = f.readFirst(ctx)
 	case callReadAll:
 		d, err = f.source.ReadAll(ctx)
 	case callWatch:
 		d, err = f.source.Watch(ctx, after, wait)
+		confirmedAt = f.opt.Now()
 	}
 	f.mu.Lock()
-	f.handleReadResult(now, rank, kind, d, err)
+	f.handleReadResult(rank, kind, d, confirmedAt, err)
 	f.mu.Unlock()
-	f.writeHubList(ctx)
+	f.writeDirectory(ctx)
 	return 0
 }
 
-// handleReadResult processes the result of a store call that began at the time
-// began. A full read confirms the copy as of its beginning, a watch as of now.
-func (f *Fleet) handleReadResult(began time.Duration, rank int, kind storeCall, d mirror.Delta, err error) {
+// firstWatchWait is the wait of the watch that proves a stale copy complete.
+const firstWatchWait = 20 * time.Millisecond
+
+// readFirst reads the first copy: a stale one, whose calls cost little, and a
+// watch from its revision, which proves that it is complete or brings what it
+// lacks. It returns the time as of which the copy is complete.
+func (f *Fleet) readFirst(ctx context.Context) (d mirror.Delta, confirmedAt time.Duration, err error) {
+	if d, err = f.source.ReadAllStale(ctx); err != nil {
+		return d, 0, err
+	}
+	confirmedAt = f.opt.Now()
+	changes, err := f.source.Watch(ctx, d.Revision, firstWatchWait)
+	switch {
+	case store.IsKind(err, store.NotFound): // the history since the stale copy is gone
+		confirmedAt = f.opt.Now()
+		d, err = f.source.ReadAll(ctx)
+	case err == nil:
+		d = d.Append(changes)
+	}
+	return d, confirmedAt, err
+}
+
+// handleReadResult processes the result of a store call that shows the store's
+// state as of confirmedAt.
+func (f *Fleet) handleReadResult(rank int, kind storeCall, d mirror.Delta, confirmedAt time.Duration, err error) {
 	now := f.opt.Now()
 	f.opt.OnStoreCall(outcomeOf(err))
 	if kind == callWatch && store.IsKind(err, store.NotFound) {
@@ -75,12 +103,10 @@
 		}
 		return
 	}
-	confirmedAt := now
-	if kind == callReadAll {
+	if kind != callWatch {
 		f.reader.fullReadDue = false
-		confirmedAt = began
 	}
-	f.apply(now, d, confirmedAt, "store")
+	f.apply(now, d, confirmedAt, storeName)
 	if kind == callWatch && len(d.Items) > 0 {
 		f.reader.delayNextRead(now, rank)
 	}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -2,21 +2,33 @@
 
 import "time"
 
-// Timing of store reads. Together these values keep an instance's copy younger
-// than 2 s, the shortest time within which a change must take effect.
+// Timing of store reads. Together these values keep the copy of an instance of a
+// small fleet younger than 2 s, the shortest time within which a change must take
+// effect.
 const (
 	// watchWait is the longest time between two replies of the store to a
 	// hub, minWatchWait the shortest time that a hub's watch waits for a
 	// change.
 	watchWait    = time.Second
 	minWatchWait = 100 * time.Millisecond
-	// staleAge is the age of the copy at which an instance that is not a hub
-	// reads the store itself. It exceeds the sum of watchWait and
-	// HeartbeatInterval.
-	staleAge = 1600 * time.Millisecond
-	// peerCopyWait is how long a new instance waits for a peer's copy before
-	// it reads the store.
-	peerCopyWait = 500 * time.Millisecond
+	// defaultMaxCopyAge is the default of Options.MaxCopyAge. It exceeds the sum
+	// of watchWait and HeartbeatInterval.
+	defaultMaxCopyAge = 1600 * time.Millisecond
+	// firstStartWait is how long a new instance waits for a peer's copy at the
+	// first start of the fleet, restartWait at a later start. Jitter adds up to
+	// firstStartJitter and restartJitter, so that the instances of a large fleet
+	// do not all read the store at once.
+	firstStartWait   = 500 * time.Millisecond
+	firstStartJitter = 3 * time.Second
+	restartWait      = 250 * time.Millisecond
+	restartJitter    = 500 * time.Millisecond
+	// smallFleet is the number of instances up to which each may read the store
+	// itself without delay. In a larger one, those whose copy is old while they
+	// do hear from peers wait for a random part of staleJitterPerInstance times
+	// the instances above smallFleet, at most maxStaleJitter.
+	smallFleet             = 32
+	staleJitterPerInstance = 10 * time.Millisecond
+	maxStaleJitter         = 4 * time.Second
 	// hubRetry and memberRetry are the minimum delays after a failed read, of
 	// a hub and of other members; jitter adds up to as much again.
 	hubRetry    = 300 * time.Millisecond
@@ -52,9 +64,35 @@
 	// fullReadDue is set when the store no longer has the history after the
 	// copy's revision, so that all keys must be read.
 	fullReadDue bool
-	// skipPeerWait makes the first read start without waiting for a peer's
-	// copy.
-	skipPeerWait bool
+	// directoryDue is set at the start until the directory was read.
+	directoryDue bool
+	// firstReadAt is when an instance without a copy reads the store.
+	firstReadAt time.Duration
+	// maxAge is the age of the copy from which an instance that is not a hub
+	// reads the store itself.
+	maxAge time.Duration
+	// staleReadAt is when the copy, now older than maxAge, leads to a read; 0
+	// while it is not that old.
+	staleReadAt time.Duration
+}
+
+// start sets when an instance that starts reads the store. At the first start of
+// the fleet the seeds read it and the others wait for a copy of a peer; later an
+// instance first reads the directory, if there is one.
+func (r *reader) start(firstStart, isSeed, hasDirectory bool, jitter float64) {
+	switch {
+	case firstStart && !isSeed:
+		r.firstReadAt = firstStartWait + time.Duration(jitter*float64(firstStartJitter))
+	case !firstStart:
+		r.directoryDue = hasDirectory
+	}
+}
+
+// directoryRead records the end of the attempt to read the directory and how long
+// to wait for a peer's copy.
+func (r *reader) directoryRead(now, wait time.Duration) {
+	r.directoryDue = false
+	r.firstReadAt = now + wait
 }
 
 // storeCall is the kind of store call that is due.
@@ -62,28 +100,63 @@
 
 const (
 	callNone storeCall = iota
-	callWatch
+	callDirectory
+	// callReadFirst reads the first copy, callReadAll a copy that replaces one.
+	callReadFirst
 	callReadAll
+	callWatch
 )
 
+// readState is what the due call depends on beside the reader.
+type readState struct {
+	// rank is the instance's place among the hubs, or -1.
+	rank int
+	// hasCopy is set once there is a copy of the store.
+	hasCopy bool
+	// live is the number of live instances in the fleet.
+	live int
+	// isolated is set if no other instance is known to be reachable.
+	isolated bool
+}
+
 // due returns the call to make now and, for a watch, how long it waits; for
-// callNone it returns the time until a call may be due. rank is the instance's
-// place among the hubs, or -1. Seeds read the store at startup, so that the
-// other instances can fetch from them.
-func (r *reader) due(now time.Duration, rank int, hasCopy, isSeed bool) (storeCall, time.Duration) {
+// callNone it returns the time until a call may be due. The jitter is between 0
+// and 1.
+func (r *reader) due(now time.Duration, s readState, jitter float64) (storeCall, time.Duration) {
 	switch {
 	case now < r.retryAt:
 		return callNone, r.retryAt - now
-	case !hasCopy && !isSeed && !r.skipPeerWait && now < peerCopyWait:
-		return callNone, peerCopyWait - now
-	case !hasCopy || r.fullReadDue:
+	case !s.hasCopy && r.directoryDue:
+		return callDirectory, 0
+	case !s.hasCopy && now < r.firstReadAt:
+		return callNone, r.firstReadAt - now
+	case !s.hasCopy:
+		return callReadFirst, 0
+	case r.fullReadDue:
 		return callReadAll, 0
-	case rank >= 0:
+	case s.rank >= 0:
 		return callWatch, max(minWatchWait, watchWait-r.age(now))
-	case r.age(now) >= staleAge:
-		return callWatch, watchWait
+	case r.age(now) < r.maxAge:
+		r.staleReadAt = 0
+		return callNone, r.maxAge - r.age(now)
+	case r.staleReadAt == 0:
+		r.staleReadAt = now + s.staleWait(jitter)
+	}
+	if now < r.staleReadAt {
+		return callNone, r.staleReadAt - now
+	}
+	r.staleReadAt = 0
+	return callWatch, watchWait
+}
+
+// staleWait returns how long an instance with an old copy waits before it reads
+// the store. In a large fleet, an instance that hears from peers gets a newer copy
+// from them most of the time.
+func (s readState) staleWait(jitter float64) time.Duration {
+	if s.isolated || s.live <= smallFleet {
+		return 0
 	}
-	return callNone, staleAge - r.age(now)
+	return time.Duration(jitter * float64(min(maxStaleJitter, time.Duration(s.live-smallFleet)*staleJitterPerInstance)))
 }
 
 // age returns the time since the copy was last confirmed complete, or since the
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -2,53 +2,69 @@
 
 import (
 	"context"
-	"net"
-	"net/rpc"
 	"time"
 
 	"github.com/go-kit/log/level"
 )
 
+// syncHedgeDelay is how long a sync may be in flight before the same change is
+// also fetched from another peer.
+const syncHedgeDelay = 250 * time.Millisecond
+
 // enqueueSync queues a sync from the peer, unless one is already queued or in
 // flight.
-func (f *Fleet) enqueueSync(from string) {
-	if f.syncing[from] {
+func (f *Fleet) enqueueSync(now time.Duration, from string) {
+	if _, busy := f.syncing[from]; busy {
 		return
 	}
 	select {
 	case f.syncQueue <- from:
-		f.syncing[from] = true
+		f.syncing[from] = now
 	default: // the queue is full: the next heartbeat queues the sync again
 	}
 }
 
-// syncLoop performs the queued syncs until ctx ends.
+// fetching reports whether a sync with a peer that may bring a newer copy was
+// begun lately.
+func (f *Fleet) fetching(now time.Duration) bool {
+	for from, at := range f.syncing {
+		if now-at < syncHedgeDelay && f.shouldFetchFrom(now, from) {
+			return true
+		}
+	}
+	return false
+}
+
+// syncLoop performs queued syncs until ctx ends.
 func (f *Fleet) syncLoop(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case from := <-f.syncQueue:
-			f.syncFrom(ctx, from)
+			args := f.syncArgs(from)
+			began := f.opt.Now()
+			var reply SyncReply
+			err := f.peers.call(ctx, from, "Peer.Sync", &args, &reply)
+			f.handleSyncReply(from, began, &reply, err)
 		}
 	}
 }
 
-// syncTimeout bounds the dial of a sync, and again its call; it also bounds the
-// life of an accepted peer connection.
-const syncTimeout = 600 * time.Millisecond
-
-// syncFrom fetches members and changes of the store from the peer.
-func (f *Fleet) syncFrom(ctx context.Context, from string) {
+// syncArgs returns the request of a sync with the peer.
+func (f *Fleet) syncArgs(from string) SyncArgs {
 	f.mu.Lock()
-	args := SyncArgs{Info: f.opt.Self, State: f.state, Revision: f.copy.Revision(), Members: f.memberVersions[from]}
-	// The peer's Info, and thus its data centre, must be known before the copy
-	// is fetched from it.
-	args.MembersOnly = !f.table.hasInfo(from) || !f.shouldFetchFrom(f.opt.Now(), from)
-	f.mu.Unlock()
-	began := f.opt.Now()
-	var reply SyncReply
-	err := callPeer(ctx, from, "Peer.Sync", &args, &reply)
+	defer f.mu.Unlock()
+	return SyncArgs{
+		Info: f.opt.Self, State: f.state, Revision: f.copy.Revision(), Members: f.memberVersions[from],
+		// The peer's Info, and thus its data centre, must be known before the
+		// copy is fetched from it.
+		MembersOnly: !f.table.hasInfo(from) || !f.shouldFetchFrom(f.opt.Now(), from),
+	}
+}
+
+// handleSyncReply merges the reply of a sync that began at the time began.
+func (f *Fleet) handleSyncReply(from string, began time.Duration, reply *SyncReply, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.syncing, from)
@@ -59,25 +75,13 @@
 	now := f.opt.Now()
 	f.table.UpdateMember(now, reply.Info, reply.State)
 	f.table.MergeMembers(now, reply.Members)
+	f.table.MergeSummaries(reply.Summaries)
 	f.memberVersions[from] = reply.Version
-	if reply.Delta.Revision > 0 && reply.Proven {
-		f.apply(now, reply.Delta, began-reply.Age, "peer "+from)
-	}
-	f.notifyMembers()
-}
-
-// callPeer makes one net/rpc call over a new connection.
-func callPeer(ctx context.Context, to, method string, args, reply any) error {
-	d := net.Dialer{Timeout: syncTimeout}
-	conn, err := d.DialContext(ctx, "tcp4", to)
+	d, err := reply.delta()
 	if err != nil {
-		return err
+		level.Warn(f.opt.Log).Log("msg", "peer copy unreadable", "peer", from, "err", err)
+	} else if d.Revision > 0 && reply.Proven {
+		f.apply(now, d, began-reply.Age, "peer "+from)
 	}
-	if err := conn.SetDeadline(time.Now().Add(syncTimeout)); err != nil {
-		conn.Close()
-		return err
-	}
-	c := rpc.NewClient(conn)
-	defer c.Close()
-	return c.Call(method, args, reply)
+	f.notifyMembers()
 }
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -11,7 +11,7 @@
 func TestMain(m *testing.M) { fixedseed.Main(m) }
 
 func info(i int) Info {
-	return Info{Address: fmt.Sprintf("10.0.0.%02d:1", i), DataAddress: fmt.Sprintf("10.0.0.%02d:2", i), DataCentre: "ibarra", Incarnation: 1}
+	return Info{Address: fmt.Sprintf("10.0.0.%d:1", i), DataAddress: fmt.Sprintf("10.0.0.%d:2", i), DataCentre: "ibarra", Incarnation: 1}
 }
 
 // tableWith returns a Table of instance self, with the others updated at now.
@@ -23,6 +23,94 @@
 	return t
 }
 
+// infoIn returns the Info of an instance in another data centre.
+func infoIn(dataCentre string, i int, capacity uint32) Info {
+	in := info(i)
+	in.DataCentre, in.Capacity = dataCentre, capacity
+	return in
+}
+
+// live returns the number of members of the table that are not silent.
+func live(t *Table) int { return t.View().Live }
+
+// Of instances with equal capacity the lowest addresses, compared as numbers, are
+// chosen; more capacity goes before the address.
+func TestLeadersByCapacityThenAddress(t *testing.T) {
+	table := tableWith(time.Second, 100, 20, 42, 3)
+	if got := table.Leaders(time.Second); got[0] != info(3).Address || got[1] != info(20).Address {
+		t.Errorf("leaders %v of instances with equal capacity", got)
+	}
+	large := info(42)
+	large.Capacity = 800
+	table.UpdateMember(time.Second, large, State{Ready: true, Count: 1})
+	if got := table.Leaders(time.Second); got[0] != large.Address || got[1] != info(3).Address {
+		t.Errorf("leaders %v, the first is not the one with the most capacity", got)
+	}
+	table.UpdateMember(time.Second, infoIn("otavalo", 7, 900), State{Ready: true})
+	if got := table.Leaders(time.Second); got[0] != large.Address {
+		t.Errorf("leaders %v include another data centre's", got)
+	}
+	if got := table.Hubs(time.Second); got[0] != info(7).Address {
+		t.Errorf("hubs %v are not those with the most capacity", got)
+	}
+}
+
+// An instance must keep all members of its own data centre, but of another one
+// only the leaders; the rest it knows by summary.
+func TestForeignMembersAreForgotten(t *testing.T) {
+	now := time.Second
+	table := tableWith(now, 1, 2)
+	for i := 10; i < 30; i++ {
+		table.UpdateMember(now, infoIn("otavalo", i, 100), State{Ready: true})
+	}
+	table.MergeSummaries([]Summary{{DataCentre: "otavalo", Sequence: 1, Live: 20, Usable: []string{"10.0.0.10:2", "10.0.0.11:2"}}})
+	for end := now + 2*foreignTimeout; now < end; now += HeartbeatInterval {
+		table.ReceiveHeartbeat(now, info(2).Address, 1, State{Ready: true})
+		for i := 10; i < 10+leaderCount; i++ {
+			table.ReceiveHeartbeat(now, info(i).Address, 1, State{Ready: true})
+		}
+		table.Tick(now)
+	}
+	if n := len(table.members); n != 2+leaderCount {
+		t.Errorf("%d members kept, want this instance, its neighbour and %d leaders", n, leaderCount)
+	}
+	if v := table.View(); v.Live != 22 || len(v.Usable) != 3 {
+		t.Errorf("view %+v: want 22 live, of which 3 can be given to callers", v)
+	}
+}
+
+// The newest summary of a data centre must win whatever the order of arrival,
+// and a new first leader must continue the numbering.
+func TestNewestSummaryWins(t *testing.T) {
+	table := tableWith(time.Second, 1)
+	next, old := Summary{DataCentre: "otavalo", Sequence: 7, Live: 3}, Summary{DataCentre: "otavalo", Sequence: 6, Live: 9}
+	table.MergeSummaries([]Summary{next})
+	table.MergeSummaries([]Summary{old})
+	if s := table.summaries["otavalo"]; s.Live != 3 {
+		t.Errorf("an older summary replaced a newer one: %+v", s)
+	}
+	table.MergeSummaries([]Summary{{DataCentre: "ibarra", Sequence: 40, Live: 9}})
+	table.Tick(2 * time.Second)
+	if s := table.summaries["ibarra"]; s.Sequence <= 40 || s.Live != 1 {
+		t.Errorf("the first leader's summary %+v does not replace that of its predecessor", s)
+	}
+}
+
+// A hub must report a data centre as empty once all its leaders are silent, so
+// that lookups no longer return its addresses.
+func TestUnreachableDataCentreIsReportedEmpty(t *testing.T) {
+	now := time.Second
+	table := tableWith(now, 1)
+	table.UpdateMember(now, infoIn("otavalo", 20, 0), State{Ready: true})
+	table.MergeSummaries([]Summary{{DataCentre: "otavalo", Sequence: 1, Live: 9, Usable: []string{"10.0.0.20:2"}}})
+	for end := now + 3*memberTimeout; now < end; now += HeartbeatInterval {
+		table.Tick(now)
+	}
+	if v := table.View(); v.Live != 1 {
+		t.Errorf("view %+v still counts the unreachable data centre", v)
+	}
+}
+
 func TestHubsAreLowestAddressesWithStoreAccess(t *testing.T) {
 	table := tableWith(time.Second, 3, 1, 2, 4)
 	want := func(why string, addresses ...int) {
@@ -41,19 +129,19 @@
 	want("the second is leaving", 3, 4)
 }
 
-// A hub that does not answer must be replaced after hubTimeout, be retried
+// A hub that does not answer must be replaced after answerTimeout, be retried
 // periodically, and become a hub again once it answers.
 func TestSilentHubIsReplacedAndRetried(t *testing.T) {
 	now := time.Second
 	table := tableWith(now, 3, 1, 2)
 	table.Tick(now)
-	if got := table.Hubs(now + hubTimeout); got[0] != info(3).Address {
-		t.Fatalf("hubs %v after hubTimeout without a reply", got)
+	if got := table.Hubs(now + answerTimeout); got[0] != info(3).Address {
+		t.Fatalf("hubs %v after answerTimeout without a reply", got)
 	}
 	retried := false
 	for end := now + 2*silentRetryInterval; now < end; now += HeartbeatInterval {
 		for _, a := range table.Tick(now) {
-			retried = retried || a == info(1).Address && now > time.Second+hubTimeout
+			retried = retried || a == info(1).Address && now > time.Second+answerTimeout
 		}
 	}
 	if !retried {
@@ -65,9 +153,9 @@
 	}
 }
 
-// Only hubs mark members silent: other instances receive heartbeats from their
-// hubs only.
-func TestOnlyHubsMarkMembersSilent(t *testing.T) {
+// Only leaders mark members silent: other instances receive heartbeats from their
+// leaders only.
+func TestOnlyLeadersMarkMembersSilent(t *testing.T) {
 	for _, c := range []struct {
 		self int
 		live int
@@ -79,13 +167,13 @@
 		}
 		for end := now + 3*memberTimeout; now < end; now += HeartbeatInterval {
 			if c.self == 9 {
-				for _, h := range []int{4, 5} { // its hubs reply
+				for _, h := range []int{4, 5} { // its leaders reply
 					table.ReceiveHeartbeat(now, info(h).Address, 1, State{Ready: true})
 				}
 			}
 			table.Tick(now)
 		}
-		if n := len(table.Live()); n != c.live {
+		if n := live(table); n != c.live {
 			t.Errorf("instance %d sees %d live, want %d", c.self, n, c.live)
 		}
 	}
@@ -120,13 +208,13 @@
 		if m := table.members[info(2).Address]; m.Incarnation != 1 && incarnation == 7 {
 			t.Error("a list replaced the incarnation just heard from")
 		}
-		table.MergeMembers(time.Second+hubTimeout, list)
+		table.MergeMembers(time.Second+answerTimeout, list)
 		if m := table.members[info(2).Address]; m.Leaving || m.Incarnation != incarnation {
 			t.Errorf("incarnation %d did not replace the previous one", incarnation)
 		}
 	}
 	table.MergeMembers(time.Second, []Member{{Info: info(3), Silent: true}})
-	if len(table.Live()) != 3 {
+	if live(table) != 3 {
 		t.Error("a list replaced the entry of this instance")
 	}
 }
@@ -135,9 +223,10 @@
 // sync with each other endlessly.
 func TestEqualUpdatesKeepVersion(t *testing.T) {
 	table := tableWith(time.Second, 3, 1, 2)
+	table.Hubs(time.Second) // the leaders are chosen
 	v := table.Version()
 	table.UpdateMember(2*time.Second, info(1), State{Ready: true})
-	table.MergeMembers(2*time.Second, table.ChangedSince(0))
+	table.MergeMembers(2*time.Second, table.ChangedSince(2*time.Second, 0, "ibarra"))
 	table.ReceiveHeartbeat(2*time.Second, info(2).Address, 1, State{Ready: true})
 	if table.Version() != v {
 		t.Error("version raised without a change")
@@ -145,47 +234,65 @@
 }
 
 func TestReaderDue(t *testing.T) {
-	fresh := reader{}
+	fresh := reader{maxAge: defaultMaxCopyAge}
 	fresh.confirm(time.Second)
+	started := func(firstStart, isSeed, hasDirectory bool) reader {
+		r := reader{maxAge: defaultMaxCopyAge}
+		r.start(firstStart, isSeed, hasDirectory, 0)
+		return r
+	}
+	restarted := started(false, false, true)
+	restarted.directoryRead(time.Second, restartWait)
+	member := readState{rank: -1, hasCopy: true, live: 6}
 	for _, c := range []struct {
-		name            string
-		r               reader
-		now             time.Duration
-		rank            int
-		hasCopy, isSeed bool
-		want            storeCall
+		name string
+		r    reader
+		now  time.Duration
+		s    readState
+		want storeCall
 	}{
-		{"a new instance waits for peers", reader{}, 0, 0, false, false, callNone},
-		{"a seed reads at once", reader{}, 0, 0, false, true, callReadAll},
-		{"with skipPeerWait it reads at once", reader{skipPeerWait: true}, 0, -1, false, false, callReadAll},
-		{"without a peer's copy it reads after peerCopyWait", reader{}, peerCopyWait, -1, false, false, callReadAll},
-		{"a hub watches", fresh, time.Second, 1, true, false, callWatch},
-		{"a non-hub with a fresh copy does nothing", fresh, time.Second + staleAge - 1, -1, true, false, callNone},
-		{"a non-hub with a stale copy watches", fresh, time.Second + staleAge, -1, true, false, callWatch},
-		{"after lost history it reads all", reader{fullReadDue: true, confirmed: true}, 0, 0, true, false, callReadAll},
+		{"at the first start an instance waits for peers", started(true, false, true), 0, readState{}, callNone},
+		{"but not for ever", started(true, false, true), firstStartWait, readState{rank: -1}, callReadFirst},
+		{"at the first start a seed reads at once", started(true, true, true), 0, readState{}, callReadFirst},
+		{"later an instance reads the directory", started(false, false, true), 0, readState{rank: -1}, callDirectory},
+		{"then it waits for a peer", restarted, time.Second, readState{rank: -1}, callNone},
+		{"and reads the store if none answers", restarted, time.Second + restartWait, readState{rank: -1}, callReadFirst},
+		{"without a directory it reads at once", started(false, false, false), 0, readState{rank: -1}, callReadFirst},
+		{"a hub watches", fresh, time.Second, readState{rank: 1, hasCopy: true}, callWatch},
+		{"a non-hub with a fresh copy does nothing", fresh, time.Second + defaultMaxCopyAge - 1, member, callNone},
+		{"a non-hub with a stale copy watches", fresh, time.Second + defaultMaxCopyAge, member, callWatch},
+		{"in a large fleet it first waits for peers", fresh, time.Second + defaultMaxCopyAge, readState{rank: -1, hasCopy: true, live: 471}, callNone},
+		{"unless it hears of none", fresh, time.Second + defaultMaxCopyAge, readState{rank: -1, hasCopy: true, live: 471, isolated: true}, callWatch},
+		{"after lost history it reads all", reader{fullReadDue: true, confirmed: true}, 0, readState{hasCopy: true}, callReadAll},
 	} {
-		if got, wait := c.r.due(c.now, c.rank, c.hasCopy, c.isSeed); got != c.want || got == callNone && wait <= 0 {
+		if got, wait := c.r.due(c.now, c.s, 0.5); got != c.want || got == callNone && wait <= 0 {
 			t.Errorf("%s: call %d, wait %v", c.name, got, wait)
 		}
 	}
 }
 
-// While the store answers, the copy of an instance that is not a hub must not
-// become two seconds old, even if no peer confirms it.
+// While the store answers, the copy of an instance of a small fleet that is not a
+// hub must not become two seconds old, even if no peer confirms it; in a large
+// fleet it is read in the end.
 func TestCopyStaysFresh(t *testing.T) {
-	var r reader
-	r.confirm(0)
-	for now := time.Duration(0); now < 20*time.Second; {
-		what, wait := r.due(now, -1, true, false)
-		if what == callNone {
-			now += wait
-		} else {
-			now += 5 * time.Millisecond // duration of the store call
-			r.confirm(now)
-			r.callDone(now, -1, true, 0)
-		}
-		if age := r.age(now); age >= 2*time.Second {
-			t.Fatalf("copy %v old", age)
+	for _, c := range []struct {
+		live  int
+		limit time.Duration
+	}{{smallFleet, 2 * time.Second}, {471, defaultMaxCopyAge + maxStaleJitter + 100*time.Millisecond}} {
+		r := reader{maxAge: defaultMaxCopyAge}
+		r.confirm(0)
+		for now := time.Duration(0); now < 40*time.Second; {
+			what, wait := r.due(now, readState{rank: -1, hasCopy: true, live: c.live}, 1)
+			if what == callNone {
+				now += wait
+			} else {
+				now += 5 * time.Millisecond // duration of the store call
+				r.confirm(now)
+				r.callDone(now, -1, true, 0)
+			}
+			if age := r.age(now); age >= c.limit {
+				t.Fatalf("%d instances: copy %v old", c.live, age)
+			}
 		}
 	}
 }
@@ -219,15 +326,3 @@
 		}
 	})
 }
-
-// An instance that restarts while in use must read the store without waiting for
-// a peer's copy; at its first start it must wait.
-func TestReadAtStartSkipsPeerWait(t *testing.T) {
-	for _, first := range []bool{true, false} {
-		f := New(Options{Self: Info{Address: "10.0.0.2:1"}, Seeds: []string{"10.0.0.1:1"}, ReadAtStart: first}, nil, nil)
-		what, _ := f.reader.due(0, -1, false, false)
-		if (what == callReadAll) != first {
-			t.Errorf("ReadAtStart %v: call %v", first, what)
-		}
-	}
-}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -24,6 +24,31 @@
 	Items    []Item
 }
 
+// Append returns d followed by next, a delta after d's revision, with only the
+// newest item of each key.
+func (d Delta) Append(next Delta) Delta {
+	replaced := make(map[string]bool, len(next.Items))
+	for _, it := range next.Items {
+		replaced[it.Key] = true
+	}
+	out := Delta{Base: d.Base, Full: d.Full, Revision: max(d.Revision, next.Revision)}
+	for _, it := range d.Items {
+		if !replaced[it.Key] {
+			out.Items = append(out.Items, it)
+		}
+	}
+	newest := map[string]int{} // index in out.Items
+	for _, it := range next.Items {
+		if i, ok := newest[it.Key]; ok {
+			out.Items[i] = it
+			continue
+		}
+		newest[it.Key] = len(out.Items)
+		out.Items = append(out.Items, it)
+	}
+	return out
+}
+
 // maxTombstones bounds the tombstones kept; replicas that are further behind get
 // a full copy.
 const maxTombstones = 2048
--- a/node/node.go
+++ b/node/node.go
@@ -19,12 +19,17 @@
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
 	"github.com/catkinrouter/catkinrouter/mirror"
 	"github.com/catkinrouter/catkinrouter/route"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Store is the client of the platform's key-value store.
 type Store interface {
 	ReadAll(ctx context.Context, prefix string) (mirror.Delta, error)
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (mirror.Delta, error)
+	// ReadAllStale and GetStale may return what was true seconds ago, at a
+	// fraction of the cost of an up-to-date read.
+	ReadAllStale(ctx context.Context, prefix string) (mirror.Delta, error)
+	GetStale(ctx context.Context, key string) (store.Value, error)
 	Put(ctx context.Context, key string, data []byte, expect, lease int64) (int64, error)
 }
 
@@ -79,13 +84,11 @@
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Info{
 			Address: settings.PeerAddress, DataAddress: settings.DataAddress, DataCentre: settings.DataCentre, Region: settings.Region,
-			Incarnation: uint64(n.started.UnixMilli()),
+			Capacity: settings.Capacity, Incarnation: uint64(n.started.UnixMilli()),
 		},
-		// At the first start of the whole system no callers wait yet, so one
-		// instance can read the store for all. An instance that starts later
-		// receives traffic and therefore reads the store at once.
-		ReadAtStart: !settings.FirstStart,
-		Seeds:       settings.Seeds, HubsKey: adapter.Keys.Hubs, Now: n.now, Log: logs.WithPart(l, "fleet"),
+		FirstStart: settings.FirstStart, Seeds: settings.Seeds, DirectoryKey: adapter.Keys.Directory,
+		MaxCopyAge: time.Duration(maxCopyAgeShare * float64(settings.MaxChangeDelay)),
+		Now:        n.now, Suspended: suspended, Log: logs.WithPart(l, "fleet"),
 		OnStoreCall: func(outcome string) {
 			gometrics.GetOrRegisterCounter("store_calls_total."+outcome, n.registry).Inc(1)
 		},
@@ -93,6 +96,10 @@
 	return n
 }
 
+// maxCopyAgeShare is the share of Settings.MaxChangeDelay at which an instance
+// whose copy no peer confirms reads the store; the rest is left for the read.
+const maxCopyAgeShare = 0.8
+
 // storeSource implements fleet.Source for all keys of the store.
 type storeSource struct{ adapter Adapter }
 
@@ -105,6 +112,17 @@
 	return s.adapter.Store.ReadAll(ctx, allKeys)
 }
 
+// ReadAllStale implements fleet.Source.
+func (s storeSource) ReadAllStale(ctx context.Context) (mirror.Delta, error) {
+	return s.adapter.Store.ReadAllStale(ctx, allKeys)
+}
+
+// ReadStale implements fleet.Source.
+func (s storeSource) ReadStale(ctx context.Context, key string) ([]byte, error) {
+	v, err := s.adapter.Store.GetStale(ctx, key)
+	return v.Data, err
+}
+
 // Watch implements fleet.Source.
 func (s storeSource) Watch(ctx context.Context, after int64, wait time.Duration) (mirror.Delta, error) {
 	return s.adapter.Store.Changes(ctx, allKeys, after, wait)
@@ -316,13 +334,11 @@
 }
 
 // MembersChanged implements fleet.Listener.
-func (n *Node) MembersChanged(_ time.Duration, live []fleet.Member) {
-	var usable []gateway.Instance
-	for _, m := range live {
-		if m.Ready && !m.Leaving {
-			usable = append(usable, gateway.Instance{Address: m.DataAddress, DataCentre: m.DataCentre})
-		}
+func (n *Node) MembersChanged(_ time.Duration, v fleet.View) {
+	usable := make([]gateway.Instance, len(v.Usable))
+	for i, in := range v.Usable {
+		usable[i] = gateway.Instance{Address: in.DataAddress, DataCentre: in.DataCentre}
 	}
-	level.Info(n.log).Log("msg", "members changed", "live", len(live), "usable", len(usable))
-	n.gateway.SetInstances(usable, len(live))
+	level.Info(n.log).Log("msg", "members changed", "live", v.Live, "usable", len(usable))
+	n.gateway.SetInstances(usable, v.Live)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -128,7 +128,7 @@
 		ID: fmt.Sprintf("node-%d", i), DataCentre: "otavalo", Region: "sierra-norte",
 		DataAddress: anyPort, ReadyAddress: anyPort, LookupAddress: anyPort, PeerAddress: anyPort, MetricsAddress: anyPort,
 		StoreAddress: s.addr, GracePeriod: 400 * time.Millisecond,
-		RetryShare: 0.2, RetryAllowance: 64, RetryWindow: 10 * time.Second, MaxLookupTTL: 5 * time.Second, ProbesPerUpstream: 60,
+		RetryShare: 0.2, RetryAllowance: 64, RetryWindow: 10 * time.Second, MaxLookupTTL: 5 * time.Second, MaxChangeDelay: 2 * time.Second, ProbesPerUpstream: 60,
 	}
 	lns, err := node.Listen(&set)
 	if err != nil {
--- a/node/settings.go
+++ b/node/settings.go
@@ -31,6 +31,12 @@
 	// FirstStart is set when the whole system starts for the first time.
 	FirstStart  bool
 	MemoryBytes int64
+	// Capacity ranks the instances: of two, the one with the higher capacity
+	// serves the other with changes.
+	Capacity uint32
+	// MaxChangeDelay is the time within which a change in the store must be in
+	// force on every instance; 0 if there is no such limit.
+	MaxChangeDelay time.Duration
 	// GracePeriod is the time between the stop signal and the platform
 	// killing the process.
 	GracePeriod time.Duration
@@ -85,7 +91,7 @@
 	// UpstreamPrefix is the prefix of the keys under which upstreams register
 	// themselves.
 	UpstreamPrefix string
-	// Hubs is the key of the addresses of the hubs, the instances that read
-	// the store. An instance without a reachable seed finds its peers there.
-	Hubs string
+	// Directory is the key of the addresses of the leaders of each data centre.
+	// An instance that starts finds its peers there.
+	Directory string
 }
