Report the fleet's roles in metrics; log upstream changes where they are read

Change: an instance that gets changes from a peer logs one line of counts; the one that read them logs each.

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -72,6 +72,7 @@
 func (f *Fleet) logRoleChange(now time.Duration) {
 	text := strings.Join(f.table.Hubs(now), " ") + ", " + strings.Join(f.table.Leaders(now), " ")
 	if text != f.loggedRoles {
+		f.counts.RoleChanges++
 		level.Info(f.opt.Log).Log("msg", "hubs or leaders changed", "hubs", strings.Join(f.table.Hubs(now), " "),
 			"leaders", strings.Join(f.table.Leaders(now), " "), "live", f.live)
 		f.loggedRoles = text
@@ -95,19 +96,17 @@
 // sendHeartbeat sends one heartbeat. A lost datagram needs no retry, since the
 // next heartbeat carries the current state.
 func (f *Fleet) sendHeartbeat(to string, flags uint8) {
-	if f.conn != nil {
-		f.sendDatagram(to, f.newHeartbeat(flags).encode())
-	}
+	f.send(to, f.newHeartbeat(flags).encode())
 }
 
-// sendDatagram sends p to the peer address to. Failures are only logged.
-func (f *Fleet) sendDatagram(to string, p []byte) {
+// sendUDP sends p to the peer address to. Failures are only logged.
+func (f *Fleet) sendUDP(conn *net.UDPConn, to string, p []byte) {
 	addr, err := netip.ParseAddrPort(to)
 	if err != nil {
 		level.Warn(f.opt.Log).Log("msg", "invalid peer address", "address", to, "err", err)
 		return
 	}
-	if _, err := f.conn.WriteToUDPAddrPort(p, addr); err != nil && !errors.Is(err, net.ErrClosed) {
+	if _, err := conn.WriteToUDPAddrPort(p, addr); err != nil && !errors.Is(err, net.ErrClosed) {
 		level.Debug(f.opt.Log).Log("msg", "datagram send failed", "to", to, "err", err)
 	}
 }
@@ -137,27 +136,31 @@
 const maxDatagramBytes = 256
 
 // receive handles heartbeats and warnings until the socket is closed.
-func (f *Fleet) receive() error {
+func (f *Fleet) receive(conn *net.UDPConn) error {
 	buf := make([]byte, maxDatagramBytes)
 	for {
-		n, from, err := f.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
 			continue // the error concerns the destination of an earlier datagram
 		}
-		if w, ok := decodeWarning(buf[:n]); ok {
-			f.receiveWarning(from.String(), w)
-			continue
-		}
-		b, err := decodeHeartbeat(buf[:n])
-		if err != nil {
-			level.Warn(f.opt.Log).Log("msg", "datagram ignored", "from", from, "err", err)
-			continue
-		}
-		f.handleHeartbeat(from.String(), b)
+		f.handleDatagram(from.String(), buf[:n])
+	}
+}
+
+func (f *Fleet) handleDatagram(from string, p []byte) {
+	if w, ok := decodeWarning(p); ok {
+		f.receiveWarning(from, w)
+		return
+	}
+	b, err := decodeHeartbeat(p)
+	if err != nil {
+		level.Warn(f.opt.Log).Log("msg", "datagram ignored", "from", from, "err", err)
+		return
 	}
+	f.handleHeartbeat(from, b)
 }
 
 // handleHeartbeat records a peer's heartbeat, replies to it and queues a sync if
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -74,28 +74,27 @@
 	}
 }
 
-// readDirectory reads the directory at the start and contacts the leaders of this
-// data centre. It decides when this instance reads the store if none of them
-// sends a copy.
-func (f *Fleet) readDirectory(ctx context.Context, jitter float64) {
-	value, err := f.source.ReadStale(ctx, f.opt.DirectoryKey)
+// handleDirectory processes the directory that was read at the start: it contacts
+// the leaders of this data centre, and decides when this instance reads the store
+// if none of them sends a copy.
+func (f *Fleet) handleDirectory(value []byte, err error) {
 	var d directory
 	if err == nil {
 		err = json.Unmarshal(value, &d)
 	}
 	f.opt.OnStoreCall(outcomeOf(err))
+	if err != nil && !store.IsKind(err, store.NotFound) {
+		level.Warn(f.opt.Log).Log("msg", "directory not read", "key", f.opt.DirectoryKey, "err", err)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opt.Now()
 	addresses := d.addressesFor(f.opt.Self.DataCentre)
 	wait := time.Duration(0)
 	if d.Live > smallFleet && !slices.Contains(addresses, f.opt.Self.Address) {
-		wait = restartWait + time.Duration(jitter*float64(restartJitter))
+		wait = restartWait + time.Duration(f.opt.Jitter()*float64(restartJitter))
 	}
 	f.reader.directoryRead(now, wait)
-	if err != nil && !store.IsKind(err, store.NotFound) {
-		level.Warn(f.opt.Log).Log("msg", "directory not read", "key", f.opt.DirectoryKey, "err", err)
-	}
 	f.table.AddSeeds(now, addresses)
 	select {
 	case f.tickNow <- struct{}{}:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,7 +17,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -52,7 +51,7 @@
 // time; WarningReceived is called without it by the goroutine that receives
 // datagrams.
 type Listener interface {
-	// ItemsChanged receives changed items of the store. The source is "store" or
+	// ItemsChanged receives changed items of the store. The source is SourceStore or
 	// "peer" with the peer's address.
 	ItemsChanged(now time.Duration, items []mirror.Item, source string)
 	// StoreRecovered reports the end of an outage of the store.
@@ -81,7 +80,9 @@
 	// for which the machine was suspended, which Now does not count.
 	Now       func() time.Duration
 	Suspended func() time.Duration
-	Log       log.Logger
+	// Jitter returns random numbers between 0 and 1; rand.Float64 if nil.
+	Jitter func() float64
+	Log    log.Logger
 	// OnStoreCall is called with the outcome of each call to the store.
 	OnStoreCall func(outcome string)
 }
@@ -115,12 +116,14 @@
 	// storedDirectory is the directory read from the store.
 	storedDirectory directory
 	packed          packedCopy
+	counts          Status // only the counters are set
 	// suspended is the value of opt.Suspended that the copy's age includes.
 	suspended time.Duration
 
 	warningLimiter, forwardLimiter *rate.Limiter
 
-	conn      *net.UDPConn
+	// send sends a datagram; it does nothing before Run.
+	send      func(to string, p []byte)
 	peers     *peerClients
 	wake      chan struct{}
 	tickNow   chan struct{}
@@ -140,6 +143,9 @@
 	if opt.MaxCopyAge == 0 {
 		opt.MaxCopyAge = defaultMaxCopyAge
 	}
+	if opt.Jitter == nil {
+		opt.Jitter = rand.Float64
+	}
 	if opt.Suspended == nil {
 		opt.Suspended = func() time.Duration { return 0 }
 	}
@@ -148,10 +154,11 @@
 		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(), reader: reader{maxAge: opt.MaxCopyAge},
 		warningLimiter: rate.NewLimiter(maxWarningsPerSecond, maxWarningsPerSecond),
 		forwardLimiter: rate.NewLimiter(maxForwardsPerSecond, maxForwardsPerSecond),
+		send:           func(string, []byte) {},
 		memberVersions: map[string]uint64{}, syncing: map[string]time.Duration{}, live: 1,
 		suspended: opt.Suspended(), peers: newPeerClients(), wake: make(chan struct{}, 1), tickNow: make(chan struct{}, 1), syncQueue: make(chan string, syncQueueSize),
 	}
-	f.reader.start(opt.FirstStart, slices.Contains(opt.Seeds, opt.Self.Address), opt.DirectoryKey != "", rand.Float64())
+	f.reader.start(opt.FirstStart, slices.Contains(opt.Seeds, opt.Self.Address), opt.DirectoryKey != "", opt.Jitter())
 	return f
 }
 
@@ -159,11 +166,11 @@
 // them.
 func (f *Fleet) Run(ctx context.Context, sockets *Sockets) error {
 	f.mu.Lock()
-	f.conn = sockets.udp
+	f.send = func(to string, p []byte) { f.sendUDP(sockets.udp, to, p) }
 	f.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return f.serve(ctx, sockets.tcp) })
-	g.Go(f.receive)
+	g.Go(func() error { return f.receive(sockets.udp) })
 	g.Go(func() error { return f.heartbeatLoop(ctx) })
 	g.Go(func() error { return f.readLoop(ctx) })
 	for range syncWorkers {
@@ -218,14 +225,6 @@
 	f.notifyMembers()
 }
 
-// CopyAge returns the time since the copy of the store was last confirmed
-// complete, or since the process started if it never was.
-func (f *Fleet) CopyAge() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reader.age(f.opt.Now())
-}
-
 // notifyMembers passes the view of the fleet to the Listener if it changed.
 func (f *Fleet) notifyMembers() {
 	if v := f.table.Version(); v != f.notifiedVersion {
@@ -236,8 +235,9 @@
 	}
 }
 
-// storeName is the source of changes that this instance read from the store.
-const storeName = "store"
+// SourceStore is the source, for Listener.ItemsChanged, of changes that this
+// instance read from the store itself.
+const SourceStore = "store"
 
 // apply merges a delta into the copy, which is then complete as of confirmedAt.
 // It returns false if the delta leaves a gap, so that a full copy is needed. What
@@ -261,7 +261,7 @@
 		f.applyDirectory(changed)
 		f.listener.ItemsChanged(now, changed, source)
 	}
-	if len(changed) > 0 || first || source == storeName {
+	if len(changed) > 0 || first || source == SourceStore {
 		f.sendHeartbeats(f.table.receivers(now), 0)
 	}
 	return true
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -339,7 +339,7 @@
 	list := []*instance{first, startInstance(t, s, first.id)}
 	waitUntil(t, list, func(in *instance) bool { return in.value("op") == "1" })
 	s.update(func() { s.down["*"] = true })
-	waitUntil(t, list, func(in *instance) bool { return in.f.CopyAge() > outageAge+100*time.Millisecond })
+	waitUntil(t, list, func(in *instance) bool { return in.f.Status().CopyAge > outageAge+100*time.Millisecond })
 	s.put("op", "2")
 	s.update(func() { s.down["*"], s.compactedTo = false, s.rev })
 	waitUntil(t, list, func(in *instance) bool { return in.value("op") == "2" })
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -55,6 +55,7 @@
 	defer f.mu.Unlock()
 	now := f.opt.Now()
 	f.countSuspension()
+	f.counts.SyncsServed++
 	f.table.UpdateMember(now, args.Info, args.State)
 	reply.Info, reply.State = f.opt.Self, f.state
 	reply.Proven, reply.Age = f.reader.confirmed, f.reader.age(now)
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -34,81 +33,102 @@
 // readOnce makes the store call that is due and returns 0, or returns the time
 // until one may be due.
 func (f *Fleet) readOnce(ctx context.Context) time.Duration {
-	f.mu.Lock()
-	now := f.opt.Now()
-	rank, after := f.table.HubRank(now), f.copy.Revision()
-	kind, wait := f.reader.due(now, readState{rank: rank, hasCopy: after > 0, live: f.live, isolated: f.table.isolated(now)}, rand.Float64())
-	f.mu.Unlock()
+	c := f.nextRead()
 	var d mirror.Delta
 	var err error
-	confirmedAt := now
-	switch kind {
+	switch c.kind {
 	case callNone:
-		return wait
+		return c.wait
 	case callDirectory:
-		f.readDirectory(ctx, rand.Float64())
+		value, err := f.source.ReadStale(ctx, f.opt.DirectoryKey)
+		f.handleDirectory(value, err)
 		return 0
 	case callReadFirst:
-		d, confirmedAt, err = f.readFirst(ctx)
+		d, c.began, err = f.readFirst(ctx)
 	case callReadAll:
 		d, err = f.source.ReadAll(ctx)
 	case callWatch:
-		d, err = f.source.Watch(ctx, after, wait)
-		confirmedAt = f.opt.Now()
+		d, err = f.source.Watch(ctx, c.after, c.wait)
 	}
-	f.mu.Lock()
-	f.handleReadResult(rank, kind, d, confirmedAt, err)
-	f.mu.Unlock()
+	f.handleReadResult(c, d, err)
 	f.writeDirectory(ctx)
 	return 0
 }
 
+// dueRead is a store call that is due, or for callNone the time until one may be.
+type dueRead struct {
+	kind storeCall
+	// wait is the longest wait of a watch, after its revision.
+	wait  time.Duration
+	after int64
+	// rank is this instance's place among the hubs, or -1.
+	rank int
+	// began is when the call began, or for a first copy its proving watch.
+	began time.Duration
+}
+
+func (f *Fleet) nextRead() dueRead {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opt.Now()
+	c := dueRead{rank: f.table.HubRank(now), after: f.copy.Revision(), began: now}
+	c.kind, c.wait = f.reader.due(now, readState{
+		rank: c.rank, hasCopy: c.after > 0, live: f.live, isolated: f.table.isolated(now),
+	}, f.opt.Jitter())
+	return c
+}
+
 // firstWatchWait is the wait of the watch that proves a stale copy complete.
 const firstWatchWait = 20 * time.Millisecond
 
 // readFirst reads the first copy: a stale one, whose calls cost little, and a
 // watch from its revision, which proves that it is complete or brings what it
-// lacks. It returns the time as of which the copy is complete.
-func (f *Fleet) readFirst(ctx context.Context) (d mirror.Delta, confirmedAt time.Duration, err error) {
+// lacks. It returns when the call that proves the copy complete began.
+func (f *Fleet) readFirst(ctx context.Context) (d mirror.Delta, began time.Duration, err error) {
 	if d, err = f.source.ReadAllStale(ctx); err != nil {
 		return d, 0, err
 	}
-	confirmedAt = f.opt.Now()
+	began = f.opt.Now()
 	changes, err := f.source.Watch(ctx, d.Revision, firstWatchWait)
 	switch {
 	case store.IsKind(err, store.NotFound): // the history since the stale copy is gone
-		confirmedAt = f.opt.Now()
+		began = f.opt.Now()
 		d, err = f.source.ReadAll(ctx)
 	case err == nil:
 		d = d.Append(changes)
 	}
-	return d, confirmedAt, err
+	return d, began, err
 }
 
-// handleReadResult processes the result of a store call that shows the store's
-// state as of confirmedAt.
-func (f *Fleet) handleReadResult(rank int, kind storeCall, d mirror.Delta, confirmedAt time.Duration, err error) {
+// handleReadResult processes the result of a store call. A read shows the store's
+// state as of its beginning, a watch as of now.
+func (f *Fleet) handleReadResult(c dueRead, d mirror.Delta, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	now := f.opt.Now()
 	f.opt.OnStoreCall(outcomeOf(err))
-	if kind == callWatch && store.IsKind(err, store.NotFound) {
+	if c.kind == callWatch && store.IsKind(err, store.NotFound) {
 		level.Info(f.opt.Log).Log("msg", "store history no longer available, reading all keys", "revision", f.copy.Revision())
 		f.reader.fullReadDue = true
 		return
 	}
 	failedBefore := f.reader.failingSince > 0
-	f.reader.callDone(now, rank, err == nil, rand.Float64())
+	f.reader.callDone(now, c.rank, err == nil, f.opt.Jitter())
 	if err != nil {
 		if !failedBefore {
 			level.Warn(f.opt.Log).Log("msg", "store read failed", "copy_age", f.reader.age(now), "revision", f.copy.Revision(), "err", err)
 		}
 		return
 	}
-	if kind != callWatch {
+	confirmedAt := c.began
+	if c.kind == callWatch {
+		confirmedAt = now
+	} else {
 		f.reader.fullReadDue = false
 	}
-	f.apply(now, d, confirmedAt, storeName)
-	if kind == callWatch && len(d.Items) > 0 {
-		f.reader.delayNextRead(now, rank)
+	f.apply(now, d, confirmedAt, SourceStore)
+	if c.kind == callWatch && len(d.Items) > 0 {
+		f.reader.delayNextRead(now, c.rank)
 	}
 }
 
--- /dev/null
+++ b/fleet/status.go
@@ -0,0 +1,34 @@
+package fleet
+
+import "time"
+
+// Status describes what this instance does for the fleet and how old its copy of
+// the store is.
+type Status struct {
+	// Hub is set if the instance reads the store for all, Leader if it serves
+	// the instances of its data centre.
+	Hub, Leader bool
+	// Live is the number of live instances, Known the number of instances that
+	// are known by address.
+	Live, Known int
+	// CopyAge is the time since the copy was last confirmed complete, Revision
+	// its revision.
+	CopyAge  time.Duration
+	Revision int64
+	// SyncsServed and SyncsFailed count the syncs of peers that this instance
+	// served, and its own syncs that failed. RoleChanges counts the changes of
+	// the hubs and of the leaders of its data centre.
+	SyncsServed, SyncsFailed, RoleChanges int64
+}
+
+// Status returns the current status.
+func (f *Fleet) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opt.Now()
+	s := f.counts
+	s.Hub, s.Leader = f.table.HubRank(now) >= 0, f.table.IsLeader(now)
+	s.Live, s.Known = f.live, len(f.table.members)
+	s.CopyAge, s.Revision = f.reader.age(now), f.copy.Revision()
+	return s
+}
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -69,6 +69,7 @@
 	defer f.mu.Unlock()
 	delete(f.syncing, from)
 	if err != nil {
+		f.counts.SyncsFailed++
 		level.Info(f.opt.Log).Log("msg", "peer sync failed", "peer", from, "err", err)
 		return
 	}
--- a/fleet/warnings.go
+++ b/fleet/warnings.go
@@ -21,7 +21,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opt.Now()
-	if f.conn == nil || !f.warningLimiter.AllowN(time.Unix(0, int64(now)), 1) {
+	if !f.warningLimiter.AllowN(time.Unix(0, int64(now)), 1) {
 		return
 	}
 	w.Format = warningFormat
@@ -31,11 +31,11 @@
 	own := f.opt.Self.DataCentre
 	for dc, leaders := range f.table.rolesAt(now).leaders {
 		if dc != own {
-			f.sendDatagram(leaders[0], forwarded)
+			f.send(leaders[0], forwarded)
 		}
 	}
 	if leaders := f.table.Leaders(now); f.table.sizeOf(own) > maxDirectWarnings && len(leaders) > 0 && leaders[0] != f.opt.Self.Address {
-		f.sendDatagram(leaders[0], forwarded)
+		f.send(leaders[0], forwarded)
 		return
 	}
 	f.sendToDataCentre(direct, "")
@@ -61,7 +61,7 @@
 func (f *Fleet) sendToDataCentre(p []byte, except string) {
 	for a, m := range f.table.members {
 		if a != f.opt.Self.Address && a != except && !m.Silent && f.table.sameDataCentre(a) {
-			f.sendDatagram(a, p)
+			f.send(a, p)
 		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -192,59 +192,20 @@
 	}
 }
 
-// maintenanceInterval is the interval of the checks for what changes without an
-// event, such as upstreams that expire.
-const maintenanceInterval = 250 * time.Millisecond
-
-// maintain removes expired upstreams and publishes this instance's state to the
-// fleet until runCtx is done. Once ctx is done it starts the gateway's drain.
-func (n *Node) maintain(ctx, runCtx context.Context) error {
-	t := time.NewTicker(maintenanceInterval)
-	defer t.Stop()
-	leaving := false
-	for {
-		select {
-		case <-runCtx.Done():
-			return nil
-		case <-ctx.Done():
-			if !leaving {
-				leaving = true
-				n.gateway.StartDraining()
-				level.Info(n.log).Log("msg", "stopping", "limit", n.settings.GracePeriod)
-			}
-			ctx = context.Background()
-		case <-t.C:
-		case <-n.maintainNow:
-		}
-		n.expireUpstreams()
-		n.fleet.SetState(n.gateway.Ready(), leaving)
-	}
-}
-
-func (n *Node) expireUpstreams() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	removed := n.upstreams.Expire(n.now())
-	for _, id := range removed {
-		level.Info(n.log).Log("msg", "upstream changed", "upstream", id, "change", discovery.Gone, "reason", "entry not written again after the store outage")
-	}
-	if len(removed) > 0 {
-		n.publish()
-	}
-}
-
 // ItemsChanged implements fleet.Listener.
 func (n *Node) ItemsChanged(now time.Duration, items []mirror.Item, source string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	var changes upstreamChanges
 	for _, it := range items {
 		switch {
 		case it.Key == n.adapter.Keys.Configuration:
 			n.applyConfiguration(it, source)
 		case strings.HasPrefix(it.Key, n.adapter.Keys.UpstreamPrefix):
-			n.applyUpstream(now, it, source)
+			changes.count(n.applyUpstream(now, it, source), it.Revision)
 		}
 	}
+	changes.log(n.log, source)
 	n.publish()
 }
 
@@ -275,9 +236,9 @@
 		"services", len(doc.Services), "source", source)
 }
 
-// applyUpstream applies a changed or deleted upstream entry. An entry that can't
-// be decoded counts as deleted.
-func (n *Node) applyUpstream(now time.Duration, it mirror.Item, source string) {
+// applyUpstream applies a changed or deleted upstream entry and returns the effect.
+// An entry that can't be decoded counts as deleted.
+func (n *Node) applyUpstream(now time.Duration, it mirror.Item, source string) discovery.Change {
 	id := n.adapter.UpstreamID(it.Key)
 	var change discovery.Change
 	state := "removed"
@@ -295,9 +256,10 @@
 			change = n.upstreams.Put(u)
 		}
 	}
-	if change != discovery.Updated {
+	if change != discovery.Updated && source == fleet.SourceStore {
 		level.Info(n.log).Log("msg", "upstream changed", "upstream", id, "change", change, "entry", state, "revision", it.Revision, "source", source)
 	}
+	return change
 }
 
 // publish passes the current routes and usable upstreams to the gateway. If the
