Simulate the fleet's decisions; mend member lists that stay wrong

It checks how soon a change is everywhere, store calls, failed syncs, load, and what each instance takes for the fleet's size.

It showed three faults, each mended: - A member that a passing leader took for silent stayed so for those who had its list: the next leader had not changed it since. A new source of lists is now asked for the whole list. - That request was undone by an older sync in flight, which set the version. - Lists from another data centre replaced what the leaders of the own one said. They now only add unknown members. Also: two summaries with one number, by two instances that both took themselves for the first leader, never converged; the issuer now orders them. Deltas are packed once for all that fetch the same one, and compressors are kept: each takes a megabyte.

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,6 +41,7 @@
 	}
 	to := f.table.Tick(now)
 	f.publishedVersion = f.table.Version()
+	f.updateListSources(now)
 	f.sendHeartbeats(to, 0)
 	f.logRoleChange(now)
 	f.notifyMembers()
@@ -189,7 +191,7 @@
 		f.behindSince = now
 	}
 	fetch := newer && f.shouldFetchFrom(now, from) && !f.fetching(now)
-	membersChanged := b.Members > f.memberVersions[from] && f.fetchesMembersFrom(now, from)
+	membersChanged := b.Members > f.memberVersions[from] && slices.Contains(f.listSources, from)
 	if fetch || membersChanged || isReply && (!known || b.Flags&flagInfoMissing != 0) {
 		f.enqueueSync(now, from)
 	}
@@ -208,33 +210,42 @@
 	}
 }
 
-// fetchesMembersFrom reports whether member lists are fetched from the peer: from
-// the first leader of the data centre other than this instance, and by leaders
-// also from the first hub other than themselves. The lists of further ones add
-// nothing, since each receives all heartbeats itself. A hub also fetches the
-// summary of each data centre from its first leader.
-func (f *Fleet) fetchesMembersFrom(now time.Duration, address string) bool {
-	firstOther := func(list []string) string {
+// listSources returns the peers from which this instance fetches member lists: the
+// first leader of its data centre other than itself and, if it is a leader, the
+// first hub other than itself. The lists of further ones add nothing, since each
+// receives all heartbeats itself. A hub also fetches the summary of each data
+// centre from its first leader.
+func (t *Table) listSources(now time.Duration) []string {
+	var out []string
+	addFirst := func(list []string) {
 		for _, a := range list {
-			if a != f.opt.Self.Address {
-				return a
+			if a != t.self {
+				out = append(out, a)
+				return
 			}
 		}
-		return ""
 	}
-	if address == firstOther(f.table.Leaders(now)) {
-		return true
+	addFirst(t.Leaders(now))
+	if t.IsLeader(now) {
+		addFirst(t.Hubs(now))
 	}
-	if f.table.IsLeader(now) && address == firstOther(f.table.Hubs(now)) {
-		return true
-	}
-	if f.table.HubRank(now) < 0 {
-		return false
+	if t.HubRank(now) >= 0 {
+		for _, leaders := range t.rolesAt(now).leaders {
+			addFirst(leaders[:1])
+		}
 	}
-	for _, leaders := range f.table.rolesAt(now).leaders {
-		if len(leaders) > 0 && leaders[0] == address {
-			return true
+	return out
+}
+
+// updateListSources requests the whole list from each new source. What this
+// instance learned from the previous source may be wrong, such as members that
+// it took for silent, and the new source may not have changed it since.
+func (f *Fleet) updateListSources(now time.Duration) {
+	next := f.table.listSources(now)
+	for _, a := range next {
+		if !slices.Contains(f.listSources, a) {
+			delete(f.memberVersions, a)
 		}
 	}
-	return false
+	f.listSources = next
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -101,6 +101,8 @@
 	// memberVersions maps a peer's address to the version of its member list
 	// that was last merged.
 	memberVersions map[string]uint64
+	// listSources holds the peers whose member lists are fetched.
+	listSources []string
 	// publishedVersion is the version of the member list in heartbeats. It
 	// follows the table's once per tick, so that many changes cause one sync.
 	publishedVersion uint64
@@ -115,7 +117,7 @@
 	loggedRoles     string
 	// storedDirectory is the directory read from the store.
 	storedDirectory directory
-	packed          packedCopy
+	packed          packedDeltas
 	counts          Status // only the counters are set
 	// suspended is the value of opt.Suspended that the copy's age includes.
 	suspended time.Duration
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -429,7 +429,7 @@
 		t.Error("still waiting for the leaders after leaderWait")
 	}
 	f.behindSince = 0
-	f.table.MergeMembers(now+time.Minute, []Member{{Info: info(first, "otavalo"), Silent: true}})
+	f.table.MergeMembers(now+time.Minute, []Member{{Info: info(first, "otavalo"), Silent: true}}, "otavalo")
 	if !f.shouldFetchFrom(now+time.Minute, hub) {
 		t.Error("does not take over from a silent leader")
 	}
--- a/fleet/packed.go
+++ b/fleet/packed.go
@@ -6,31 +6,44 @@
 	"encoding/gob"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/catkinrouter/catkinrouter/mirror"
 )
 
 const (
 	// packFrom is the number of items from which a delta is sent compressed.
-	packFrom = 16
+	packFrom = 64
 	// maxUnpackedBytes bounds the uncompressed size of a received delta.
 	maxUnpackedBytes = 64 << 20
 )
 
-// packedCopy is the compressed full copy of a revision. It is kept because many
-// instances that start together fetch the same one.
-type packedCopy struct {
+// packedDeltas holds the compressed deltas up to one revision, by the revision
+// after which they begin. Instances that fall behind together, such as all that
+// start, fetch the same delta.
+type packedDeltas struct {
 	revision int64
-	bytes    []byte
+	byBase   map[int64][]byte
 }
 
+// maxPackedDeltas bounds the deltas kept.
+const maxPackedDeltas = 4
+
+// compressors holds unused compressors; each takes about a megabyte.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a valid constant
+	}
+	return w
+}}
+
 // pack returns d encoded and compressed.
 func pack(d mirror.Delta) ([]byte, error) {
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
+	w.Reset(&out)
 	if err := gob.NewEncoder(w).Encode(d); err != nil {
 		return nil, err
 	}
@@ -49,26 +62,22 @@
 	return d, nil
 }
 
-// setDelta stores d in the reply, compressed if it is long. A full copy is packed
-// once per revision.
-func (f *Fleet) setDelta(reply *SyncReply, d mirror.Delta) error {
+// setDelta stores d in the reply, compressed if it is long.
+func (f *Fleet) setDelta(reply *SyncReply, d mirror.Delta) (err error) {
 	if len(d.Items) < packFrom {
 		reply.Delta = d
 		return nil
 	}
-	if d.Full && f.packed.revision == d.Revision {
-		reply.Packed = f.packed.bytes
-		return nil
+	if f.packed.revision != d.Revision || len(f.packed.byBase) >= maxPackedDeltas {
+		f.packed = packedDeltas{revision: d.Revision, byBase: map[int64][]byte{}}
 	}
-	p, err := pack(d)
-	if err != nil {
-		return err
-	}
-	if d.Full {
-		f.packed = packedCopy{revision: d.Revision, bytes: p}
+	if p := f.packed.byBase[d.Base]; p != nil {
+		reply.Packed = p
+		return nil
 	}
-	reply.Packed = p
-	return nil
+	reply.Packed, err = pack(d)
+	f.packed.byBase[d.Base] = reply.Packed
+	return err
 }
 
 // delta returns the delta in the reply.
--- /dev/null
+++ b/fleet/simulation_test.go
@@ -0,0 +1,626 @@
+package fleet
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/catkinrouter/catkinrouter/mirror"
+	"github.com/catkinrouter/catkinrouter/store"
+)
+
+// Costs of the simulation: processor time on a whole core, latency, and sizes in
+// bytes.
+const (
+	receiveCost   = 20 * time.Microsecond
+	sendCost      = 10 * time.Microsecond
+	tickCost      = 60 * time.Microsecond
+	syncCost      = 150 * time.Microsecond
+	itemCost      = 3 * time.Microsecond
+	linkLatency   = 500 * time.Microsecond
+	storeLatency  = 4 * time.Millisecond
+	datagramBytes = 80
+	syncBytes     = 400
+	itemBytes     = 250
+	memberBytes   = 120
+	packedRatio   = 6 // an item's size by its size in a packed copy
+	pageItems     = 50
+	stalePrice    = 0.1
+)
+
+// simulation runs the fleets of many instances in simulated time, over links and
+// processors of limited capacity. It is deterministic but for Go's map order.
+type simulation struct {
+	now       time.Duration
+	queue     eventQueue
+	order     int
+	rng       *rand.Rand
+	instances []*simInstance
+	byAddress map[string]*simInstance
+
+	items    []mirror.Item
+	revision int64
+	watches  []func()
+	calls    float64 // store calls at their price
+	storeOut bool
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+func (s *simulation) at(t time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.queue, event{max(t, s.now), s.order, do})
+}
+
+func (s *simulation) runUntil(end time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+// simInstance is one instance with a share of a core and a link.
+type simInstance struct {
+	s     *simulation
+	info  Info
+	seeds []string
+	cores float64
+	mbps  float64
+
+	f       *Fleet
+	started time.Duration
+	// run counts the starts and stops: what belongs to an earlier run is dropped.
+	run       int
+	up        bool
+	frozen    time.Duration // end of a freeze
+	cpuFree   time.Duration
+	linkFree  time.Duration
+	cpuUsed   time.Duration
+	bytesSent int
+	syncs     int
+	reading   bool
+	timers    int // the newest read timer
+
+	view View
+}
+
+// newSimulation creates instances in five data centres, three large ones in each.
+func newSimulation(count int, seed uint64) *simulation {
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, uint64(count))), byAddress: map[string]*simInstance{}, revision: 1}
+	for i := range count {
+		dc := i % 5
+		in := &simInstance{s: s, cores: 0.16, mbps: 20}
+		if i/5 < 3 {
+			in.cores, in.mbps = 0.8, 200
+		}
+		// The large instances do not have the lowest addresses.
+		host := (i/5+50)%200 + 1
+		in.info = Info{
+			Address: fmt.Sprintf("10.%d.0.%d:7000", dc+1, host), DataAddress: fmt.Sprintf("10.%d.0.%d:80", dc+1, host),
+			DataCentre: fmt.Sprintf("dc-%d", dc), Capacity: uint32(1000 * in.cores),
+		}
+		s.instances = append(s.instances, in)
+		s.byAddress[in.info.Address] = in
+	}
+	seeds := []string{s.instances[count-1].info.Address, s.instances[count-2].info.Address, s.instances[count-3].info.Address}
+	for _, in := range s.instances {
+		in.seeds = seeds
+	}
+	return s
+}
+
+func (in *simInstance) start(first bool) {
+	in.run++
+	in.up, in.started, in.syncs, in.reading = true, in.s.now, 0, false
+	in.cpuFree = in.s.now
+	in.info.Incarnation++
+	in.view = View{}
+	in.f = New(Options{
+		Self: in.info, Seeds: in.seeds, FirstStart: first, DirectoryKey: "directory", MaxCopyAge: 2400 * time.Millisecond,
+		Now: func() time.Duration { return in.s.now - in.started }, Log: log.NewNopLogger(),
+		Jitter: in.s.rng.Float64, OnStoreCall: func(string) {},
+	}, simSource{in.s}, simListener{in})
+	in.f.send = in.sendDatagram
+	in.tick(in.run)
+	in.read()
+}
+
+func (in *simInstance) stop() {
+	in.run++
+	in.up = false
+}
+
+// exec runs do on the instance's processor once it is free, unless the instance
+// has stopped by then.
+func (in *simInstance) exec(run int, cost time.Duration, do func()) {
+	if !in.up || in.run != run {
+		return
+	}
+	cost = time.Duration(float64(cost) / in.cores)
+	in.cpuUsed += cost
+	in.cpuFree = max(in.cpuFree, in.s.now, in.frozen) + cost
+	in.s.at(in.cpuFree, func() {
+		if in.up && in.run == run {
+			do()
+			in.startWork()
+		}
+	})
+}
+
+// transmit sends bytes over the instance's link and calls arrive at the end.
+func (in *simInstance) transmit(bytes int, arrive func()) {
+	in.bytesSent += bytes
+	in.linkFree = max(in.linkFree, in.s.now) + time.Duration(float64(bytes*8)/in.mbps)*time.Microsecond
+	in.s.at(in.linkFree+linkLatency, arrive)
+}
+
+func (in *simInstance) sendDatagram(to string, p []byte) {
+	in.cpuFree = max(in.cpuFree, in.s.now) + time.Duration(float64(sendCost)/in.cores)
+	in.cpuUsed += time.Duration(float64(sendCost) / in.cores)
+	target := in.s.byAddress[to]
+	in.transmit(datagramBytes, func() {
+		if target != nil {
+			target.exec(target.run, receiveCost, func() { target.f.handleDatagram(in.info.Address, p) })
+		}
+	})
+}
+
+func (in *simInstance) tick(run int) {
+	in.exec(run, tickCost, func() {
+		next := in.f.tick()
+		in.s.at(in.s.now+next, func() { in.tick(run) })
+	})
+}
+
+// startWork begins the syncs and reads that the last event made due.
+func (in *simInstance) startWork() {
+	for in.syncs < syncWorkers {
+		select {
+		case from := <-in.f.syncQueue:
+			in.sync(from)
+			continue
+		default:
+		}
+		break
+	}
+	select {
+	case <-in.f.wake:
+		in.read()
+	default:
+	}
+	select {
+	case <-in.f.tickNow:
+		in.exec(in.run, tickCost, func() { in.f.tick() })
+	default:
+	}
+}
+
+var errSimulated = errors.New("simulated failure")
+
+// sync performs one sync with a peer.
+func (in *simInstance) sync(from string) {
+	run, began, args := in.run, in.f.opt.Now(), in.f.syncArgs(from)
+	in.syncs++
+	ended := false
+	end := func(cost time.Duration, reply *SyncReply, err error) {
+		if ended || in.run != run {
+			return
+		}
+		ended = true
+		in.exec(run, cost, func() {
+			in.syncs--
+			in.f.handleSyncReply(from, &args, began, reply, err)
+		})
+	}
+	in.s.at(in.s.now+stallTimeout, func() { end(0, nil, errStalled) })
+	peer := in.s.byAddress[from]
+	if peer == nil || !peer.up {
+		in.s.at(in.s.now+linkLatency, func() { end(0, nil, errSimulated) })
+		return
+	}
+	in.transmit(syncBytes, func() {
+		peer.exec(peer.run, syncCost, func() {
+			var reply SyncReply
+			if err := (&Peer{peer.f}).Sync(&args, &reply); err != nil {
+				panic(err)
+			}
+			items := len(reply.Delta.Items)
+			if d, err := reply.delta(); err == nil {
+				items = max(items, len(d.Items))
+			}
+			bytes := syncBytes + items*itemBytes + len(reply.Members)*memberBytes
+			if len(reply.Packed) > 0 {
+				bytes = syncBytes + items*itemBytes/packedRatio + len(reply.Members)*memberBytes
+			}
+			peer.transmit(bytes, func() { end(syncCost+time.Duration(items)*itemCost, &reply, nil) })
+		})
+	})
+}
+
+// read makes the store call that is due, or sets a timer for it.
+func (in *simInstance) read() {
+	if in.reading || !in.up {
+		return
+	}
+	run, c := in.run, in.f.nextRead()
+	if c.kind == callNone {
+		in.timers++
+		timer := in.timers
+		in.s.at(in.s.now+c.wait, func() {
+			if in.run == run && in.timers == timer {
+				in.read()
+			}
+		})
+		return
+	}
+	in.reading = true
+	done := func(d mirror.Delta, err error) {
+		in.exec(run, time.Duration(len(d.Items))*itemCost, func() {
+			in.reading = false
+			in.f.handleReadResult(c, d, err)
+			in.f.writeDirectory(context.Background())
+			in.read()
+		})
+	}
+	pages := len(in.s.items)/pageItems + 1
+	after := func(latency time.Duration, do func()) { in.s.at(in.s.now+latency, do) }
+	if in.s.storeOut {
+		in.s.calls++
+		after(storeLatency, func() { done(mirror.Delta{}, &store.Error{Kind: store.Unavailable}) })
+		return
+	}
+	switch c.kind {
+	case callDirectory:
+		in.s.calls += stalePrice
+		after(storeLatency, func() {
+			value, err := in.s.directory()
+			in.exec(run, itemCost, func() {
+				in.reading = false
+				in.f.handleDirectory(value, err)
+				in.read()
+			})
+		})
+	case callReadFirst:
+		in.s.calls += stalePrice*float64(pages) + 1
+		after(time.Duration(pages+1)*storeLatency, func() { done(in.s.full(), nil) })
+	case callReadAll:
+		in.s.calls += float64(pages)
+		after(time.Duration(pages)*storeLatency, func() { done(in.s.full(), nil) })
+	case callWatch:
+		in.s.calls++
+		in.s.watch(c, done)
+	}
+}
+
+// watch ends with the next change, or after the wait of c.
+func (s *simulation) watch(c dueRead, done func(mirror.Delta, error)) {
+	ended := false
+	end := func() {
+		if !ended {
+			ended = true
+			done(s.since(c.after), nil)
+		}
+	}
+	if s.revision > c.after {
+		s.at(s.now+storeLatency, end)
+		return
+	}
+	s.watches = append(s.watches, func() { s.at(s.now+storeLatency, end) })
+	s.at(s.now+c.wait, end)
+}
+
+func (s *simulation) put(key, value string) int64 {
+	s.revision++
+	it := mirror.Item{Key: key, Value: []byte(value), Revision: s.revision}
+	found := false
+	for i := range s.items {
+		if s.items[i].Key == key {
+			s.items[i], found = it, true
+		}
+	}
+	if !found {
+		s.items = append(s.items, it)
+	}
+	waiting := s.watches
+	s.watches = nil
+	for _, w := range waiting {
+		w()
+	}
+	return s.revision
+}
+
+func (s *simulation) full() mirror.Delta {
+	return mirror.Delta{Full: true, Revision: s.revision, Items: append([]mirror.Item(nil), s.items...)}
+}
+
+func (s *simulation) since(after int64) mirror.Delta {
+	d := mirror.Delta{Base: after, Revision: s.revision}
+	for _, it := range s.items {
+		if it.Revision > after {
+			d.Items = append(d.Items, it)
+		}
+	}
+	return d
+}
+
+func (s *simulation) directory() ([]byte, error) {
+	for _, it := range s.items {
+		if it.Key == "directory" {
+			return it.Value, nil
+		}
+	}
+	return nil, &store.Error{Kind: store.NotFound}
+}
+
+// simSource implements the writes of the Source; reads go by simInstance.read.
+type simSource struct{ s *simulation }
+
+func (c simSource) Write(_ context.Context, key string, value []byte, _ int64) error {
+	c.s.calls++
+	if c.s.storeOut {
+		return &store.Error{Kind: store.Unavailable}
+	}
+	c.s.put(key, string(value))
+	return nil
+}
+
+func (c simSource) ReadAll(context.Context) (mirror.Delta, error)      { panic("not used") }
+func (c simSource) ReadAllStale(context.Context) (mirror.Delta, error) { panic("not used") }
+func (c simSource) ReadStale(context.Context, string) ([]byte, error)  { panic("not used") }
+func (c simSource) Watch(context.Context, int64, time.Duration) (mirror.Delta, error) {
+	panic("not used")
+}
+
+type simListener struct{ in *simInstance }
+
+func (l simListener) ItemsChanged(time.Duration, []mirror.Item, string) {}
+func (l simListener) StoreRecovered(time.Duration)                      {}
+func (l simListener) MembersChanged(_ time.Duration, v View)            { l.in.view = v }
+func (l simListener) WarningReceived(time.Duration, Warning)            {}
+
+// startAll starts all instances within 0.3 s and lets upstreams register.
+func (s *simulation) startAll(upstreams int) {
+	for _, in := range s.instances {
+		s.at(s.now+time.Duration(s.rng.Float64()*float64(300*time.Millisecond)), func() {
+			in.start(true)
+			in.f.SetState(true, false)
+		})
+	}
+	for i := range upstreams {
+		s.at(s.now+time.Duration(i)*2*time.Second/time.Duration(upstreams), func() { s.put(fmt.Sprint("upstream-", i), "ready") })
+	}
+	s.runUntil(8 * time.Second)
+}
+
+// running returns the instances that are up and not frozen.
+func (s *simulation) running() (out []*simInstance) {
+	for _, in := range s.instances {
+		if in.up && in.frozen <= s.now {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// lagging returns the number of running instances whose copy is older than a
+// revision.
+func (s *simulation) lagging(revision int64) (n int) {
+	for _, in := range s.running() {
+		if in.f.copy.Revision() < revision {
+			n++
+		}
+	}
+	return n
+}
+
+// waitFor runs until all running instances hold the revision, and returns the
+// time that it took, at most limit.
+func (s *simulation) waitFor(revision int64, limit time.Duration) time.Duration {
+	began := s.now
+	for s.lagging(revision) > 0 && s.now-began < limit {
+		s.runUntil(s.now + 20*time.Millisecond)
+	}
+	return s.now - began
+}
+
+// totals returns the failed syncs and role changes of all running instances.
+func (s *simulation) totals() (failed, roleChanges int64) {
+	for _, in := range s.running() {
+		st := in.f.Status()
+		failed, roleChanges = failed+st.SyncsFailed, roleChanges+st.RoleChanges
+	}
+	return failed, roleChanges
+}
+
+const (
+	// maxChangeDelay is the time in which a change must be in force everywhere.
+	maxChangeDelay = 3 * time.Second
+	// maxRestartDelay is the time in which all instances must have a copy after
+	// all were off.
+	maxRestartDelay = time.Second
+	// maxViewDelay is the time in which all instances must know the fleet's size
+	// after a change of it, the longest lifetime of a lookup's answer.
+	maxViewDelay = 5 * time.Second
+	// maxCallsPerSecond bounds the store calls of a fleet of any size while
+	// changes go on: two hubs, each of which gathers changes for 200 ms or more.
+	maxCallsPerSecond = 10.0
+	// maxCallsPerFailure bounds the store calls that a failure causes.
+	maxCallsPerFailure = 200.0
+	// maxLoad is the share of an instance's processor that the fleet may take.
+	maxLoad = 0.25
+)
+
+// Store calls and the load of the busiest instance must not grow with the fleet
+// as such, a change must be in force everywhere in time, and failures of the
+// instances that serve others must be passed over. When all instances synced with
+// the same two, these were overloaded from some 100 instances on: syncs timed out
+// and began anew, hubs changed, and all others read the store.
+func TestSimulatedFleet(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint("30-", seed), func(t *testing.T) { runSimulation(t, newSimulation(30, seed), 60) })
+	}
+	t.Run("471", func(t *testing.T) { runSimulation(t, newSimulation(471, 1), 200) })
+}
+
+func runSimulation(t *testing.T, s *simulation, upstreams int) {
+	s.startAll(upstreams)
+	if n := s.lagging(s.revision); n > 0 {
+		t.Fatalf("%d instances have no current copy before traffic starts", n)
+	}
+	s.wantAllKnown(t, "started")
+	s.checkSteadyLoad(t, upstreams)
+	s.checkLeadersKilled(t)
+	s.checkLeadersFrozen(t)
+	s.checkStoreOut(t)
+	s.checkRestart(t)
+}
+
+func (s *simulation) checkSteadyLoad(t *testing.T, upstreams int) {
+	t.Helper()
+	const length = 5 * time.Second
+	for _, in := range s.instances {
+		in.cpuUsed, in.bytesSent = 0, 0
+	}
+	calls, began := s.calls, s.now
+	failed, roleChanges := s.totals()
+	var slowest time.Duration
+	for i := 0; s.now < began+length; i++ {
+		slowest = max(slowest, s.waitFor(s.put(fmt.Sprint("upstream-", i%upstreams), fmt.Sprint(i)), maxChangeDelay))
+		s.runUntil(s.now + 200*time.Millisecond)
+	}
+	if slowest >= maxChangeDelay {
+		t.Errorf("a change took %v to be in force everywhere", slowest)
+	}
+	if rate := (s.calls - calls) / (s.now - began).Seconds(); rate > maxCallsPerSecond {
+		t.Errorf("%.1f store calls a second", rate)
+	}
+	failedNow, roleChangesNow := s.totals()
+	if failedNow > failed || roleChangesNow > roleChanges {
+		t.Errorf("%d syncs failed and %d role changes without a failure", failedNow-failed, roleChangesNow-roleChanges)
+	}
+	for _, in := range s.instances {
+		if load := in.cpuUsed.Seconds() / (s.now - began).Seconds(); load > maxLoad {
+			t.Errorf("%s with %.2f cores spends %.0f%% of its processor on the fleet", in.info.Address, in.cores, 100*load)
+		}
+	}
+}
+
+// checkLeadersKilled kills the first leaders of two data centres, which are the
+// hubs too, and starts them again.
+func (s *simulation) checkLeadersKilled(t *testing.T) {
+	t.Helper()
+	for _, in := range s.instances[:2] {
+		in.stop()
+	}
+	s.wantChange(t, "two leaders killed", maxChangeDelay)
+	s.runUntil(s.now + maxViewDelay)
+	s.wantAllKnown(t, "two leaders killed")
+	for _, in := range s.instances[:2] {
+		in.start(false)
+		in.f.SetState(true, false)
+	}
+	s.wantChange(t, "leaders back", maxChangeDelay)
+	s.runUntil(s.now + maxViewDelay)
+	s.wantAllKnown(t, "leaders back")
+}
+
+// checkLeadersFrozen freezes both leaders of all data centres for 5 s.
+func (s *simulation) checkLeadersFrozen(t *testing.T) {
+	t.Helper()
+	for _, in := range s.instances[:10] {
+		in.frozen = s.now + 5*time.Second
+	}
+	s.wantChange(t, "all leaders frozen", maxChangeDelay)
+	s.runUntil(s.now + 5*time.Second + maxViewDelay)
+	s.wantChange(t, "leaders awake", maxChangeDelay)
+	s.runUntil(s.now + maxViewDelay)
+	s.wantAllKnown(t, "leaders awake")
+}
+
+// checkStoreOut takes the store away for 4 s: it must not be asked by all, and a
+// change made meanwhile must be in force soon after.
+func (s *simulation) checkStoreOut(t *testing.T) {
+	t.Helper()
+	calls := s.calls
+	s.storeOut = true
+	s.runUntil(s.now + 4*time.Second)
+	s.storeOut = false
+	s.wantChange(t, "store back", maxChangeDelay)
+	if n := s.calls - calls; n > float64(len(s.instances)) && n > maxCallsPerFailure {
+		t.Errorf("store out: %.0f calls of %d instances", n, len(s.instances))
+	}
+}
+
+// checkRestart stops all instances and starts them after a second.
+func (s *simulation) checkRestart(t *testing.T) {
+	t.Helper()
+	for _, in := range s.instances {
+		in.stop()
+	}
+	s.runUntil(s.now + time.Second)
+	calls := s.calls
+	for _, in := range s.instances {
+		s.at(s.now+time.Duration(s.rng.Float64()*float64(200*time.Millisecond)), func() {
+			in.start(false)
+			in.f.SetState(true, false)
+		})
+	}
+	s.runUntil(s.now + 200*time.Millisecond)
+	s.wantChange(t, "all restarted", maxRestartDelay)
+	if n := s.calls - calls; n > maxCallsPerFailure {
+		t.Errorf("all restarted: %.0f store calls", n)
+	}
+	s.runUntil(s.now + maxViewDelay)
+	s.wantAllKnown(t, "all restarted")
+}
+
+// wantChange makes a change and fails the test if an instance lacks it after
+// limit, or if it causes more than maxCallsPerFailure store calls.
+func (s *simulation) wantChange(t *testing.T, what string, limit time.Duration) {
+	t.Helper()
+	calls := s.calls
+	if took := s.waitFor(s.put("upstream-0", what), limit); took >= limit {
+		t.Errorf("%s: %d of %d instances lack a change after %v", what, s.lagging(s.revision), len(s.running()), took)
+	}
+	if n := s.calls - calls; n > maxCallsPerFailure {
+		t.Errorf("%s: %.0f store calls", what, n)
+	}
+}
+
+// wantAllKnown fails the test if an instance does not count all running ones.
+func (s *simulation) wantAllKnown(t *testing.T, what string) {
+	t.Helper()
+	running := s.running()
+	for _, in := range running {
+		if in.view.Live != len(running) {
+			t.Errorf("%s: %s sees %d live instances of %d", what, in.info.Address, in.view.Live, len(running))
+		}
+	}
+}
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -9,8 +10,11 @@
 // centre. Its first leader writes it.
 type Summary struct {
 	DataCentre string
-	// Sequence orders the summaries of a data centre.
+	// Sequence orders the summaries of a data centre, then Issuer, the address
+	// of the instance that wrote it: two instances may take themselves for the
+	// first leader for a while.
 	Sequence uint64
+	Issuer   string
 	// Live is the number of live instances.
 	Live int
 	// Usable holds data addresses that callers may use, at most
@@ -28,6 +32,11 @@
 	changedVersion uint64
 }
 
+// newer reports whether s replaces o.
+func (s Summary) newer(o Summary) bool {
+	return cmp.Or(cmp.Compare(s.Sequence, o.Sequence), cmp.Compare(s.Issuer, o.Issuer)) > 0
+}
+
 func (s Summary) equal(o Summary) bool { return s.Live == o.Live && slices.Equal(s.Usable, o.Usable) }
 
 // storeSummary replaces the summary of a data centre.
@@ -38,7 +47,7 @@
 
 // ownSummary describes this instance's data centre from the member list.
 func (t *Table) ownSummary() Summary {
-	s := Summary{DataCentre: t.members[t.self].DataCentre}
+	s := Summary{DataCentre: t.members[t.self].DataCentre, Issuer: t.self}
 	var usable []*member
 	for _, m := range t.members {
 		if !m.infoKnown || m.Silent || m.DataCentre != s.DataCentre {
@@ -74,7 +83,7 @@
 	}
 	for dc, s := range t.summaries {
 		if s.Live > 0 && dc != t.members[t.self].DataCentre && len(t.rolesAt(now).leaders[dc]) == 0 {
-			t.storeSummary(Summary{DataCentre: dc, Sequence: s.Sequence + 1})
+			t.storeSummary(Summary{DataCentre: dc, Sequence: s.Sequence + 1, Issuer: t.self})
 		}
 	}
 }
@@ -82,7 +91,7 @@
 // MergeSummaries keeps the newer one of each summary in list and the known one.
 func (t *Table) MergeSummaries(list []Summary) {
 	for _, s := range list {
-		if old := t.summaries[s.DataCentre]; old == nil || s.Sequence > old.Sequence {
+		if old := t.summaries[s.DataCentre]; old == nil || s.newer(old.Summary) {
 			t.storeSummary(s)
 		}
 	}
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -46,7 +46,7 @@
 			began := f.opt.Now()
 			var reply SyncReply
 			err := f.peers.call(ctx, from, "Peer.Sync", &args, &reply)
-			f.handleSyncReply(from, began, &reply, err)
+			f.handleSyncReply(from, &args, began, &reply, err)
 		}
 	}
 }
@@ -64,7 +64,7 @@
 }
 
 // handleSyncReply merges the reply of a sync that began at the time began.
-func (f *Fleet) handleSyncReply(from string, began time.Duration, reply *SyncReply, err error) {
+func (f *Fleet) handleSyncReply(from string, args *SyncArgs, began time.Duration, reply *SyncReply, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.syncing, from)
@@ -75,9 +75,11 @@
 	}
 	now := f.opt.Now()
 	f.table.UpdateMember(now, reply.Info, reply.State)
-	f.table.MergeMembers(now, reply.Members)
+	f.table.MergeMembers(now, reply.Members, reply.Info.DataCentre)
 	f.table.MergeSummaries(reply.Summaries)
-	f.memberVersions[from] = reply.Version
+	if f.memberVersions[from] == args.Members { // else the whole list is due by now
+		f.memberVersions[from] = reply.Version
+	}
 	d, err := reply.delta()
 	if err != nil {
 		level.Warn(f.opt.Log).Log("msg", "peer copy unreadable", "peer", from, "err", err)
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -142,15 +142,21 @@
 	}
 }
 
-// MergeMembers merges a member list received from a leader or hub. Newer state
-// that a member sent itself is kept.
-func (t *Table) MergeMembers(now time.Duration, list []Member) {
+// MergeMembers merges a member list received from an instance of the given data
+// centre. Newer state that a member sent itself is kept.
+func (t *Table) MergeMembers(now time.Duration, list []Member, sender string) {
+	own := t.members[t.self].DataCentre
 	for _, l := range list {
 		m := t.members[l.Address]
-		if m == nil && l.Silent && l.DataCentre != t.members[t.self].DataCentre {
+		switch {
+		case l.Address == t.self:
+			continue
+		case m == nil && l.Silent && l.DataCentre != own:
 			continue // only matters to those that knew it
+		case m != nil && m.infoKnown && l.DataCentre == own && sender != own:
+			continue // this data centre's leaders know better
 		}
-		if l.Address != t.self && t.acceptsFromList(now, m, l) {
+		if t.acceptsFromList(now, m, l) {
 			m := t.memberAt(now, l.Address)
 			m.Member, m.infoKnown = l, true
 			t.markChanged(m)
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -89,6 +89,15 @@
 	if s := table.summaries["otavalo"]; s.Live != 3 {
 		t.Errorf("an older summary replaced a newer one: %+v", s)
 	}
+	for _, first := range []int{0, 1} {
+		both := []Summary{{DataCentre: "yeka", Sequence: 5, Issuer: "10.0.0.2:1", Live: 4}, {DataCentre: "yeka", Sequence: 5, Issuer: "10.0.0.3:1", Live: 6}}
+		other := tableWith(time.Second, 1)
+		other.MergeSummaries(both[first : first+1])
+		other.MergeSummaries(both)
+		if s := other.summaries["yeka"]; s.Live != 6 {
+			t.Errorf("of two summaries with the same number, the one of %s is kept if it comes first", s.Issuer)
+		}
+	}
 	table.MergeSummaries([]Summary{{DataCentre: "ibarra", Sequence: 40, Live: 9}})
 	table.Tick(2 * time.Second)
 	if s := table.summaries["ibarra"]; s.Sequence <= 40 || s.Live != 1 {
@@ -194,7 +203,7 @@
 func TestMergeKeepsNewerState(t *testing.T) {
 	table := tableWith(time.Second, 3, 1)
 	table.UpdateMember(time.Second, info(2), State{Ready: false, Leaving: true, Count: 5})
-	table.MergeMembers(time.Second, []Member{{Info: info(2), State: State{Ready: true, Count: 4}}})
+	table.MergeMembers(time.Second, []Member{{Info: info(2), State: State{Ready: true, Count: 4}}}, "ibarra")
 	if m := table.members[info(2).Address]; !m.Leaving {
 		t.Error("older state replaced newer state")
 	}
@@ -204,16 +213,16 @@
 		next := info(2)
 		next.Incarnation = incarnation
 		list := []Member{{Info: next, State: State{Ready: true}}}
-		table.MergeMembers(time.Second, list)
+		table.MergeMembers(time.Second, list, "ibarra")
 		if m := table.members[info(2).Address]; m.Incarnation != 1 && incarnation == 7 {
 			t.Error("a list replaced the incarnation just heard from")
 		}
-		table.MergeMembers(time.Second+answerTimeout, list)
+		table.MergeMembers(time.Second+answerTimeout, list, "ibarra")
 		if m := table.members[info(2).Address]; m.Leaving || m.Incarnation != incarnation {
 			t.Errorf("incarnation %d did not replace the previous one", incarnation)
 		}
 	}
-	table.MergeMembers(time.Second, []Member{{Info: info(3), Silent: true}})
+	table.MergeMembers(time.Second, []Member{{Info: info(3), Silent: true}}, "ibarra")
 	if live(table) != 3 {
 		t.Error("a list replaced the entry of this instance")
 	}
@@ -226,7 +235,7 @@
 	table.Hubs(time.Second) // the leaders are chosen
 	v := table.Version()
 	table.UpdateMember(2*time.Second, info(1), State{Ready: true})
-	table.MergeMembers(2*time.Second, table.ChangedSince(2*time.Second, 0, "ibarra"))
+	table.MergeMembers(2*time.Second, table.ChangedSince(2*time.Second, 0, "ibarra"), "ibarra")
 	table.ReceiveHeartbeat(2*time.Second, info(2).Address, 1, State{Ready: true})
 	if table.Version() != v {
 		t.Error("version raised without a change")
