Bound the memory that upstreams' replies take

Ruled out: streaming bodies to callers (a break could no longer be retried, and a slow caller would hold the upstream's slot); a runtime memory limit (it slows the process, it does not refuse).

Change: all replies in flight share an eighth of the machine's memory, one takes a quarter of that at most, and the last quarter is left to replies of up to 64 KB. Buffers grow with what arrives. A reply past it ends its attempt as may-have-run, so it counts against the upstream like any failure. A health reply may take 64 KB, heads and trailers the buffer of the connection, 4 KB. Callers have 30 s to read a response.

Not covered: bodies of callers, each up to 64 MB as the operators allow.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -49,6 +49,7 @@
 
 	tried    map[string]bool
 	finished chan *try
+	tries    []*try // all attempts
 	inFlight []*try
 	// sent counts the finished attempts that may have reached an upstream,
 	// unsent those that did not.
@@ -114,6 +115,15 @@
 // callerLeft reports whether the caller closed its connection.
 func (c *call) callerLeft() bool { return netpeek.Peek(c.ctx.Conn()) == netpeek.Closed }
 
+// discardReplies returns the memory of all replies but the one that is used.
+func (c *call) discardReplies(used *try) {
+	for _, t := range c.tries {
+		if t != used {
+			t.release(func() { t.discarded = true })
+		}
+	}
+}
+
 // cancel cancels the attempts in flight.
 func (c *call) cancel() {
 	for _, t := range c.inFlight {
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -11,6 +11,8 @@
 
 // Limits of connections to upstreams.
 const (
+	// connBuffer is the size of the read buffer. A reply's head and its trailer
+	// must each fit it.
 	connBuffer = 4 << 10 // bytes
 	// dialTimeout is far above the latency between data centres, and leaves
 	// time to try another upstream.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,16 +18,14 @@
 	errProtocolSwitch  = errors.New("upstream switched protocols without an upgrade request")
 )
 
-const (
-	maxReplyBody = 64 << 20 // bytes
-	// maxRepliesRead limits the replies read for one request. Interim replies,
-	// and late replies to earlier requests, are skipped.
-	maxRepliesRead = 8
-)
+// maxRepliesRead limits the replies read for one request. Interim replies, and
+// late replies to earlier requests, are skipped.
+const maxRepliesRead = 8
 
 // exchange writes out to c and reads the reply to the request with the given
-// ID into resp. It returns true once a byte may have been sent.
-func (g *Gateway) exchange(c *conn, out []byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response) (wrote bool, err error) {
+// ID into resp, with memory for its body. It returns true once a byte may have
+// been sent.
+func (g *Gateway) exchange(c *conn, out []byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response, memory *reservation) (wrote bool, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return false, err
 	}
@@ -35,7 +33,7 @@
 		return true, err
 	}
 	for range maxRepliesRead {
-		if err := readReply(c, isHead, resp); err != nil {
+		if err := readReply(c, isHead, resp, memory); err != nil {
 			return true, err
 		}
 		if resp.StatusCode() < fasthttp.StatusOK {
@@ -54,8 +52,9 @@
 	return true, errStrayReplies
 }
 
-// readReply reads one final or interim reply with its whole body.
-func readReply(c *conn, isHead bool, resp *fasthttp.Response) error {
+// readReply reads one final or interim reply with its whole body. Its head, and
+// its trailer, must fit the buffer of the connection.
+func readReply(c *conn, isHead bool, resp *fasthttp.Response, memory *reservation) error {
 	resp.Reset()
 	if err := resp.Header.Read(c.r); err != nil {
 		return unexpectedEOF(err)
@@ -66,17 +65,7 @@
 	case code < fasthttp.StatusOK, isHead, code == fasthttp.StatusNoContent, code == fasthttp.StatusNotModified:
 		return nil
 	}
-	chunked := resp.Header.ContentLength() == -1
-	if resp.Header.ContentLength() == -2 {
-		resp.SetConnectionClose() // the body ends when the connection is closed
-	}
-	if err := resp.ReadBody(c.r, maxReplyBody); err != nil {
-		return unexpectedEOF(err)
-	}
-	if chunked {
-		return unexpectedEOF(resp.Header.ReadTrailer(c.r))
-	}
-	return nil
+	return unexpectedEOF(memory.readBody(c, resp))
 }
 
 // unexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,8 @@
 type Options struct {
 	DataCentre string
 	Limits     Limits
+	// MemoryBytes is the memory of the instance; 0 if it is not known.
+	MemoryBytes int64
 	Now        func() time.Duration
 	Seed       uint64
 }
@@ -41,6 +43,8 @@
 	now       func() time.Duration
 	metrics   *metricSet
 	pool      *pool
+	// replyMemory bounds the memory for upstreams' replies.
+	replyMemory *replyMemory
 	evidence  *evidenceTable
 	estimates *workEstimates
 	snapshot  atomic.Pointer[snapshot]
@@ -85,7 +89,7 @@
 	metrics := newMetricSet(registry)
 	g := &Gateway{
 		opt: opt, proto: proto, log: logger, now: opt.Now, metrics: metrics,
-		pool: newPool(metrics), evidence: newEvidenceTable(), estimates: newWorkEstimates(), queue: newWaitQueue(),
+		pool: newPool(metrics), replyMemory: newReplyMemory(opt.MemoryBytes), evidence: newEvidenceTable(), estimates: newWorkEstimates(), queue: newWaitQueue(),
 		retryBudgets: newRetryBudgets(opt.Limits.RetryBudget), probeBudget: newProbeBudget(opt.Limits.ProbesPerUpstream),
 		configured: make(chan struct{}), instanceKnown: make(chan struct{}), startupWait: startupWait,
 		hooks: Hooks{UpstreamFailed: func(uint64, float64) {}, DataNeeded: func() {}},
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -52,14 +52,20 @@
 	retryAfterJitter = 60 * time.Millisecond
 )
 
+// replyMemoryKey is the key of the request's value that holds the memory of its
+// reply. The HTTP server closes such values at the end of the request.
+type replyMemoryKey struct{}
+
 // respond writes the response to the caller and records the call's result.
 func (g *Gateway) respond(c *call, res callResult) {
 	took := g.now() - c.arrived
 	g.metrics.recordResult(res, took)
+	c.discardReplies(res.try)
 	kv := []any{"outcome", res.kind.String(), "sends", c.sent + len(c.inFlight), "took", took}
 	switch res.kind {
 	case resultAnswered:
 		g.writeUpstreamResponse(c.ctx, res.try.resp)
+		c.ctx.SetUserValue(replyMemoryKey{}, res.try.memory) // closed once the response is written
 		kv = append(kv, "status", res.try.resp.StatusCode(), "upstream", res.try.upstream.ID, "address", res.try.upstream.Address,
 			"entry_revision", res.try.upstream.Revision, "cost", res.try.cost, "known", res.try.known, "upstream_took", res.try.took)
 		if r := res.try.report; r != nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -17,6 +17,8 @@
 	// maxHeader is above the header sizes that operators allow callers.
 	maxHeader = 20 << 10 // bytes
 	maxBody   = 64 << 20 // bytes
+	// writeTimeout limits the time that a caller takes to read its response.
+	writeTimeout = 30 * time.Second
 	// readTimeout limits the time to read a request, idleTimeout the wait for
 	// the next one. Both are above the values that operators set.
 	readTimeout = 10 * time.Second
@@ -57,7 +59,7 @@
 func (g *Gateway) Run(ctx context.Context, lns *Listeners, stopLimit time.Duration) error {
 	dataServer := &fasthttp.Server{
 		Handler: g.handle, ErrorHandler: g.handleReadError, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true, LazyRequestTime: true, Logger: httpserve.DiscardLogger{},
 	}
 	auxServer := &fasthttp.Server{
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -48,8 +48,12 @@
 	mu        sync.Mutex
 	cn        *conn
 	cancelled bool
+	// finished is set once the attempt's goroutine no longer uses memory,
+	// discarded once the call will not use the reply.
+	finished, discarded bool
 
 	resp    *fasthttp.Response
+	memory  *reservation // of the reply's body
 	wrote   bool
 	err     error
 	took    time.Duration
@@ -70,7 +74,11 @@
 
 // launch starts an attempt at the chosen upstream.
 func (c *call) launch(ch choice, reason string) *try {
-	t := &try{choice: ch, upstream: ch.probeResult.upstream, reason: reason, startedAt: c.g.now(), resp: fasthttp.AcquireResponse()}
+	t := &try{
+		choice: ch, upstream: ch.probeResult.upstream, reason: reason, startedAt: c.g.now(),
+		resp: fasthttp.AcquireResponse(), memory: c.g.replyMemory.begin(0),
+	}
+	c.tries = append(c.tries, t)
 	c.tried[t.upstream.ID] = true
 	c.g.evidence.update(t.upstream, (*pick.Evidence).Sent)
 	if reason != "" {
@@ -79,6 +87,7 @@
 	go func() {
 		c.g.send(c, t)
 		c.g.evidence.update(t.upstream, (*pick.Evidence).Ended)
+		t.release(func() { t.finished = true })
 		c.finished <- t
 	}()
 	return t
@@ -107,7 +116,7 @@
 	}
 	cn.writeBuf = g.appendRequest(cn.writeBuf[:0], c, t.upstream.ID, timeLeft)
 	sent := g.now()
-	t.wrote, t.err = g.exchange(cn, cn.writeBuf, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp)
+	t.wrote, t.err = g.exchange(cn, cn.writeBuf, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp, t.memory)
 	t.took = g.now() - sent
 	if !t.clearConn() || t.err != nil {
 		cn.Close()
@@ -153,6 +162,16 @@
 	}
 }
 
+// release calls mark, and returns the memory of the reply once its goroutine has
+// finished and the call will not use it.
+func (t *try) release(mark func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if mark(); t.finished && t.discarded {
+		t.memory.Close()
+	}
+}
+
 // Weights of failures, relative to a failed request.
 const (
 	shedWeight        = 0.5
--- a/node/node.go
+++ b/node/node.go
@@ -73,7 +73,7 @@
 		rng: rand.New(rand.NewPCG(seed, 2)), upstreams: discovery.New(), maintainNow: make(chan struct{}, 1),
 	}
 	n.gateway = gateway.New(gateway.Options{
-		DataCentre: settings.DataCentre, Limits: gatewayLimits(settings), Now: n.now, Seed: seed,
+		DataCentre: settings.DataCentre, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes, Now: n.now, Seed: seed,
 	}, adapter.Protocol, logs.WithPart(l, "gateway"), n.registry)
 	n.gateway.SetHooks(gateway.Hooks{
 		UpstreamFailed: func(key uint64, weight float64) {
