Keep a panic in one request or message from ending the process

Cause (the operators' report "one malformed message or unexpected error took a whole process down"): no goroutine recovered; a panic while a request, an attempt, a probe, a peer's datagram or sync, or a store item was handled ended the process. A line logged after the log writer was closed (a SIGHUP in the last 200 ms of a stop) panicked as well.

Change: internal/panics.Guard recovers, logs the stack, counts (panics_total). A request ends with 502, since it may have run; an attempt as may-have-run; a probe as failed; a store item is left out alone. AsyncWriter drops lines after Close.

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -148,7 +148,8 @@
 		if err != nil {
 			continue // the error concerns the destination of an earlier datagram
 		}
-		f.handleDatagram(from.String(), buf[:n])
+		// A panic is logged; the sender sends its state again.
+		_ = f.opt.Guard.Run("datagram", func() { f.handleDatagram(from.String(), buf[:n]) })
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/catkinrouter/catkinrouter/internal/panics"
 	"github.com/catkinrouter/catkinrouter/mirror"
 )
 
@@ -83,6 +84,8 @@
 	// Jitter returns random numbers between 0 and 1; rand.Float64 if nil.
 	Jitter func() float64
 	Log    log.Logger
+	// Guard runs what peers' messages and the store's answers cause.
+	Guard panics.Guard
 	// OnStoreCall is called with the outcome of each call to the store.
 	OnStoreCall func(outcome string)
 }
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -49,8 +49,14 @@
 type Peer struct{ f *Fleet }
 
 // Sync records the peer's Info and State and replies with what it lacks.
-func (p *Peer) Sync(args *SyncArgs, reply *SyncReply) error {
-	f := p.f
+func (p *Peer) Sync(args *SyncArgs, reply *SyncReply) (err error) {
+	if panicked := p.f.opt.Guard.Run("sync of a peer", func() { err = p.f.serveSync(args, reply) }); panicked != nil {
+		return panicked
+	}
+	return err
+}
+
+func (f *Fleet) serveSync(args *SyncArgs, reply *SyncReply) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opt.Now()
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -24,7 +24,9 @@
 		}
 		pause := time.Duration(0)
 		for pause == 0 && ctx.Err() == nil {
-			pause = f.readOnce(ctx)
+			if err := f.opt.Guard.Run("store read", func() { pause = f.readOnce(ctx) }); err != nil {
+				pause = memberRetry
+			}
 		}
 		t.Reset(pause)
 	}
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -42,15 +42,28 @@
 		case <-ctx.Done():
 			return nil
 		case from := <-f.syncQueue:
-			args := f.syncArgs(from)
-			began := f.opt.Now()
-			var reply SyncReply
-			err := f.peers.call(ctx, from, "Peer.Sync", &args, &reply)
-			f.handleSyncReply(from, &args, began, &reply, err)
+			if err := f.opt.Guard.Run("sync", func() { f.syncFrom(ctx, from) }); err != nil {
+				f.syncEnded(from)
+			}
 		}
 	}
 }
 
+// syncFrom fetches members and changes of the store from the peer.
+func (f *Fleet) syncFrom(ctx context.Context, from string) {
+	args := f.syncArgs(from)
+	began := f.opt.Now()
+	var reply SyncReply
+	err := f.peers.call(ctx, from, "Peer.Sync", &args, &reply)
+	f.handleSyncReply(from, &args, began, &reply, err)
+}
+
+func (f *Fleet) syncEnded(from string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.syncing, from)
+}
+
 // syncArgs returns the request of a sync with the peer.
 func (f *Fleet) syncArgs(from string) SyncArgs {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/internal/panics"
 	"github.com/catkinrouter/catkinrouter/pick"
 	"github.com/catkinrouter/catkinrouter/route"
 )
@@ -42,6 +43,7 @@
 	log       log.Logger
 	now       func() time.Duration
 	metrics   *metricSet
+	guard     panics.Guard
 	pool      *pool
 	// replyMemory bounds the memory for upstreams' replies.
 	replyMemory *replyMemory
@@ -88,7 +90,7 @@
 func New(opt Options, proto Protocol, logger log.Logger, registry gometrics.Registry) *Gateway {
 	metrics := newMetricSet(registry)
 	g := &Gateway{
-		opt: opt, proto: proto, log: logger, now: opt.Now, metrics: metrics,
+		opt: opt, proto: proto, log: logger, now: opt.Now, metrics: metrics, guard: panics.Guard{Log: logger, Count: metrics.panics},
 		pool: newPool(metrics), replyMemory: newReplyMemory(opt.MemoryBytes), evidence: newEvidenceTable(), estimates: newWorkEstimates(), queue: newWaitQueue(),
 		retryBudgets: newRetryBudgets(opt.Limits.RetryBudget), probeBudget: newProbeBudget(opt.Limits.ProbesPerUpstream),
 		configured: make(chan struct{}), instanceKnown: make(chan struct{}), startupWait: startupWait,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -10,11 +10,19 @@
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
-// handle serves one request of a caller.
+// handle serves one request of a caller. A panic ends only this request: it may
+// have run by then.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
-	arrived := g.now()
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	if err := g.guard.Run("request", func() { g.serveRequest(ctx) }); err != nil {
+		g.refuse(ctx, string(ctx.Request.Header.Peek(g.proto.RequestID)), fasthttp.StatusBadGateway, "internal-error")
+		ctx.SetConnectionClose()
+	}
+}
+
+func (g *Gateway) serveRequest(ctx *fasthttp.RequestCtx) {
+	arrived := g.now()
 	snap := g.waitForSnapshot()
 	id := string(ctx.Request.Header.Peek(g.proto.RequestID))
 	if snap == nil {
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -23,6 +23,13 @@
 
 // handleAuxiliary serves lookups and the platform's readiness checks.
 func (g *Gateway) handleAuxiliary(ctx *fasthttp.RequestCtx) {
+	if err := g.guard.Run("lookup or readiness check", func() { g.serveAuxiliary(ctx) }); err != nil {
+		ctx.Response.Reset()
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
+}
+
+func (g *Gateway) serveAuxiliary(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case g.proto.ReadyPath:
 		if !g.Ready() {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,7 @@
 	lookups      gometrics.Counter
 	warnings     gometrics.Counter
 	logFailures  gometrics.Counter
+	panics       gometrics.Counter
 	latency      gometrics.Histogram
 }
 
@@ -28,7 +29,7 @@
 	m := &metricSet{
 		registry: registry, connsOpened: c("upstream_connections_opened_total"), probes: c("probes_total"), probesFailed: c("probes_failed_total"),
 		strayReplies: c("stray_replies_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
-		logFailures: c("log_failures_total"), latency: metrics.NewHistogram(),
+		logFailures: c("log_failures_total"), panics: c("panics_total"), latency: metrics.NewHistogram(),
 	}
 	registry.GetOrRegister("request_duration_us", m.latency)
 	return m
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -102,7 +102,13 @@
 func (g *Gateway) probeAll(list []*discovery.Upstream, path string) []probeResult {
 	ch := make(chan probeResult, len(list))
 	for _, u := range list {
-		go func() { ch <- g.probe(u, path, time.Now().Add(lateProbeTimeout)) }()
+		go func() {
+			res := probeResult{upstream: u}
+			if err := g.guard.Run("probe", func() { res = g.probe(u, path, time.Now().Add(lateProbeTimeout)) }); err != nil {
+				res.err = err
+			}
+			ch <- res
+		}()
 	}
 	out := make([]probeResult, 0, len(list))
 	timeout := time.NewTimer(probeTimeout)
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -85,7 +85,10 @@
 		c.log("additional attempt started", "why", reason, "upstream", t.upstream.ID, "cost", ch.cost, "known", ch.known)
 	}
 	go func() {
-		c.g.send(c, t)
+		if err := c.g.guard.Run("attempt", func() { c.g.send(c, t) }); err != nil {
+			t.wrote, t.err, t.complete = true, err, false // it may have been sent
+			t.cancel()
+		}
 		c.g.evidence.update(t.upstream, (*pick.Evidence).Ended)
 		t.release(func() { t.finished = true })
 		c.finished <- t
--- a/internal/logs/asyncwriter.go
+++ b/internal/logs/asyncwriter.go
@@ -30,6 +30,7 @@
 	done  chan struct{}
 
 	mu        sync.Mutex
+	closed    bool
 	second    int64
 	infoLines int
 	warnLines int
@@ -47,7 +48,9 @@
 // Write queues a line, or drops it and counts it as dropped. It does not wait
 // for the underlying writer and never returns an error.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
-	if !a.allowed(line) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || !a.allowed(line) {
 		a.dropped.Add(1)
 		return len(line), nil
 	}
@@ -60,11 +63,9 @@
 }
 
 // allowed counts the line against the rate limit for its level in the current
-// second, and reports whether the line is within the limit.
+// second, and reports whether the line is within the limit. The caller holds mu.
 func (a *AsyncWriter) allowed(line []byte) bool {
 	warn := bytes.Contains(line, []byte("level=warn")) || bytes.Contains(line, []byte("level=error"))
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if now := time.Now().Unix(); now != a.second {
 		a.second, a.infoLines, a.warnLines = now, 0, 0
 	}
@@ -89,9 +90,12 @@
 }
 
 // Close stops accepting lines and waits up to flushTimeout for queued lines to
-// be written. Write must not be called after Close.
+// be written. Lines written after Close are dropped.
 func (a *AsyncWriter) Close() {
+	a.mu.Lock()
+	a.closed = true
 	close(a.queue)
+	a.mu.Unlock()
 	select {
 	case <-a.done:
 	case <-time.After(flushTimeout):
--- a/internal/logs/asyncwriter_test.go
+++ b/internal/logs/asyncwriter_test.go
@@ -29,6 +29,16 @@
 	aw.Close()
 }
 
+// A line that is logged while the process stops, such as one of a signal that
+// arrives then, must not end it with a panic.
+func TestAsyncWriterAfterClose(t *testing.T) {
+	aw := NewAsyncWriter(io.Discard)
+	aw.Close()
+	if n, err := fmt.Fprintln(aw, "level=info msg=late"); err != nil || n == 0 {
+		t.Errorf("write after Close: %d, %v", n, err)
+	}
+}
+
 // syncBuffer is a buffer that is safe for concurrent use.
 type syncBuffer struct {
 	mu sync.Mutex
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/catkinrouter/catkinrouter/gateway"
 	"github.com/catkinrouter/catkinrouter/internal/logs"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
+	"github.com/catkinrouter/catkinrouter/internal/panics"
 	"github.com/catkinrouter/catkinrouter/mirror"
 	"github.com/catkinrouter/catkinrouter/route"
 	"github.com/catkinrouter/catkinrouter/store"
@@ -53,6 +54,7 @@
 	started  time.Time
 
 	registry gometrics.Registry
+	guard    panics.Guard
 	gateway  *gateway.Gateway
 	fleet    *fleet.Fleet
 
@@ -72,6 +74,7 @@
 		settings: settings, adapter: adapter, log: logs.WithPart(l, "node"), started: time.Now(), registry: gometrics.NewRegistry(),
 		rng: rand.New(rand.NewPCG(seed, 2)), upstreams: discovery.New(), maintainNow: make(chan struct{}, 1),
 	}
+	n.guard = panics.Guard{Log: n.log, Count: gometrics.GetOrRegisterCounter("panics_total", n.registry)}
 	n.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes, Now: n.now, Seed: seed,
 	}, adapter.Protocol, logs.WithPart(l, "gateway"), n.registry)
@@ -89,6 +92,7 @@
 		FirstStart: settings.FirstStart, Seeds: settings.Seeds, DirectoryKey: adapter.Keys.Directory,
 		MaxCopyAge: time.Duration(maxCopyAgeShare * float64(settings.MaxChangeDelay)),
 		Now:        n.now, Suspended: suspended, Log: logs.WithPart(l, "fleet"),
+		Guard: n.guard,
 		OnStoreCall: func(outcome string) {
 			gometrics.GetOrRegisterCounter("store_calls_total."+outcome, n.registry).Inc(1)
 		},
@@ -198,12 +202,15 @@
 	defer n.mu.Unlock()
 	var changes upstreamChanges
 	for _, it := range items {
-		switch {
-		case it.Key == n.adapter.Keys.Configuration:
-			n.applyConfiguration(it, source)
-		case strings.HasPrefix(it.Key, n.adapter.Keys.UpstreamPrefix):
-			changes.count(n.applyUpstream(now, it, source), it.Revision)
-		}
+		// A panic, such as in a decoder, loses this item only; it is logged.
+		_ = n.guard.Run("store item "+it.Key, func() {
+			switch {
+			case it.Key == n.adapter.Keys.Configuration:
+				n.applyConfiguration(it, source)
+			case strings.HasPrefix(it.Key, n.adapter.Keys.UpstreamPrefix):
+				changes.count(n.applyUpstream(now, it, source), it.Revision)
+			}
+		})
 	}
 	changes.log(n.log, source)
 	n.publish()
