--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,8 +22,8 @@
 	Limits     Limits
 	// MemoryBytes is the memory of the instance; 0 if it is not known.
 	MemoryBytes int64
-	Now        func() time.Duration
-	Seed       uint64
+	Now         func() time.Duration
+	Seed        uint64
 }
 
 // Limits are the settings that may change while a Gateway runs.
@@ -38,18 +38,18 @@
 
 // Gateway is the data path of one instance.
 type Gateway struct {
-	opt       Options
-	proto     Protocol
-	log       log.Logger
-	now       func() time.Duration
-	metrics   *metricSet
-	guard     panics.Guard
-	pool      *pool
+	opt     Options
+	proto   Protocol
+	log     log.Logger
+	now     func() time.Duration
+	metrics *metricSet
+	guard   panics.Guard
+	pool    *pool
 	// replyMemory bounds the memory for upstreams' replies.
 	replyMemory *replyMemory
-	evidence  *evidenceTable
-	estimates *workEstimates
-	snapshot  atomic.Pointer[snapshot]
+	evidence    *evidenceTable
+	estimates   *workEstimates
+	snapshot    atomic.Pointer[snapshot]
 
 	retryBudgets *retryBudgets
 	probeBudget  *probeBudget
