--- a/gateway/outcome_test.go
+++ b/gateway/outcome_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -137,6 +138,55 @@
 	}
 }
 
+// A second copy of an earlier reply that arrives just where the reply to the next
+// request is expected must not reach the next caller, also if it is large, comes
+// twice or in two parts.
+func TestStrayReplyBeforeTheReply(t *testing.T) {
+	for name, write := range map[string]func(c net.Conn, copied string){
+		"whole": func(c net.Conn, copied string) { fmt.Fprint(c, copied) },
+		"twice": func(c net.Conn, copied string) { fmt.Fprint(c, copied, copied) },
+		"in two parts": func(c net.Conn, copied string) {
+			fmt.Fprint(c, copied[:len(copied)/2])
+			time.Sleep(5 * time.Millisecond)
+			fmt.Fprint(c, copied[len(copied)/2:])
+		},
+	} {
+		for _, size := range []int{10, 1 << 20} {
+			var mu sync.Mutex
+			earlier := map[net.Conn]string{} // the last reply on each connection
+			strays := 0
+			u := newStub(t, "doubles", func(s *stub, c net.Conn, r *http.Request, _ string) bool {
+				id := s.run(r)
+				mu.Lock()
+				copied := earlier[c]
+				text := "answer to " + id + strings.Repeat(".", size)
+				earlier[c] = fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: x\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
+				own := earlier[c]
+				mu.Unlock()
+				if copied != "" {
+					strays++
+					write(c, copied)
+				}
+				fmt.Fprint(c, own)
+				return true
+			})
+			tg := newTestGateway(t)
+			tg.configure(5*time.Second, u)
+			for i := range 10 {
+				id := fmt.Sprintf("s-%d", i)
+				r := tg.call("POST", "/purchase/1", id, "pack")
+				wantStatus(t, r, 200)
+				if !strings.HasPrefix(r.body, "answer to "+id+".") {
+					t.Fatalf("%s, %d bytes: request %s got %.30q", name, size, id, r.body)
+				}
+			}
+			if strays == 0 {
+				t.Errorf("%s, %d bytes: no connection was used twice", name, size)
+			}
+		}
+	}
+}
+
 // A reply without a length ends when its connection closes, and is forwarded
 // completely.
 func TestReplyWithoutLength(t *testing.T) {
