--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -61,7 +61,7 @@
 		return
 	}
 	f.suspended = total
-	f.reader.confirmedAt -= lost
+	f.reader.suspended += lost
 	level.Warn(f.opt.Log).Log("msg", "machine was suspended", "for", lost, "copy_age", f.reader.age(f.opt.Now()))
 }
 
@@ -211,33 +211,6 @@
 	}
 }
 
-// listSources returns the peers from which this instance fetches member lists: the
-// first leader of its data centre other than itself and, if it is a leader, the
-// first hub other than itself. The lists of further ones add nothing, since each
-// receives all heartbeats itself. A hub also fetches the summary of each data
-// centre from its first leader.
-func (t *Table) listSources(now time.Duration) []string {
-	var out []string
-	addFirst := func(list []string) {
-		for _, a := range list {
-			if a != t.self {
-				out = append(out, a)
-				return
-			}
-		}
-	}
-	addFirst(t.Leaders(now))
-	if t.IsLeader(now) {
-		addFirst(t.Hubs(now))
-	}
-	if t.HubRank(now) >= 0 {
-		for _, leaders := range t.rolesAt(now).leaders {
-			addFirst(leaders[:1])
-		}
-	}
-	return out
-}
-
 // updateListSources requests the whole list from each new source. What this
 // instance learned from the previous source may be wrong, such as members that
 // it took for silent, and the new source may not have changed it since.
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -35,6 +37,20 @@
 	maxDirectoryLeaders = 64
 )
 
+// decodeDirectory decodes the value of the directory's key. Entries without a valid
+// address are left out.
+func decodeDirectory(value []byte) (directory, error) {
+	var d directory
+	if err := json.Unmarshal(value, &d); err != nil {
+		return directory{}, err
+	}
+	d.Leaders = slices.DeleteFunc(d.Leaders, func(e directoryEntry) bool {
+		_, err := netip.ParseAddrPort(e.Address)
+		return err != nil
+	})
+	return d, nil
+}
+
 // addressesFor returns the leaders of a data centre, or all if there are none.
 func (d directory) addressesFor(dataCentre string) []string {
 	var own, all []string
@@ -58,15 +74,16 @@
 		if it.Key != f.opt.DirectoryKey {
 			continue
 		}
-		f.storedDirectory = directory{revision: it.Revision}
+		f.storedDirectory = directory{}
 		if it.Deleted {
-			f.storedDirectory.revision = 0
 			continue
 		}
-		if err := json.Unmarshal(it.Value, &f.storedDirectory); err != nil {
+		d, err := decodeDirectory(it.Value)
+		if err != nil {
 			level.Warn(f.opt.Log).Log("msg", "directory ignored", "key", it.Key, "revision", it.Revision, "err", err)
-			continue
 		}
+		f.storedDirectory = d
+		f.storedDirectory.revision = it.Revision
 		now := f.opt.Now()
 		if f.table.IsLeader(now) || f.table.isolated(now) {
 			f.table.AddSeeds(now, f.storedDirectory.addressesFor(""))
@@ -80,7 +97,7 @@
 func (f *Fleet) handleDirectory(value []byte, err error) {
 	var d directory
 	if err == nil {
-		err = json.Unmarshal(value, &d)
+		d, err = decodeDirectory(value)
 	}
 	f.opt.OnStoreCall(outcomeOf(err))
 	if err != nil && !store.IsKind(err, store.NotFound) {
@@ -120,7 +137,7 @@
 		}
 		due = due || missing
 	}
-	slices.SortFunc(next.Leaders, func(a, b directoryEntry) int { return compareStrings(a.Address, b.Address) })
+	slices.SortFunc(next.Leaders, func(a, b directoryEntry) int { return strings.Compare(a.Address, b.Address) })
 	next.Leaders = next.Leaders[:min(len(next.Leaders), maxDirectoryLeaders)]
 	return next, due
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -476,6 +476,9 @@
 	if err := (&Peer{f}).Sync(&SyncArgs{Info: Info{Address: "10.0.0.2:1"}}, &reply); err != nil {
 		t.Fatal(err)
 	}
+	if f.reader.confirm(10 * time.Second) {
+		t.Error("a suspension of the machine counts as an outage of the store")
+	}
 	if reply.Age < slept {
 		t.Errorf("copy confirmed before a suspension of %v is sent as %v old", slept, reply.Age)
 	}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -54,6 +54,9 @@
 	// confirmed is set.
 	confirmedAt time.Duration
 	confirmed   bool
+	// suspended is the time since confirmedAt for which the machine stood still;
+	// the clock does not count it.
+	suspended time.Duration
 	// failingSince is when the first read failed after the last successful
 	// one; 0 for none.
 	failingSince time.Duration
@@ -165,15 +168,15 @@
 	if !r.confirmed {
 		return now
 	}
-	return now - r.confirmedAt
+	return now - r.confirmedAt + r.suspended
 }
 
 // confirm records that the copy was complete at a time. It returns true if this
-// ends an outage of the store.
+// ends an outage of the store; time for which the machine was suspended is none.
 func (r *reader) confirm(at time.Duration) (returned bool) {
 	returned = r.confirmed && at-r.confirmedAt >= outageAge
 	if !r.confirmed || at > r.confirmedAt {
-		r.confirmedAt, r.confirmed = at, true
+		r.confirmedAt, r.confirmed, r.suspended = at, true, 0
 	}
 	return returned
 }
--- a/fleet/roles.go
+++ b/fleet/roles.go
@@ -26,9 +26,6 @@
 
 // rolesAt returns the current roles. They are computed again after a change.
 func (t *Table) rolesAt(now time.Duration) *roles {
-	if t.rolesValid && t.rolesComputedAt == now {
-		return &t.roles
-	}
 	if !t.rolesValid || now-t.rolesComputedAt >= rolesMaxAge {
 		t.computeRoles(now)
 	}
@@ -39,8 +36,8 @@
 // unreachable without an event.
 const rolesMaxAge = HeartbeatInterval / 4
 
+// computeRoles computes the roles. A new leader counts as a changed member.
 func (t *Table) computeRoles(now time.Duration) {
-	t.rolesValid, t.rolesComputedAt = true, now
 	byDataCentre := map[string][]*member{}
 	var hubs, fallbackHubs []*member
 	for a, m := range t.members {
@@ -68,7 +65,7 @@
 	}
 	hubs = append(hubs, fallbackHubs...)
 	t.roles.hubs = addressesOf(hubs[:min(len(hubs), hubCount)])
-	t.rolesValid = true
+	t.rolesValid, t.rolesComputedAt = true, now
 }
 
 // insertRanked inserts m into a list of at most limit members by rank.
@@ -149,3 +146,30 @@
 	slices.Sort(out)
 	return slices.Compact(out)
 }
+
+// listSources returns the peers from which this instance fetches member lists: the
+// first leader of its data centre other than itself and, if it is a leader, the
+// first hub other than itself. The lists of further ones add nothing, since each
+// receives all heartbeats itself. A hub also fetches the summary of each data
+// centre from its first leader.
+func (t *Table) listSources(now time.Duration) []string {
+	var out []string
+	addFirst := func(list []string) {
+		for _, a := range list {
+			if a != t.self {
+				out = append(out, a)
+				return
+			}
+		}
+	}
+	addFirst(t.Leaders(now))
+	if t.IsLeader(now) {
+		addFirst(t.Hubs(now))
+	}
+	if t.HubRank(now) >= 0 {
+		for _, leaders := range t.rolesAt(now).leaders {
+			addFirst(leaders[:1])
+		}
+	}
+	return out
+}
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -105,7 +106,7 @@
 			out = append(out, s.Summary)
 		}
 	}
-	slices.SortFunc(out, func(a, b Summary) int { return compareStrings(a.DataCentre, b.DataCentre) })
+	slices.SortFunc(out, func(a, b Summary) int { return strings.Compare(a.DataCentre, b.DataCentre) })
 	return out
 }
 
@@ -146,6 +147,6 @@
 			v.Usable = append(v.Usable, Instance{a, dc})
 		}
 	}
-	slices.SortFunc(v.Usable, func(a, b Instance) int { return compareStrings(a.DataAddress, b.DataAddress) })
+	slices.SortFunc(v.Usable, func(a, b Instance) int { return strings.Compare(a.DataAddress, b.DataAddress) })
 	return v
 }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -196,12 +196,10 @@
 			out = append(out, m.Member)
 		}
 	}
-	slices.SortFunc(out, func(a, b Member) int { return compareStrings(a.Address, b.Address) })
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Address, b.Address) })
 	return out
 }
 
-func compareStrings(a, b string) int { return strings.Compare(a, b) }
-
 // sameDataCentre reports whether a member is known to be in this instance's
 // data centre.
 func (t *Table) sameDataCentre(address string) bool {
