--- a/health/tracker.go
+++ b/health/tracker.go
@@ -165,7 +165,6 @@
 		u := &t.upstreams[i]
 		if t.State(i) == Ejected && now >= u.ejectedUntil {
 			t.setState(now, i, Trial)
-			u.succeededTrials = 0
 		}
 		if t.State(i) == Trial && !u.trialInFlight && now >= u.ejectedUntil {
 			return i, true
@@ -300,7 +299,7 @@
 // latencies, so that evidence from before the change does not count again.
 func (t *Tracker) setState(now time.Duration, i int, s State) {
 	u := &t.upstreams[i]
-	u.state, u.stateSince, u.trialInFlight = s, now, false
+	u.state, u.stateSince, u.trialInFlight, u.succeededTrials = s, now, false, 0
 	u.errors, u.latency = errorCount{}, latencyWindow{}
 	t.version++
 	t.recount()
--- a/health/tracker_test.go
+++ b/health/tracker_test.go
@@ -179,6 +179,44 @@
 	}
 }
 
+// TestReturnedUpstreamNeedsAllTrials checks that an upstream that returns after it
+// left must succeed in as many trials as any other: one that succeeded before it
+// left does not count.
+func TestReturnedUpstreamNeedsAllTrials(t *testing.T) {
+	tr := New(10)
+	for range consecutiveFailures {
+		tr.Finished(0, 3, balance.Done{Failed: true})
+	}
+	now := baseEjectionTime
+	trial := func() {
+		t.Helper()
+		if i, ok := tr.Trial(now); !ok || i != 3 {
+			t.Fatalf("at %v: Trial returned %d, %v; want upstream 3", now, i, ok)
+		}
+		tr.Sent(3)
+		tr.Finished(now, 3, balance.Done{Latency: time.Millisecond})
+	}
+	trial()
+	tr.MarkLeaving(now, 3)
+	for range downProbes {
+		tr.Probed(now, 3, nil)
+	}
+	now += minLeaving
+	for range upProbes {
+		tr.Probed(now, 3, &balance.Load{})
+	}
+	for n := 1; n < requiredTrials; n++ {
+		trial()
+		if tr.State(3) != Trial {
+			t.Fatalf("state %v after %d of %d trials since its return", tr.State(3), n, requiredTrials)
+		}
+	}
+	trial()
+	if tr.State(3) != Cold {
+		t.Errorf("state %v after all trials, want cold", tr.State(3))
+	}
+}
+
 // TestLatencyOutlierEjection checks that an upstream that is a latency outlier in
 // consecutive windows is ejected, and one that is an outlier in a single window
 // is not.
