--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -179,6 +179,13 @@
 // newTestGatewayWithoutInstances returns a gateway that knows no instance for
 // lookups.
 func newTestGatewayWithoutInstances(t *testing.T) *testGateway {
+	t.Helper()
+	return startTestGateway(t, testStop)
+}
+
+// startTestGateway returns a gateway whose planned stop may take as long as
+// stopLimit.
+func startTestGateway(t *testing.T, stopLimit time.Duration) *testGateway {
 	t.Helper()
 	began := time.Now()
 	g := New(Options{
@@ -195,7 +202,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	tg := &testGateway{t: t, g: g, addr: lns.Data.Addr().String(), auxAddr: lns.Ready.Addr().String(), stop: stop, done: make(chan error, 1)}
-	go func() { tg.done <- g.Run(ctx, lns, testStop) }()
+	go func() { tg.done <- g.Run(ctx, lns, stopLimit) }()
 	t.Cleanup(func() {
 		stop()
 		if err := <-tg.done; err != nil {
