Log and count the rate limits that upstreams name

Neither logs nor metrics showed the limit, so hypotheses could not be told apart. Replies of requests and health checks are now read for the limit: a line for each change, the limit known at the time of a request in its last line, two counters. No decision uses it yet.

--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -19,6 +19,7 @@
 type evidenceEntry struct {
 	incarnation discovery.Upstream
 	evidence    pick.Evidence
+	rateLimit   rateLimit
 }
 
 func newEvidenceTable() *evidenceTable { return &evidenceTable{byID: map[string]*evidenceEntry{}} }
@@ -28,12 +29,34 @@
 func (e *evidenceTable) update(u *discovery.Upstream, fn func(*pick.Evidence)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	fn(&e.entry(u).evidence)
+}
+
+// entry returns the entry of u. The caller holds the lock.
+func (e *evidenceTable) entry(u *discovery.Upstream) *evidenceEntry {
 	entry := e.byID[u.ID]
 	if entry == nil || !entry.incarnation.SameIncarnation(u) {
 		entry = &evidenceEntry{incarnation: *u}
 		e.byID[u.ID] = entry
 	}
-	fn(&entry.evidence)
+	return entry
+}
+
+// setRateLimit sets the rate limit of u and reports whether it changed.
+func (e *evidenceTable) setRateLimit(u *discovery.Upstream, limit rateLimit) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	entry := e.entry(u)
+	changed := entry.rateLimit != limit
+	entry.rateLimit = limit
+	return changed
+}
+
+// rateLimitOf returns the rate limit of u.
+func (e *evidenceTable) rateLimitOf(u *discovery.Upstream) rateLimit {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.entry(u).rateLimit
 }
 
 // prospect returns the evidence about u before it is probed.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,20 +15,24 @@
 	probes       gometrics.Counter
 	probesFailed gometrics.Counter
 	strayReplies gometrics.Counter
-	hedges       gometrics.Counter
-	handoffs     gometrics.Counter
-	lookups      gometrics.Counter
-	warnings     gometrics.Counter
-	logFailures  gometrics.Counter
-	panics       gometrics.Counter
-	latency      gometrics.Histogram
+	// rateLimitChanges counts changes of upstreams' rate limits, limitedSends
+	// the attempts sent to an upstream that names one.
+	rateLimitChanges, limitedSends gometrics.Counter
+	hedges                         gometrics.Counter
+	handoffs                       gometrics.Counter
+	lookups                        gometrics.Counter
+	warnings                       gometrics.Counter
+	logFailures                    gometrics.Counter
+	panics                         gometrics.Counter
+	latency                        gometrics.Histogram
 }
 
 func newMetricSet(registry gometrics.Registry) *metricSet {
 	c := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter(name, registry) }
 	m := &metricSet{
 		registry: registry, connsOpened: c("upstream_connections_opened_total"), probes: c("probes_total"), probesFailed: c("probes_failed_total"),
-		strayReplies: c("stray_replies_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
+		strayReplies:     c("stray_replies_total"),
+		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
 		logFailures: c("log_failures_total"), panics: c("panics_total"), latency: metrics.NewHistogram(),
 	}
 	registry.GetOrRegister("request_duration_us", m.latency)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -29,6 +29,11 @@
 	// Load holds an upstream's load report, which ParseLoad decodes.
 	Load      string
 	ParseLoad func(string) (pick.Report, error)
+	// RateLimit holds the requests a second that an upstream takes from all
+	// instances together, which ParseRateLimit decodes. A reply without it sets
+	// no limit.
+	RateLimit      string
+	ParseRateLimit func(string) (float64, error)
 	// LookupDataCentre is the query parameter of a lookup that holds the caller's
 	// data centre. EncodeLookup encodes the body of the response.
 	LookupDataCentre string
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -71,6 +71,9 @@
 		if r := res.try.report; r != nil {
 			kv = append(kv, "running", r.Running, "waiting", r.Waiting, "pace", r.Pace)
 		}
+		if l := res.try.rateLimit; l.named {
+			kv = append(kv, "rate_limit", l.perSecond)
+		}
 	case resultCallerLeft:
 		c.ctx.SetConnectionClose()
 	default:
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +33,7 @@
 		RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectUpstream: "Expect-Upstream", UpstreamID: "Upstream-Id",
 		NotRun: "Not-Run", Signature: "Signature", Load: "Load", LookupDataCentre: "place", LookupPath: "/lookup", ReadyPath: "/ready",
 		EncodeLookup: func(addresses []string, _ time.Duration) ([]byte, error) { return json.Marshal(addresses) },
+		RateLimit:    "Rate-Limit", ParseRateLimit: func(s string) (float64, error) { return strconv.ParseFloat(s, 64) },
 		ParseLoad: func(s string) (r pick.Report, err error) {
 			var percent float64
 			n, err := fmt.Sscanf(s, "%d,%d,%d,%f", &r.Running, &r.Waiting, &r.Slots, &percent)
@@ -60,6 +62,7 @@
 
 	mu           sync.Mutex
 	load         string
+	rateLimit    string // named in all replies, unless empty
 	do           behaviour
 	runs         map[string]int
 	bodies       []string
@@ -105,7 +108,7 @@
 			s.mu.Lock()
 			load := s.load
 			s.mu.Unlock()
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%sContent-Length: 0\r\n\r\n", s.id, load, end)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%s%sContent-Length: 0\r\n\r\n", s.id, load, s.limitHeader(), end)
 			if s.closesAfterHealth {
 				return
 			}
@@ -137,6 +140,23 @@
 	s.load = load
 }
 
+// setRateLimit sets the limit that all replies name.
+func (s *stub) setRateLimit(perSecond string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rateLimit = perSecond
+}
+
+// limitHeader returns the header line that names the rate limit.
+func (s *stub) limitHeader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rateLimit == "" {
+		return ""
+	}
+	return "Rate-Limit: " + s.rateLimit + "\r\n"
+}
+
 // run records that the stub ran the request, and returns its ID.
 func (s *stub) run(r *http.Request) string {
 	id := r.Header.Get("Request-Id")
@@ -155,7 +175,7 @@
 func answerOK(s *stub, c net.Conn, r *http.Request, body string) bool {
 	id := s.run(r)
 	text := "answer to " + id + " " + body
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: %s\r\nContent-Length: %d\r\n\r\n%s", id, s.id, len(text), text)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, s.id, s.limitHeader(), len(text), text)
 	return true
 }
 
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -44,6 +44,8 @@
 	upstream  *discovery.Upstream
 	reason    string
 	startedAt time.Duration
+	// rateLimit is the upstream's rate limit at that time.
+	rateLimit rateLimit
 
 	mu        sync.Mutex
 	cn        *conn
@@ -81,6 +83,9 @@
 	c.tries = append(c.tries, t)
 	c.tried[t.upstream.ID] = true
 	c.g.evidence.update(t.upstream, (*pick.Evidence).Sent)
+	if t.rateLimit = c.g.evidence.rateLimitOf(t.upstream); t.rateLimit.named {
+		c.g.metrics.limitedSends.Inc(1)
+	}
 	if reason != "" {
 		c.log("additional attempt started", "why", reason, "upstream", t.upstream.ID, "cost", ch.cost, "known", ch.known)
 	}
@@ -121,6 +126,9 @@
 	sent := g.now()
 	t.wrote, t.err = g.exchange(cn, cn.writeBuf, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp, t.memory)
 	t.took = g.now() - sent
+	if t.err == nil {
+		g.recordRateLimit(t.upstream, t.resp)
+	}
 	if !t.clearConn() || t.err != nil {
 		cn.Close()
 		return
