Divide the rate limits that upstreams name among the instances

Callers saw nothing; the upstreams in need carried what they had asked to be spared.

Class of fault: a limit on the sum over all instances that none sees by its own count.

Change: package quota. A few instances, chosen by rendezvous hash from each instance's view of the fleet, hold equal parts and send at even intervals. Health replies name the limit, so it is known before the first send. What no limit admits is refused at once, with the time at which there is a chance.

The ranking hash moves to internal/rendezvous, shared with balance.

--- a/balance/connections.go
+++ b/balance/connections.go
@@ -1,8 +1,6 @@
 package balance
 
-import (
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/catkinrouter/catkinrouter/internal/rendezvous"
 
 const (
 	// subsetConnections is the number of connections that an entry needs to use
@@ -48,25 +46,9 @@
 	if len(f.Live) == 0 {
 		rank = n
 	}
-	self := f.hash(f.Self, upstream)
-	for _, id := range f.Live {
-		if id != f.Self && ranksBefore(f.hash(id, upstream), self, id, f.Self) {
-			rank++
-		}
-	}
+	rank += rendezvous.Rank(f.Self, f.Live, upstream, len(f.Live))
 	if rank < subsetSize {
 		return subsetConnections, true
 	}
 	return part, false
 }
-
-func ranksBefore(a, b uint64, idA, idB string) bool { return a > b || a == b && idA < idB }
-
-func (f Fleet) hash(entry, upstream string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(entry)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(upstream)
-	return d.Sum64()
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -235,7 +235,7 @@
 	if v := f.table.Version(); v != f.notifiedVersion {
 		f.notifiedVersion = v
 		view := f.table.View()
-		f.live = view.Live
+		f.live = view.Live()
 		f.listener.MembersChanged(f.opt.Now(), view)
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -41,7 +41,7 @@
 func (l *recordingListener) MembersChanged(_ time.Duration, v View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.live = v.Live
+	l.live = v.Live()
 }
 
 func (l *recordingListener) WarningReceived(_ time.Duration, w Warning) {
--- a/fleet/simulatedfleet_test.go
+++ b/fleet/simulatedfleet_test.go
@@ -166,8 +166,8 @@
 	t.Helper()
 	running := s.running()
 	for _, in := range running {
-		if in.view.Live != len(running) {
-			t.Errorf("%s: %s sees %d live instances of %d", what, in.info.Address, in.view.Live, len(running))
+		if in.view.Live() != len(running) {
+			t.Errorf("%s: %s sees %d live instances of %d", what, in.info.Address, in.view.Live(), len(running))
 		}
 	}
 }
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -118,22 +118,31 @@
 
 // View is what an instance knows of the fleet.
 type View struct {
-	// Live is the number of live instances in all data centres.
-	Live int
+	// LiveIn is the number of live instances of each data centre.
+	LiveIn map[string]int
 	// Usable holds the instances that callers may use: all of this data centre
 	// and some of each other one.
 	Usable []Instance
 }
 
+// Live returns the number of live instances of all data centres.
+func (v View) Live() int {
+	n := 0
+	for _, live := range v.LiveIn {
+		n += live
+	}
+	return n
+}
+
 // View returns the current view, with Usable sorted by address.
 func (t *Table) View() View {
 	own := t.members[t.self].DataCentre
-	var v View
+	v := View{LiveIn: map[string]int{}}
 	for _, m := range t.members {
 		if !m.infoKnown || m.Silent || m.DataCentre != own {
 			continue
 		}
-		v.Live++
+		v.LiveIn[own]++
 		if m.usable() {
 			v.Usable = append(v.Usable, Instance{m.DataAddress, own})
 		}
@@ -142,7 +151,7 @@
 		if dc == own {
 			continue
 		}
-		v.Live += s.Live
+		v.LiveIn[dc] = s.Live
 		for _, a := range s.Usable {
 			v.Usable = append(v.Usable, Instance{a, dc})
 		}
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -31,7 +31,7 @@
 }
 
 // live returns the number of members of the table that are not silent.
-func live(t *Table) int { return t.View().Live }
+func live(t *Table) int { return t.View().Live() }
 
 // Of instances with equal capacity the lowest addresses, compared as numbers, are
 // chosen; more capacity goes before the address.
@@ -74,7 +74,7 @@
 	if n := len(table.members); n != 2+leaderCount {
 		t.Errorf("%d members kept, want this instance, its neighbour and %d leaders", n, leaderCount)
 	}
-	if v := table.View(); v.Live != 22 || len(v.Usable) != 3 {
+	if v := table.View(); v.Live() != 22 || len(v.Usable) != 3 {
 		t.Errorf("view %+v: want 22 live, of which 3 can be given to callers", v)
 	}
 }
@@ -115,7 +115,7 @@
 	for end := now + 3*memberTimeout; now < end; now += HeartbeatInterval {
 		table.Tick(now)
 	}
-	if v := table.View(); v.Live != 1 {
+	if v := table.View(); v.Live() != 1 {
 		t.Errorf("view %+v still counts the unreachable data centre", v)
 	}
 }
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/discovery"
+)
 
 // Times of a call while no upstream has a free slot.
 const (
@@ -19,10 +24,13 @@
 func (c *call) admit() (choice, callResult, bool) {
 	var ch choice
 	limit := c.arrived + time.Duration(queueTargetShare*float64(c.route.TargetLatency))
+	found := false
 	if c.g.now() >= limit || !c.g.queue.mustWait(c.service.Name, c.route.Priority) {
-		var ok bool
-		if ch, ok = c.g.pickUpstream(c); !ok {
-			return ch, c.failureResult("no-upstream"), false
+		ch, found = c.g.pickUpstream(c)
+	}
+	if !found {
+		if reason := c.cannotWait(limit); reason != "" {
+			return ch, c.failureResult(reason), false
 		}
 	}
 	if !c.hasRoom(&ch) && !c.healthUnknown(&ch) {
@@ -30,16 +38,40 @@
 	}
 	switch {
 	case c.callerLeft():
-		c.g.releaseConn(ch)
+		c.g.releaseChoice(ch)
 		return ch, callerLeftResult, false
 	case c.hasRoom(&ch) || c.mayQueueAtUpstream(&ch):
 		return ch, callResult{}, true
 	}
 	c.logNoRoom(ch)
-	c.g.releaseConn(ch)
+	c.g.releaseChoice(ch)
 	return ch, c.failureResult("no-room"), false
 }
 
+// cannotWait returns why no upstream can get the call before limit, or an empty
+// string if one may.
+func (c *call) cannotWait(limit time.Duration) string {
+	if !c.hasUntried() {
+		return "no-upstream"
+	}
+	due, limited := c.rateLimitedUntil(c.g.queue.ahead(c.service.Name, c.route.Priority))
+	if limited && due >= limit {
+		return "rate-limited"
+	}
+	return ""
+}
+
+// hasUntried reports whether there is an upstream to which the call has not been
+// sent.
+func (c *call) hasUntried() bool {
+	return slices.ContainsFunc(c.upstreams(), func(u *discovery.Upstream) bool { return !c.tried[u.ID] })
+}
+
+// upstreams returns the upstreams of the call's service.
+func (c *call) upstreams() []*discovery.Upstream {
+	return c.g.snapshot.Load().upstreams[c.service.Name]
+}
+
 // healthUnknown reports whether the chosen upstream did not answer the probe
 // although nothing indicates that the service is full. The fault then lies in
 // its health path.
@@ -73,11 +105,11 @@
 		select {
 		case next := <-w.slot:
 			if c.tried[next.probeResult.upstream.ID] {
-				c.g.releaseConn(next)
+				c.g.releaseChoice(next)
 				w = c.g.queue.enqueue(c.service.Name, c.route.Priority)
 				continue
 			}
-			c.g.releaseConn(ch)
+			c.g.releaseChoice(ch)
 			return next
 		case <-time.After(min(queuePollInterval, limit-c.g.now())):
 			if !c.g.queue.isFirst(c.service.Name, w) {
@@ -89,7 +121,7 @@
 		}
 	}
 	if next, handedOff := c.g.queue.remove(c.service.Name, w); handedOff {
-		c.g.releaseConn(next)
+		c.g.releaseChoice(next)
 	}
 	return ch
 }
@@ -122,7 +154,7 @@
 // logNoRoom logs the evidence on which the call was refused.
 func (c *call) logNoRoom(ch choice) {
 	if ch.upstream == nil {
-		c.log("no upstream with room", "reason", "waited behind other calls")
+		c.log("no upstream with room", "reason", "waited behind other calls or for rate limits")
 		return
 	}
 	kv := []any{"upstream", ch.upstream.ID, "known", ch.known, "delay", ch.delay}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -163,7 +163,7 @@
 		return
 	}
 	if ch.report == nil || ch.report.NearlyFull(ch.sentSince) || ch.report.Pace > maxHedgePace || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.route.Priority) {
-		c.g.releaseConn(ch)
+		c.g.releaseChoice(ch)
 		timer.Reset(hedgeRecheckDelay)
 		return
 	}
@@ -241,7 +241,18 @@
 	case c.mayHaveRun:
 		return callResult{kind: resultUnknown, status: fasthttp.StatusBadGateway, reason: reason}
 	}
-	return callResult{kind: resultRefused, status: fasthttp.StatusServiceUnavailable, reason: reason}
+	return callResult{kind: resultRefused, status: fasthttp.StatusServiceUnavailable, reason: reason, retryAfter: c.retryAfter()}
+}
+
+// retryAfter returns after how long a refused call has a chance: once this
+// instance may send to an upstream again, if rate limits prevent it, and 0 if
+// that can't be told.
+func (c *call) retryAfter() time.Duration {
+	until, limited := c.rateLimitedUntil(c.g.queue.ahead(c.service.Name, c.route.Priority))
+	if !limited || until == never {
+		return 0
+	}
+	return max(0, until-c.g.now())
 }
 
 // timeoutResult returns the result of a call that has reached its deadline.
--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -144,7 +144,7 @@
 	tg := newTestGatewayWithoutInstances(t)
 	tg.g.startupWait = time.Minute
 	tg.g.hooks.DataNeeded = func() {
-		time.AfterFunc(time.Millisecond, func() { tg.g.SetInstances([]Instance{{Address: tg.addr, DataCentre: "otavalo"}}, 1) })
+		time.AfterFunc(time.Millisecond, func() { tg.setFleet(tg) })
 	}
 	if st := get(t, tg.auxAddr, "/lookup?place=otavalo"); st != 200 {
 		t.Errorf("lookup status %d, want 200", st)
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -6,6 +6,7 @@
 
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/pick"
+	"github.com/catkinrouter/catkinrouter/quota"
 )
 
 // evidenceTable holds this instance's evidence about the upstreams, by
@@ -13,13 +14,15 @@
 type evidenceTable struct {
 	mu   sync.Mutex
 	byID map[string]*evidenceEntry
+	// fleet divides the upstreams' rate limits.
+	fleet quota.FleetView
 }
 
 // evidenceEntry is the evidence about one incarnation of an upstream.
 type evidenceEntry struct {
 	incarnation discovery.Upstream
 	evidence    pick.Evidence
-	rateLimit   rateLimit
+	bucket      quota.Bucket
 }
 
 func newEvidenceTable() *evidenceTable { return &evidenceTable{byID: map[string]*evidenceEntry{}} }
@@ -42,27 +45,14 @@
 	return entry
 }
 
-// setRateLimit sets the rate limit of u and reports whether it changed.
-func (e *evidenceTable) setRateLimit(u *discovery.Upstream, limit rateLimit) bool {
+// prospect returns the evidence about u before it is probed, and whether its
+// rate limit admits a request.
+func (e *evidenceTable) prospect(now time.Duration, u *discovery.Upstream) (pick.Prospect, quota.Admission) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	entry := e.entry(u)
-	changed := entry.rateLimit != limit
-	entry.rateLimit = limit
-	return changed
-}
-
-// rateLimitOf returns the rate limit of u.
-func (e *evidenceTable) rateLimitOf(u *discovery.Upstream) rateLimit {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.entry(u).rateLimit
-}
-
-// prospect returns the evidence about u before it is probed.
-func (e *evidenceTable) prospect(now time.Duration, u *discovery.Upstream) (p pick.Prospect) {
-	e.update(u, func(ev *pick.Evidence) { p.FailureRate, p.InBackoff = ev.FailureRate(now), ev.InBackoff(now) })
-	return p
+	p := pick.Prospect{FailureRate: entry.evidence.FailureRate(now), InBackoff: entry.evidence.InBackoff(now)}
+	return p, entry.bucket.Check(now, e.fleet.Division(now), u.ID)
 }
 
 func (e *evidenceTable) recordOutcome(now time.Duration, u *discovery.Upstream, failed bool, weight float64) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,13 +13,16 @@
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/internal/panics"
 	"github.com/catkinrouter/catkinrouter/pick"
+	"github.com/catkinrouter/catkinrouter/quota"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
 // Options are the fixed settings of a Gateway.
 type Options struct {
 	DataCentre string
-	Limits     Limits
+	// Address is the instance's own Instance.Address.
+	Address string
+	Limits  Limits
 	// MemoryBytes is the memory of the instance; 0 if it is not known.
 	MemoryBytes int64
 	Now         func() time.Duration
@@ -150,16 +153,37 @@
 // other instances' successes at the upstream are not reported.
 const remoteFailureWeight = 0.5
 
-// SetInstances sets the instances that callers may use, and the number of live
-// instances.
-func (g *Gateway) SetInstances(usable []Instance, liveCount int) {
-	g.instances.Store(&usable)
-	if len(usable) > 0 {
+// Fleet is the fleet as the instance sees it.
+type Fleet struct {
+	// Usable holds the instances that callers may use: all of this instance's
+	// data centre and some of each other one.
+	Usable []Instance
+	// Live is the number of live instances of each data centre.
+	Live map[string]int
+}
+
+// SetFleet sets the instances that callers may use, and the numbers of instances
+// among which the limits of the fleet are divided.
+func (g *Gateway) SetFleet(f Fleet) {
+	g.instances.Store(&f.Usable)
+	if len(f.Usable) > 0 {
 		g.instanceKnownOnce.Do(func() { close(g.instanceKnown) })
 	}
-	g.liveCount.Store(int64(liveCount))
-	g.retryBudgets.setInstances(g.now(), liveCount)
-	g.probeBudget.setCounts(0, liveCount)
+	live := 0
+	for _, n := range f.Live {
+		live += n
+	}
+	now := g.now()
+	g.liveCount.Store(int64(live))
+	g.retryBudgets.setInstances(now, live)
+	g.probeBudget.setCounts(0, live)
+	own := quota.Fleet{Self: g.opt.Address, DataCentre: g.opt.DataCentre, Live: f.Live}
+	for _, in := range f.Usable {
+		if in.DataCentre == own.DataCentre {
+			own.Usable = append(own.Usable, in.Address)
+		}
+	}
+	g.evidence.setFleet(now, own)
 }
 
 // SetLimits replaces the limits.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,15 +16,16 @@
 	probesFailed gometrics.Counter
 	strayReplies gometrics.Counter
 	// rateLimitChanges counts changes of upstreams' rate limits, limitedSends
-	// the attempts sent to an upstream that names one.
-	rateLimitChanges, limitedSends gometrics.Counter
-	hedges                         gometrics.Counter
-	handoffs                       gometrics.Counter
-	lookups                        gometrics.Counter
-	warnings                       gometrics.Counter
-	logFailures                    gometrics.Counter
-	panics                         gometrics.Counter
-	latency                        gometrics.Histogram
+	// the attempts sent to an upstream that names one, rateLimited the probed
+	// upstreams that were passed over for it.
+	rateLimitChanges, limitedSends, rateLimited gometrics.Counter
+	hedges                                      gometrics.Counter
+	handoffs                                    gometrics.Counter
+	lookups                                     gometrics.Counter
+	warnings                                    gometrics.Counter
+	logFailures                                 gometrics.Counter
+	panics                                      gometrics.Counter
+	latency                                     gometrics.Histogram
 }
 
 func newMetricSet(registry gometrics.Registry) *metricSet {
@@ -32,7 +33,7 @@
 	m := &metricSet{
 		registry: registry, connsOpened: c("upstream_connections_opened_total"), probes: c("probes_total"), probesFailed: c("probes_failed_total"),
 		strayReplies:     c("stray_replies_total"),
-		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
+		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"), rateLimited: c("rate_limited_passes_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
 		logFailures: c("log_failures_total"), panics: c("panics_total"), latency: metrics.NewHistogram(),
 	}
 	registry.GetOrRegister("request_duration_us", m.latency)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -5,6 +5,7 @@
 
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/pick"
+	"github.com/catkinrouter/catkinrouter/quota"
 )
 
 // probeRoundSizes are the numbers of upstreams probed in successive rounds. A
@@ -38,10 +39,14 @@
 	// sentSince counts this instance's requests to the upstream that the
 	// report does not include yet.
 	sentSince int
+	// rateLimit is the upstream's limit under which the choice was counted.
+	rateLimit quota.Limit
 }
 
-// releaseConn returns the connection of an unused choice to the pool.
-func (g *Gateway) releaseConn(ch choice) {
+// releaseChoice returns the connection of an unused choice to the pool, and what
+// was counted under the upstream's rate limit.
+func (g *Gateway) releaseChoice(ch choice) {
+	g.returnQuota(&ch)
 	if ch.conn != nil {
 		g.pool.put(ch.conn)
 	}
@@ -64,9 +69,9 @@
 }
 
 // pickUpstream picks an upstream of the service to which the call has not been
-// sent yet, and returns false if there is none. It probes few upstreams, those
-// in the same data centre first, and more of them while none has an acceptable
-// delay.
+// sent yet, and returns false if there is none that its rate limit admits. It
+// probes few upstreams, those in the same data centre first, and more of them
+// while none has an acceptable delay.
 func (g *Gateway) pickUpstream(c *call) (choice, bool) {
 	cands := g.candidates(c, true)
 	if len(cands.list) == 0 {
@@ -79,15 +84,30 @@
 	best := g.pickBest(choice{}, job, g.probeAll(cands.take(n), c.service.HealthPath))
 	best.known = n + inBackoff
 	for _, round := range probeRoundSizes[1:] {
-		more := min(cands.available, round)
-		if best.delay <= acceptable || more == 0 || !g.probeBudget.takeSpare(g.now(), more) {
+		if best.upstream != nil && best.delay <= acceptable {
+			break
+		}
+		more := g.furtherProbes(best, min(cands.available, round))
+		if more == 0 {
 			break
 		}
 		known := best.known + more
 		best = g.pickBest(best, job, g.probeAll(cands.take(more), c.service.HealthPath))
 		best.known = known
 	}
-	return best, true
+	return best, best.upstream != nil
+}
+
+// furtherProbes returns how many of n further probes may be sent: those that the
+// budget has to spare, and minProbes while rate limits have left no choice.
+func (g *Gateway) furtherProbes(best choice, n int) int {
+	switch {
+	case n == 0 || g.probeBudget.takeSpare(g.now(), n):
+		return n
+	case best.upstream == nil:
+		return g.probeBudget.take(g.now(), min(n, minProbes))
+	}
+	return 0
 }
 
 // probeFurther looks for a better upstream than ch in all data centres. It
@@ -98,7 +118,7 @@
 	if n == 0 || !g.probeBudget.takeSpare(g.now(), n) {
 		return ch, false
 	}
-	g.releaseConn(ch)
+	g.releaseChoice(ch)
 	best := g.pickBest(choice{}, g.job(c), g.probeAll(cands.take(n), c.service.HealthPath))
 	best.known = ch.known + n
 	return best, true
@@ -112,7 +132,8 @@
 }
 
 // pickBest returns the best of the probe results and the previous choice, and
-// returns the connections of the others to the pool.
+// releases the others. An upstream whose rate limit admits no request is never
+// chosen.
 func (g *Gateway) pickBest(best choice, job pick.Job, results []probeResult) choice {
 	now := g.now()
 	fullness, paces := g.estimates.fullnessOf(results[0].upstream.Service), g.estimates.pacesOf(results[0].upstream.Service)
@@ -136,38 +157,42 @@
 		}
 		delay := job.Delay(cand)
 		cost := delay + job.Risk(cand)
-		rejected := res
-		if best.upstream == nil || cost < best.cost {
-			rejected, best = best.probeResult, choice{probeResult: res, cost: cost, delay: delay, sentSince: cand.SentSince}
-		}
-		if rejected.conn != nil {
-			g.pool.put(rejected.conn)
+		rejected := choice{probeResult: res}
+		better := choice{probeResult: res, cost: cost, delay: delay, sentSince: cand.SentSince}
+		if (best.upstream == nil || cost < best.cost) && g.takeQuota(&better) {
+			rejected, best = best, better
 		}
+		g.releaseChoice(rejected)
 	}
 	return best
 }
 
 // candidates returns the upstreams of the call's service, except those to
-// which the call has been sent.
+// which the call has been sent and those whose rate limit admits no request. Of
+// these, one whose limit may be out of date is probed last.
 func (g *Gateway) candidates(c *call, localFirst bool) candidates {
-	all := g.snapshot.Load().upstreams[c.service.Name]
+	all := c.upstreams()
 	list := make([]*discovery.Upstream, 0, len(all))
+	prospects := make([]pick.Prospect, 0, len(all))
+	now, available := g.now(), 0
 	for _, u := range all {
-		if !c.tried[u.ID] {
-			list = append(list, u)
+		if c.tried[u.ID] {
+			continue
 		}
-	}
-	now := g.now()
-	out := candidates{list: make([]*discovery.Upstream, len(list))}
-	order := g.probeOrder(len(list), func(i int) pick.Prospect {
-		p := g.evidence.prospect(now, list[i])
-		p.Local = localFirst && list[i].DataCentre == g.opt.DataCentre
-		p.IdleConn = localFirst && g.pool.hasIdle(list[i].Address)
+		p, admission := g.evidence.prospect(now, u)
+		if !admission.Admitted && !admission.Recheck {
+			continue
+		}
+		p.InBackoff = p.InBackoff || !admission.Admitted
+		p.Local = localFirst && u.DataCentre == g.opt.DataCentre
+		p.IdleConn = localFirst && g.pool.hasIdle(u.Address)
 		if !p.InBackoff {
-			out.available++
+			available++
 		}
-		return p
-	})
+		list, prospects = append(list, u), append(prospects, p)
+	}
+	out := candidates{list: make([]*discovery.Upstream, len(list)), available: available}
+	order := g.probeOrder(len(list), func(i int) pick.Prospect { return prospects[i] })
 	for i, k := range order {
 		out.list[i] = list[k]
 	}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -49,6 +49,13 @@
 	return len(list) > 0 && list[0].priority <= priority
 }
 
+// empty reports whether no call of the service waits.
+func (q *waitQueue) empty(service string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.byService[service]) == 0
+}
+
 // isFirst reports whether w is the next call to get a slot.
 func (q *waitQueue) isFirst(service string, w *waiter) bool {
 	q.mu.Lock()
@@ -85,6 +92,33 @@
 	return true
 }
 
+// ahead returns the number of calls in the queue that are at least as urgent.
+func (q *waitQueue) ahead(service string, priority int) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for _, w := range q.byService[service] {
+		if w.priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
+// handOff gives a choice to the first queued call of the service, if there is one
+// and the upstream's rate limit admits it.
+func (g *Gateway) handOff(service string, ch choice) bool {
+	if g.queue.empty(service) || !g.takeQuota(&ch) {
+		return false
+	}
+	if !g.queue.handOff(service, ch) {
+		g.returnQuota(&ch)
+		return false
+	}
+	g.metrics.handoffs.Inc(1)
+	return true
+}
+
 // finishExchange records the load report of a reply as evidence. It hands the
 // connection to a queued call if the upstream has room, and otherwise returns
 // it to the pool, or closes it if the upstream does.
@@ -99,8 +133,7 @@
 		usable := room && r.Pace <= pick.AcceptableDelayFactor && !closes
 		healthy := t.resp.StatusCode() < fasthttp.StatusInternalServerError
 		next := choice{probeResult: probeResult{upstream: t.upstream, report: &r, conn: cn}, delay: c.work(), known: 1}
-		if usable && healthy && g.queue.handOff(c.service.Name, next) {
-			g.metrics.handoffs.Inc(1)
+		if usable && healthy && g.handOff(c.service.Name, next) {
 			return
 		}
 	}
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/quota"
 )
 
 // The limit that an upstream names is known from its health replies and answers
@@ -16,17 +19,19 @@
 	up := tg.g.snapshot.Load().upstreams[testService][0]
 	for _, step := range []struct {
 		header string
-		want   rateLimit
+		want   quota.Limit
 	}{
-		{"", rateLimit{}},
-		{"500", rateLimit{named: true, perSecond: 500}},
-		{"none", rateLimit{named: true, perSecond: 500}},
-		{"250.5", rateLimit{named: true, perSecond: 250.5}},
-		{"", rateLimit{}},
+		{"", quota.Limit{}},
+		{"500", quota.Limit{Named: true, PerSecond: 500}},
+		{"none", quota.Limit{Named: true, PerSecond: 500}},
+		{"250.5", quota.Limit{Named: true, PerSecond: 250.5}},
+		{"", quota.Limit{}},
 	} {
 		u.setRateLimit(step.header)
 		wantStatus(t, tg.call("GET", "/clue/1", "limit-"+step.header, ""), 200)
-		if got := tg.g.evidence.rateLimitOf(up); got != step.want {
+		var got quota.Limit
+		tg.g.evidence.withBucket(0, up, func(b *quota.Bucket, _ *quota.Division) { got = b.Limit() })
+		if got != step.want {
 			t.Errorf("after the header %q the limit is %+v, want %+v", step.header, got, step.want)
 		}
 	}
@@ -50,14 +55,13 @@
 	u.setRateLimit("4")
 	u.setLoad("0,0,100")
 	var gateways []*testGateway
-	var list []Instance
 	for range instances {
 		tg := newTestGateway(t)
 		tg.configure(2*time.Second, u)
-		gateways, list = append(gateways, tg), append(list, Instance{Address: tg.addr, DataCentre: "otavalo"})
+		gateways = append(gateways, tg)
 	}
 	for i, tg := range gateways {
-		tg.g.SetInstances(list, len(list))
+		tg.setFleet(gateways...)
 		tg.call("GET", "/clue/1", fmt.Sprint("first-", i), "") // tells the instance
 	}
 	var calls sync.WaitGroup
@@ -87,3 +91,39 @@
 		t.Errorf("%d requests in %v, the limit is hardly used; %d not run", ran, window, notRun)
 	}
 }
+
+// A call that no upstream's limit admits is refused at once, and told when there
+// is a chance; a lifted limit is noticed although no request is sent meanwhile.
+func TestRateLimitedCallIsRefusedAtOnce(t *testing.T) {
+	u := newStub(t, "u", answerOK)
+	u.setRateLimit("0.2")
+	tg := newTestGateway(t)
+	tg.configure(2*time.Second, u)
+	deadline := time.Now().Add(20 * time.Second)
+	for tg.call("GET", "/clue/1", "first", "").status != 200 { // the part of the limit that is due first
+		if time.Now().After(deadline) {
+			t.Fatal("the limit of 0.2 a second was never used")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	began := time.Now()
+	r := tg.call("GET", "/clue/1", "second", "")
+	wantStatus(t, r, 503)
+	if took := time.Since(began); took > 200*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+	if after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64); err != nil || after < 3 || after > 6 {
+		t.Errorf("Retry-After %q, want about the 5 s of 0.2 a second", r.header.Get("Retry-After"))
+	}
+	if n := u.runCount("second"); n > 0 {
+		t.Error("the request was refused as not run, but it ran")
+	}
+	u.setRateLimit("")
+	deadline = time.Now().Add(4 * time.Second)
+	for tg.call("GET", "/clue/1", "third", "").status != 200 {
+		if time.Now().After(deadline) {
+			t.Fatal("the lifted limit was not noticed")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -43,10 +43,12 @@
 	try    *try // set for resultAnswered
 	status int  // set for resultRefused and resultUnknown
 	reason string
+	// retryAfter is when a refused call has a chance, 0 if not known.
+	retryAfter time.Duration
 }
 
-// Retry-After of refusals: minRetryAfter plus a random part of
-// retryAfterJitter, so that refused callers do not come back at the same time.
+// Retry-After of refusals: minRetryAfter, or later if it is known that the call
+// has no chance before, plus a random part of retryAfterJitter, so that refused callers do not come back at the same time.
 const (
 	minRetryAfter    = 40 * time.Millisecond
 	retryAfterJitter = 60 * time.Millisecond
@@ -71,13 +73,13 @@
 		if r := res.try.report; r != nil {
 			kv = append(kv, "running", r.Running, "waiting", r.Waiting, "pace", r.Pace)
 		}
-		if l := res.try.rateLimit; l.named {
-			kv = append(kv, "rate_limit", l.perSecond)
+		if l := res.try.rateLimit; l.Named {
+			kv = append(kv, "rate_limit", l.PerSecond)
 		}
 	case resultCallerLeft:
 		c.ctx.SetConnectionClose()
 	default:
-		g.writeError(c.ctx, res.status, res.reason)
+		g.writeError(c.ctx, res.status, res.reason, res.retryAfter)
 		kv = append(kv, "status", res.status, "reason", res.reason)
 	}
 	c.log("request ended", kv...)
@@ -108,7 +110,7 @@
 // refuse rejects a request for which no call was created.
 func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, id string, status int, reason string) {
 	g.metrics.recordRefusal(reason)
-	g.writeError(ctx, status, reason)
+	g.writeError(ctx, status, reason, 0)
 	if err := level.Info(g.log).Log("msg", "request refused", "request", id, "host", string(ctx.Host()), "path", string(ctx.Path()),
 		"status", status, "reason", reason); err != nil {
 		g.metrics.logFailures.Inc(1)
@@ -118,13 +120,14 @@
 	}
 }
 
-// writeError writes a response that this instance generates itself.
-func (g *Gateway) writeError(ctx *fasthttp.RequestCtx, status int, reason string) {
+// writeError writes a response that this instance generates itself. A refused
+// caller is told to come back after retryAfter, 0 if that is not known.
+func (g *Gateway) writeError(ctx *fasthttp.RequestCtx, status int, reason string, retryAfter time.Duration) {
 	ctx.Response.Reset()
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("text/plain; charset=utf-8")
 	if status == fasthttp.StatusServiceUnavailable {
-		after := minRetryAfter + rand.N(retryAfterJitter)
+		after := max(minRetryAfter, retryAfter) + rand.N(retryAfterJitter)
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, fmt.Sprintf("%.2f", after.Seconds()))
 	}
 	ctx.SetBodyString(reason + "\n")
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -192,10 +192,19 @@
 func newTestGateway(t *testing.T) *testGateway {
 	t.Helper()
 	tg := newTestGatewayWithoutInstances(t)
-	tg.g.SetInstances([]Instance{{Address: tg.addr, DataCentre: "otavalo"}}, 1)
+	tg.setFleet(tg)
 	return tg
 }
 
+// setFleet sets the instances that the gateway knows.
+func (tg *testGateway) setFleet(members ...*testGateway) {
+	f := Fleet{Live: map[string]int{"otavalo": len(members)}}
+	for _, m := range members {
+		f.Usable = append(f.Usable, Instance{Address: m.addr, DataCentre: "otavalo"})
+	}
+	tg.g.SetFleet(f)
+}
+
 // newTestGatewayWithoutInstances returns a gateway that knows no instance for
 // lookups.
 func newTestGatewayWithoutInstances(t *testing.T) *testGateway {
@@ -208,18 +217,18 @@
 func startTestGateway(t *testing.T, stopLimit time.Duration) *testGateway {
 	t.Helper()
 	began := time.Now()
+	lns, err := Listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	g := New(Options{
-		DataCentre: "otavalo",
+		DataCentre: "otavalo", Address: lns.Data.Addr().String(),
 		Limits: Limits{
 			RetryBudget:       RetryBudgetOptions{Share: 1, Allowance: 100, Window: 10 * time.Second},
 			ProbesPerUpstream: 1000, MaxLookupTTL: 5 * time.Second,
 		},
 		Now: func() time.Duration { return time.Since(began) + time.Minute }, Seed: 1,
 	}, testProtocol(), log.NewNopLogger(), gometrics.NewRegistry())
-	lns, err := Listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, stop := context.WithCancel(context.Background())
 	tg := &testGateway{t: t, g: g, addr: lns.Data.Addr().String(), auxAddr: lns.Ready.Addr().String(), stop: stop, done: make(chan error, 1)}
 	go func() { tg.done <- g.Run(ctx, lns, stopLimit) }()
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -44,8 +44,6 @@
 	upstream  *discovery.Upstream
 	reason    string
 	startedAt time.Duration
-	// rateLimit is the upstream's rate limit at that time.
-	rateLimit rateLimit
 
 	mu        sync.Mutex
 	cn        *conn
@@ -83,7 +81,7 @@
 	c.tries = append(c.tries, t)
 	c.tried[t.upstream.ID] = true
 	c.g.evidence.update(t.upstream, (*pick.Evidence).Sent)
-	if t.rateLimit = c.g.evidence.rateLimitOf(t.upstream); t.rateLimit.named {
+	if t.rateLimit.Named {
 		c.g.metrics.limitedSends.Inc(1)
 	}
 	if reason != "" {
@@ -95,6 +93,9 @@
 			t.cancel()
 		}
 		c.g.evidence.update(t.upstream, (*pick.Evidence).Ended)
+		if !t.wrote {
+			c.g.returnQuota(&t.choice)
+		}
 		t.release(func() { t.finished = true })
 		c.finished <- t
 	}()
--- a/node/node.go
+++ b/node/node.go
@@ -76,7 +76,7 @@
 	}
 	n.guard = panics.Guard{Log: n.log, Count: gometrics.GetOrRegisterCounter("panics_total", n.registry)}
 	n.gateway = gateway.New(gateway.Options{
-		DataCentre: settings.DataCentre, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes, Now: n.now, Seed: seed,
+		DataCentre: settings.DataCentre, Address: settings.DataAddress, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes, Now: n.now, Seed: seed,
 	}, adapter.Protocol, logs.WithPart(l, "gateway"), n.registry)
 	n.gateway.SetHooks(gateway.Hooks{
 		UpstreamFailed: func(key uint64, weight float64) {
@@ -308,6 +308,6 @@
 	for i, in := range v.Usable {
 		usable[i] = gateway.Instance{Address: in.DataAddress, DataCentre: in.DataCentre}
 	}
-	level.Info(n.log).Log("msg", "members changed", "live", v.Live, "usable", len(usable))
-	n.gateway.SetInstances(usable, v.Live)
+	level.Info(n.log).Log("msg", "members changed", "live", v.Live(), "usable", len(usable))
+	n.gateway.SetFleet(gateway.Fleet{Usable: usable, Live: v.LiveIn})
 }
