Log the store's epoch and a store that is behind the copy

The logs showed neither the revision that the store is at nor that it was restored. Each response's epoch is read now; no decision uses it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -101,6 +101,8 @@
 	copy   *mirror.Mirror
 	reader reader
 	state  State
+	// storeEpoch is the store's epoch as this instance last read it.
+	storeEpoch int64
 	// memberVersions maps a peer's address to the version of its member list
 	// that was last merged.
 	memberVersions map[string]uint64
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -128,12 +128,25 @@
 	} else {
 		f.reader.fullReadDue = false
 	}
+	f.logEpoch(d)
 	f.apply(now, d, confirmedAt, SourceStore)
 	if c.kind == callWatch && len(d.Items) > 0 {
 		f.reader.delayNextRead(now, c.rank)
 	}
 }
 
+// logEpoch logs that the store came back from a copy, or that it is at an older
+// revision than this instance's copy.
+func (f *Fleet) logEpoch(d mirror.Delta) {
+	if d.Epoch != f.storeEpoch {
+		level.Info(f.opt.Log).Log("msg", "store epoch changed", "before", f.storeEpoch, "epoch", d.Epoch, "revision", d.Revision, "copy_revision", f.copy.Revision())
+		f.storeEpoch = d.Epoch
+	}
+	if d.Revision < f.copy.Revision() {
+		level.Warn(f.opt.Log).Log("msg", "store is behind the copy", "epoch", d.Epoch, "revision", d.Revision, "copy_revision", f.copy.Revision(), "items", len(d.Items))
+	}
+}
+
 func outcomeOf(err error) string {
 	var e *store.Error
 	if errors.As(err, &e) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,7 +21,10 @@
 	Base     int64
 	Full     bool
 	Revision int64
-	Items    []Item
+	// Epoch is the number of times that the store had come back from a copy when
+	// it sent the delta.
+	Epoch int64
+	Items []Item
 }
 
 // Append returns d followed by next, a delta after d's revision, with only the
