Reproduce that changes are missed after the store came back from a copy

The stand-in's store keeps backups, comes back from them and names its epoch in each response. Three nodes then answer 404 on a route that was written after it, and never use an upstream that registers after it.

--- a/standin/kv.go
+++ b/standin/kv.go
@@ -23,6 +23,9 @@
 	kvLeaseEndPath  = "/v1/kv-lease-end/"
 )
 
+// kvEpochHeader holds the store's epoch in each response.
+const kvEpochHeader = "Store-Era"
+
 // KVFaults are the faults to inject into a KV; the zero value injects none.
 type KVFaults struct {
 	// Status, if not 0, is the status of every response, such as 503 or 429.
@@ -105,6 +108,13 @@
 // from an earlier revision gets status 410.
 func (k *KV) CompactHistory() { k.store.compact() }
 
+// Backup returns a copy of the store's state.
+func (k *KV) Backup() Backup { return k.store.backup() }
+
+// Restore returns the store to the state of b, as if it came back from that copy
+// after an outage.
+func (k *KV) Restore(b Backup) { k.store.restore(b) }
+
 // Put writes a key without a condition, as operators and upstreams do.
 func (k *KV) Put(key string, value []byte) { k.store.set(key, value) }
 
@@ -148,6 +158,7 @@
 }
 
 func (k *KV) route(ctx *fasthttp.RequestCtx, f KVFaults) {
+	defer func() { ctx.Response.Header.Set(kvEpochHeader, strconv.FormatInt(k.store.currentEpoch(), 10)) }()
 	path := string(ctx.Path())
 	switch {
 	case path == kvKeyPath:
--- a/standin/store.go
+++ b/standin/store.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -16,8 +17,10 @@
 // counter for all, leases and a history of changes. It is safe for concurrent
 // use.
 type Store struct {
-	mu                sync.Mutex
-	revision          int64
+	mu       sync.Mutex
+	revision int64
+	// epoch is one more than the number of restorations.
+	epoch             int64
 	items             map[string]kvItem
 	leases            map[int64]*lease
 	changeLog         []kvItem // changes after compactedRevision, oldest first
@@ -34,7 +37,7 @@
 // NewStore returns an empty Store with the clock now.
 func NewStore(now func() time.Time) *Store {
 	return &Store{
-		revision: 1, items: map[string]kvItem{}, leases: map[int64]*lease{},
+		revision: 1, epoch: 1, items: map[string]kvItem{}, leases: map[int64]*lease{},
 		changed: make(chan struct{}), now: now,
 	}
 }
@@ -230,7 +233,7 @@
 	events   []kvItem
 	revision int64
 	// compacted is set if the history no longer holds all changes after the
-	// revision of the watch.
+	// revision of the watch, or never had that revision.
 	compacted bool
 	// changed closes when any key changes or the history is dropped.
 	changed <-chan struct{}
@@ -241,7 +244,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	h := watchResult{revision: s.revision, compacted: after < s.compactedRevision, changed: s.changed}
+	h := watchResult{revision: s.revision, compacted: after < s.compactedRevision || after > s.revision, changed: s.changed}
 	for _, it := range s.changeLog {
 		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
 			h.events = append(h.events, it)
@@ -258,6 +261,44 @@
 	s.notify()
 }
 
+// Backup is a copy of a Store's state.
+type Backup struct {
+	revision int64
+	items    map[string]kvItem
+	leases   map[int64]lease
+}
+
+func (s *Store) backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := Backup{revision: s.revision, items: maps.Clone(s.items), leases: map[int64]lease{}}
+	for id, l := range s.leases {
+		b.leases[id] = *l
+	}
+	return b
+}
+
+// restore returns the store to the state of b. What was written since is lost and
+// revisions are given out again; the history begins at b, and the epoch rises.
+func (s *Store) restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.items, s.epoch = b.revision, maps.Clone(b.items), s.epoch+1
+	s.compactedRevision, s.changeLog = b.revision, nil
+	s.leases = map[int64]*lease{}
+	for id, l := range b.leases {
+		s.leases[id] = &lease{ttl: l.ttl, expires: s.now().Add(l.ttl)}
+	}
+	s.notify()
+}
+
+// currentEpoch returns the epoch.
+func (s *Store) currentEpoch() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
 // Watch waits until key has a revision above after and returns its value. It
 // returns false if done closes first.
 func (s *Store) Watch(key string, after int64, done <-chan struct{}) (store.Value, bool) {
