Order the store's revisions across its return from an older copy

Cause: the code took the store's revision for a number that never goes back. Each copy was ahead of the store, so what it read was dropped as older, and a watch from its revision waited for what comes after the change it lacked. Class of fault: an order over numbers whose issuer can start again.

Change: store.Revision holds the epoch that the store names in each response above its count. A rise of the epoch ends an outage, however short. Last entries of upstreams that left are remembered for a minute. Why it works: of two revisions the later one is higher everywhere, so replica, heartbeats and syncs need no rule of their own; what an older copy should not have is told by the writers' own versions and sequences.

Heartbeats have a new format: instances of the build before don't talk to these, both read the store.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -4,6 +4,8 @@
 
 import (
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Upstream is one incarnation of an upstream, as described by the entry with
@@ -26,7 +28,7 @@
 	Sequence int64
 	// Revision is the store's revision of the entry, ReceivedAt the time at
 	// which this process received it.
-	Revision   int64
+	Revision   store.Revision
 	ReceivedAt time.Duration
 }
 
@@ -35,6 +37,11 @@
 	return u.ID == o.ID && u.StartUnixMilli == o.StartUnixMilli && u.Address == o.Address
 }
 
+// writtenBefore reports whether the upstream wrote the entry u before o.
+func (u *Upstream) writtenBefore(o *Upstream) bool {
+	return u.StartUnixMilli < o.StartUnixMilli || u.StartUnixMilli == o.StartUnixMilli && u.Sequence < o.Sequence
+}
+
 // recoveryGrace is how long after a store outage an upstream stays in use without
 // an entry, so that it can register again: entries expire during an outage.
 const recoveryGrace = 2 * time.Second
@@ -59,24 +66,42 @@
 	// keepUntil maps the IDs of upstreams in use without an entry to the time
 	// at which Expire removes them.
 	keepUntil map[string]time.Duration
+	// departed holds the last entries of upstreams whose entry was removed, for
+	// departedMemory.
+	departed map[string]departure
 	// recoveredAt is when the last store outage ended, if there was one.
 	recoveredAt time.Duration
 	hadOutage   bool
 }
 
+// departure is the last entry of an upstream and when it was removed.
+type departure struct {
+	last *Upstream
+	at   time.Duration
+}
+
+// departedMemory is how long the entries of upstreams that left are remembered. The
+// store may come back from a copy that still has them; such a copy is seconds old.
+const departedMemory = time.Minute
+
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{upstreams: map[string]*Upstream{}, keepUntil: map[string]time.Duration{}}
+	return &Registry{upstreams: map[string]*Upstream{}, keepUntil: map[string]time.Duration{}, departed: map[string]departure{}}
 }
 
 // Put adds or updates an upstream. It ignores an entry of an older incarnation,
 // or with a lower sequence of the same one, if the entry's store revision is
-// newer: such an entry was written late.
+// newer: such an entry was written late, or is in an older copy from which the
+// store came back. So is the last entry of an upstream that left, in a later epoch.
 func (r *Registry) Put(u *Upstream) Change {
 	old := r.upstreams[u.ID]
-	if old != nil && (u.StartUnixMilli < old.StartUnixMilli || u.StartUnixMilli == old.StartUnixMilli && u.Sequence < old.Sequence) && old.Revision < u.Revision {
+	if old != nil && u.writtenBefore(old) && old.Revision < u.Revision {
+		return Ignored
+	}
+	if d, left := r.departed[u.ID]; left && old == nil && !d.last.writtenBefore(u) && d.last.Revision.Epoch() < u.Revision.Epoch() {
 		return Ignored
 	}
+	delete(r.departed, u.ID)
 	delete(r.keepUntil, u.ID)
 	r.upstreams[u.ID] = u
 	switch {
@@ -102,6 +127,7 @@
 	}
 	delete(r.upstreams, id)
 	delete(r.keepUntil, id)
+	r.departed[id] = departure{old, now}
 	return Gone
 }
 
@@ -112,6 +138,11 @@
 // Expire removes the upstreams that did not register again within recoveryGrace
 // after a store outage, and returns their IDs.
 func (r *Registry) Expire(now time.Duration) []string {
+	for id, d := range r.departed {
+		if now-d.at >= departedMemory {
+			delete(r.departed, id)
+		}
+	}
 	var removed []string
 	for id, until := range r.keepUntil {
 		if now >= until {
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -3,9 +3,11 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
-func entry(id string, start, sequence, revision int64) *Upstream {
+func entry(id string, start, sequence int64, revision store.Revision) *Upstream {
 	return &Upstream{ID: id, Service: "pistas", Address: "10.0.0.1:80", Slots: 6, StartUnixMilli: start, Sequence: sequence, Revision: revision}
 }
 
@@ -70,3 +72,49 @@
 		t.Errorf("removed later: %s", c)
 	}
 }
+
+// An upstream that had left was used again, since the store came back from a copy
+// that still had its entry.
+func TestDepartedUpstreamIsNotUsedAgain(t *testing.T) {
+	before, after := store.NewRevision(1, 40), store.NewRevision(2, 12)
+	for _, c := range []struct {
+		what string
+		back *Upstream
+		want Change
+	}{
+		{"the same entry", entry("a", 100, 5, after), Ignored},
+		{"an earlier entry", entry("a", 100, 3, after), Ignored},
+		{"an earlier incarnation", entry("a", 50, 9, after), Ignored},
+		{"a later entry: it lives", entry("a", 100, 6, after), Added},
+		{"a later incarnation", entry("a", 200, 1, after), Added},
+		{"the same entry in the same epoch: it lives", entry("a", 100, 5, before+3), Added},
+	} {
+		r := New()
+		r.Put(entry("a", 100, 5, before))
+		if got := r.Remove(time.Second, "a"); got != Gone {
+			t.Fatalf("removal: %s", got)
+		}
+		if got := r.Put(c.back); got != c.want {
+			t.Errorf("%s: %s, want %s", c.what, got, c.want)
+		}
+	}
+	r := New()
+	r.Put(entry("a", 100, 5, before))
+	r.Remove(time.Second, "a")
+	r.Expire(time.Second + departedMemory)
+	if len(r.departed) > 0 {
+		t.Error("departed upstreams are remembered for good")
+	}
+}
+
+// A draining upstream got requests again after the store came back from a copy in
+// which it was ready.
+func TestDrainingSurvivesAnOlderCopy(t *testing.T) {
+	r := New()
+	u := entry("a", 100, 7, store.NewRevision(1, 40))
+	u.Draining = true
+	r.Put(u)
+	if got := r.Put(entry("a", 100, 5, store.NewRevision(2, 12))); got != Ignored || len(r.Usable()) > 0 {
+		t.Errorf("%s, usable %v", got, r.Usable())
+	}
+}
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -8,6 +8,8 @@
 	"github.com/go-kit/log"
 
 	"github.com/catkinrouter/catkinrouter/mirror"
+
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // benchSizes are the numbers of instances, or of items of the store, of the
@@ -87,12 +89,12 @@
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f, _ := leaderOf(30)
-			d := mirror.Delta{Base: 5, Revision: int64(n) + 10}
+			d := mirror.Delta{Base: 5, Revision: store.Revision(n) + 10}
 			for i := range n {
-				d.Items = append(d.Items, mirror.Item{Key: fmt.Sprint("upstream-", i), Value: make([]byte, 200), Revision: int64(i) + 6})
+				d.Items = append(d.Items, mirror.Item{Key: fmt.Sprint("upstream-", i), Value: make([]byte, 200), Revision: store.Revision(i) + 6})
 			}
 			f.copy.Apply(d)
-			args := SyncArgs{Info: benchInfo(1), State: State{Ready: true}, Revision: int64(n) + 4, Members: f.table.Version()}
+			args := SyncArgs{Info: benchInfo(1), State: State{Ready: true}, Revision: store.Revision(n) + 4, Members: f.table.Version()}
 			b.ReportAllocs()
 			for b.Loop() {
 				var reply SyncReply
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -21,7 +21,7 @@
 	Leaders []directoryEntry `json:"leaders"`
 	// Live is the number of live instances.
 	Live     int `json:"live"`
-	revision int64
+	revision store.Revision
 }
 
 type directoryEntry struct {
--- a/fleet/fakestore_test.go
+++ b/fleet/fakestore_test.go
@@ -13,12 +13,12 @@
 type fakeStore struct {
 	mu          sync.Mutex
 	items       []mirror.Item
-	rev         int64
+	rev         store.Revision
 	changed     chan struct{}
 	calls       int
 	down        map[string]bool
-	compactedTo int64 // history before this revision is gone
-	staleBy     int   // number of changes that stale reads lack
+	compactedTo store.Revision // history before this revision is gone
+	staleBy     int            // number of changes that stale reads lack
 }
 
 func newFakeStore() *fakeStore {
@@ -75,7 +75,7 @@
 func (c storeClient) ReadAllStale(ctx context.Context) (mirror.Delta, error) {
 	c.s.mu.Lock()
 	items, rev := c.s.items, c.s.rev
-	c.s.items, c.s.rev = items[:max(0, len(items)-c.s.staleBy)], max(0, rev-int64(c.s.staleBy))
+	c.s.items, c.s.rev = items[:max(0, len(items)-c.s.staleBy)], max(0, rev-store.Revision(c.s.staleBy))
 	c.s.mu.Unlock()
 	d, err := c.ReadAll(ctx)
 	c.s.mu.Lock()
@@ -98,7 +98,7 @@
 	return nil, &store.Error{Kind: store.NotFound}
 }
 
-func (c storeClient) Watch(ctx context.Context, after int64, wait time.Duration) (mirror.Delta, error) {
+func (c storeClient) Watch(ctx context.Context, after store.Revision, wait time.Duration) (mirror.Delta, error) {
 	timeout := time.After(wait)
 	for {
 		c.s.mu.Lock()
@@ -127,7 +127,7 @@
 	}
 }
 
-func (c storeClient) Write(_ context.Context, key string, value []byte, expect int64) error {
+func (c storeClient) Write(_ context.Context, key string, value []byte, expect store.Revision) error {
 	c.s.mu.Lock()
 	err := c.startCall()
 	for _, it := range c.s.items {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,7 @@
 
 	"github.com/catkinrouter/catkinrouter/internal/panics"
 	"github.com/catkinrouter/catkinrouter/mirror"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // Source reads and writes the replicated part of the store.
@@ -42,9 +43,9 @@
 	ReadStale(ctx context.Context, key string) ([]byte, error)
 	// Watch waits for changes after a revision. An error of kind
 	// store.NotFound means that the store no longer has this history.
-	Watch(ctx context.Context, after int64, wait time.Duration) (mirror.Delta, error)
+	Watch(ctx context.Context, after store.Revision, wait time.Duration) (mirror.Delta, error)
 	// Write writes a key if its current revision equals expect.
-	Write(ctx context.Context, key string, value []byte, expect int64) error
+	Write(ctx context.Context, key string, value []byte, expect store.Revision) error
 }
 
 // Listener receives updates from a Fleet. Its methods must not call the Fleet.
@@ -101,8 +102,6 @@
 	copy   *mirror.Mirror
 	reader reader
 	state  State
-	// storeEpoch is the store's epoch as this instance last read it.
-	storeEpoch int64
 	// memberVersions maps a peer's address to the version of its member list
 	// that was last merged.
 	memberVersions map[string]uint64
@@ -251,13 +250,18 @@
 // is new, and each confirmation by the store, is told to the instances that rely
 // on this one.
 func (f *Fleet) apply(now time.Duration, d mirror.Delta, confirmedAt time.Duration, source string) bool {
-	first := f.copy.Revision() == 0
+	before := f.copy.Revision()
+	first := before == 0
 	changed, ok := f.copy.Apply(d)
 	if !ok {
 		return false
 	}
 	f.behindSince = 0
-	if f.reader.confirm(confirmedAt) {
+	restored := !first && f.copy.Revision().Epoch() > before.Epoch()
+	if restored {
+		level.Warn(f.opt.Log).Log("msg", "store came back from an older copy", "source", source, "revision_before", before, "revision", f.copy.Revision())
+	}
+	if f.reader.confirm(confirmedAt) || restored {
 		level.Info(f.opt.Log).Log("msg", "store recovered", "source", source, "revision", f.copy.Revision())
 		f.listener.StoreRecovered(now)
 	}
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"errors"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // heartbeat is the datagram that reports an instance as live, with its state and
@@ -16,7 +18,7 @@
 	// Count orders the states of one incarnation.
 	Count uint32
 	// Revision is the revision of the sender's copy of the store.
-	Revision int64
+	Revision store.Revision
 	// AgeMillis is the time since the copy was last confirmed complete, or
 	// ageUnknown.
 	AgeMillis uint32
@@ -25,7 +27,7 @@
 }
 
 // heartbeatFormat changes with the layout of a heartbeat.
-const heartbeatFormat = 2
+const heartbeatFormat = 3
 
 // Flags of a heartbeat.
 const (
--- a/fleet/packed.go
+++ b/fleet/packed.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/catkinrouter/catkinrouter/mirror"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 const (
@@ -22,8 +23,8 @@
 // after which they begin. Instances that fall behind together, such as all that
 // start, fetch the same delta.
 type packedDeltas struct {
-	revision int64
-	byBase   map[int64][]byte
+	revision store.Revision
+	byBase   map[store.Revision][]byte
 }
 
 // maxPackedDeltas bounds the deltas kept.
@@ -69,7 +70,7 @@
 		return nil
 	}
 	if f.packed.revision != d.Revision || len(f.packed.byBase) >= maxPackedDeltas {
-		f.packed = packedDeltas{revision: d.Revision, byBase: map[int64][]byte{}}
+		f.packed = packedDeltas{revision: d.Revision, byBase: map[store.Revision][]byte{}}
 	}
 	if p := f.packed.byBase[d.Base]; p != nil {
 		reply.Packed = p
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/catkinrouter/catkinrouter/mirror"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // SyncArgs is the request of a sync: it carries the sender's state and the
@@ -18,7 +19,7 @@
 	Info  Info
 	State State
 	// Revision is the revision of the sender's copy of the store.
-	Revision int64
+	Revision store.Revision
 	// Members is the version of the peer's member list that the sender has.
 	Members uint64
 	// MembersOnly omits the store's changes from the reply: the sender does
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -62,7 +62,7 @@
 	kind storeCall
 	// wait is the longest wait of a watch, after its revision.
 	wait  time.Duration
-	after int64
+	after store.Revision
 	// rank is this instance's place among the hubs, or -1.
 	rank int
 	// began is when the call began, or for a first copy its proving watch.
@@ -128,25 +128,12 @@
 	} else {
 		f.reader.fullReadDue = false
 	}
-	f.logEpoch(d)
 	f.apply(now, d, confirmedAt, SourceStore)
 	if c.kind == callWatch && len(d.Items) > 0 {
 		f.reader.delayNextRead(now, c.rank)
 	}
 }
 
-// logEpoch logs that the store came back from a copy, or that it is at an older
-// revision than this instance's copy.
-func (f *Fleet) logEpoch(d mirror.Delta) {
-	if d.Epoch != f.storeEpoch {
-		level.Info(f.opt.Log).Log("msg", "store epoch changed", "before", f.storeEpoch, "epoch", d.Epoch, "revision", d.Revision, "copy_revision", f.copy.Revision())
-		f.storeEpoch = d.Epoch
-	}
-	if d.Revision < f.copy.Revision() {
-		level.Warn(f.opt.Log).Log("msg", "store is behind the copy", "epoch", d.Epoch, "revision", d.Revision, "copy_revision", f.copy.Revision(), "items", len(d.Items))
-	}
-}
-
 func outcomeOf(err error) string {
 	var e *store.Error
 	if errors.As(err, &e) {
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -44,7 +44,7 @@
 	byAddress map[string]*simInstance
 
 	items    []mirror.Item
-	revision int64
+	revision store.Revision
 	watches  []func()
 	calls    float64 // store calls at their price
 	storeOut bool
@@ -335,7 +335,7 @@
 	s.at(s.now+c.wait, end)
 }
 
-func (s *simulation) put(key, value string) int64 {
+func (s *simulation) put(key, value string) store.Revision {
 	s.revision++
 	it := mirror.Item{Key: key, Value: []byte(value), Revision: s.revision}
 	found := false
@@ -359,7 +359,7 @@
 	return mirror.Delta{Full: true, Revision: s.revision, Items: append([]mirror.Item(nil), s.items...)}
 }
 
-func (s *simulation) since(after int64) mirror.Delta {
+func (s *simulation) since(after store.Revision) mirror.Delta {
 	d := mirror.Delta{Base: after, Revision: s.revision}
 	for _, it := range s.items {
 		if it.Revision > after {
@@ -381,7 +381,7 @@
 // simSource implements the writes of the Source; reads go by simInstance.read.
 type simSource struct{ s *simulation }
 
-func (c simSource) Write(_ context.Context, key string, value []byte, _ int64) error {
+func (c simSource) Write(_ context.Context, key string, value []byte, _ store.Revision) error {
 	c.s.calls++
 	if c.s.storeOut {
 		return &store.Error{Kind: store.Unavailable}
@@ -393,7 +393,7 @@
 func (c simSource) ReadAll(context.Context) (mirror.Delta, error)      { panic("not used") }
 func (c simSource) ReadAllStale(context.Context) (mirror.Delta, error) { panic("not used") }
 func (c simSource) ReadStale(context.Context, string) ([]byte, error)  { panic("not used") }
-func (c simSource) Watch(context.Context, int64, time.Duration) (mirror.Delta, error) {
+func (c simSource) Watch(context.Context, store.Revision, time.Duration) (mirror.Delta, error) {
 	panic("not used")
 }
 
@@ -430,7 +430,7 @@
 
 // lagging returns the number of running instances whose copy is older than a
 // revision.
-func (s *simulation) lagging(revision int64) (n int) {
+func (s *simulation) lagging(revision store.Revision) (n int) {
 	for _, in := range s.running() {
 		if in.f.copy.Revision() < revision {
 			n++
@@ -441,7 +441,7 @@
 
 // waitFor runs until all running instances hold the revision, and returns the
 // time that it took, at most limit.
-func (s *simulation) waitFor(revision int64, limit time.Duration) time.Duration {
+func (s *simulation) waitFor(revision store.Revision, limit time.Duration) time.Duration {
 	began := s.now
 	for s.lagging(revision) > 0 && s.now-began < limit {
 		s.runUntil(s.now + 20*time.Millisecond)
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/store"
+)
 
 // Status describes what this instance does for the fleet and how old its copy of
 // the store is.
@@ -14,7 +18,7 @@
 	// CopyAge is the time since the copy was last confirmed complete, Revision
 	// its revision.
 	CopyAge  time.Duration
-	Revision int64
+	Revision store.Revision
 	// SyncsServed and SyncsFailed count the syncs of peers that this instance
 	// served, and its own syncs that failed. RoleChanges counts the changes of
 	// the hubs and of the leaders of its data centre.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -53,6 +53,8 @@
 	mu   sync.Mutex
 	born int64
 	seq  int
+	// state is the one last registered.
+	state string
 }
 
 func newUpstream(t *testing.T, l *ledger, id string, version int) *upstream {
@@ -94,12 +96,21 @@
 func (u *upstream) register(kv *standin.KV, state string) {
 	u.mu.Lock()
 	u.seq++
+	u.state = state
 	seq := u.seq
 	u.mu.Unlock()
 	kv.Put("servers/"+u.id, fmt.Appendf(nil, `{"service":"s%d","address":%q,"zone":"z","version":"v1","slots":6,"state":%q,"coldLeftMs":0,"sequence":%d,"born":%d}`,
 		u.version, u.proxy.ln.Addr(), state, seq, u.born))
 }
 
+// registerAgain writes the upstream's last registration once more.
+func (u *upstream) registerAgain(kv *standin.KV) {
+	u.mu.Lock()
+	state := u.state
+	u.mu.Unlock()
+	u.register(kv, state)
+}
+
 // configure writes a configuration version to the store. Its routes lead to the
 // service with the same number.
 func configure(kv *standin.KV, version int) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,6 +62,9 @@
 	kv        *standin.KV
 	ledger    *ledger
 	instances []*instance
+	// restoreRNG decides about backup, the copy from which the store comes back.
+	restoreRNG *rand.Rand
+	backup     standin.Backup
 
 	mu            sync.Mutex
 	upstreams     []*upstream
@@ -76,8 +79,10 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), kv: standin.NewKV(), newestServed: map[string]int{},
 		ledger: &ledger{runs: map[string]int{}, reportedNotRun: map[string]string{}, servedBy: map[string]int{}},
 	}
+	s.restoreRNG = rand.New(rand.NewPCG(seed, 1000))
 	kv := serveKV(t, s.kv)
 	s.changeConfiguration()
+	s.backup = s.kv.Backup()
 	for i := range *nodes {
 		in := newInstance(t, t.TempDir(), fmt.Sprintf("127.0.%d.%d", *subnet, i+1), fmt.Sprintf("127.0.%d.1", *subnet), kv)
 		in.supervise(t, bin)
@@ -96,6 +101,7 @@
 	}
 	for range *steps {
 		s.injectFault()
+		s.restoreStore()
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond)
 	}
 	s.clearFaults()
@@ -172,6 +178,33 @@
 	}
 }
 
+// restoreStore sometimes takes the store away and brings it back from an older copy.
+// The upstreams and the operator then write again what they wrote. It draws from
+// numbers of its own, so that the other faults of a seed stay the same.
+func (s *soak) restoreStore() {
+	switch s.restoreRNG.IntN(8) {
+	case 0:
+		s.backup = s.kv.Backup()
+	case 1:
+		duration := time.Duration(50+s.restoreRNG.IntN(1200)) * time.Millisecond
+		s.t.Logf("store: away for %v, then back from an older copy", duration)
+		b := s.backup
+		s.kv.SetFaults(standin.KVFaults{Reset: true})
+		time.AfterFunc(duration, func() {
+			s.kv.Restore(b)
+			s.kv.SetFaults(standin.KVFaults{})
+		})
+		time.AfterFunc(duration+200*time.Millisecond, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, u := range s.upstreams {
+				u.registerAgain(s.kv)
+			}
+			configure(s.kv, s.version)
+		})
+	}
+}
+
 // clearFaults ends all faults.
 func (s *soak) clearFaults() {
 	time.Sleep(2 * time.Second) // the last faults, which last up to 2 s, end by timer
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -4,13 +4,17 @@
 // older revision.
 package mirror
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/catkinrouter/catkinrouter/store"
+)
 
 // Item is one key of the store with its value, or the tombstone of a deleted key.
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision int64
+	Revision store.Revision
 	Deleted  bool
 }
 
@@ -18,13 +22,10 @@
 type Delta struct {
 	// Base is the revision after which the Items changed. A Full delta has no
 	// Base and holds all items.
-	Base     int64
+	Base     store.Revision
 	Full     bool
-	Revision int64
-	// Epoch is the number of times that the store had come back from a copy when
-	// it sent the delta.
-	Epoch int64
-	Items []Item
+	Revision store.Revision
+	Items    []Item
 }
 
 // Append returns d followed by next, a delta after d's revision, with only the
@@ -59,9 +60,9 @@
 // Mirror is a replica of the store. It is not safe for concurrent use.
 type Mirror struct {
 	items    map[string]Item
-	revision int64
+	revision store.Revision
 	// tombstoneFloor is the revision up to which tombstones may be missing.
-	tombstoneFloor int64
+	tombstoneFloor store.Revision
 	tombstones     int
 }
 
@@ -70,7 +71,7 @@
 
 // Revision returns the store revision up to which the replica is complete; 0 if
 // it is empty.
-func (m *Mirror) Revision() int64 { return m.revision }
+func (m *Mirror) Revision() store.Revision { return m.revision }
 
 // Apply merges a delta and returns the items that changed, by revision. It
 // returns false if the delta leaves a gap: then the sender's Since(Revision) or
@@ -149,7 +150,7 @@
 
 // Since returns the changes after the revision of another replica, or a full
 // copy if tombstones after that revision may be missing.
-func (m *Mirror) Since(revision int64) Delta {
+func (m *Mirror) Since(revision store.Revision) Delta {
 	if revision < m.tombstoneFloor || revision == 0 {
 		return m.full()
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -8,13 +8,15 @@
 	"pgregory.net/rapid"
 
 	"github.com/catkinrouter/catkinrouter/internal/fixedseed"
+
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 func TestMain(m *testing.M) { fixedseed.MainWithSize(m, fixedseed.Size{Checks: 300, Steps: 60}) }
 
 // sourceStore is a model of the replicated store.
 type sourceStore struct {
-	revision int64
+	revision store.Revision
 	log      []Item // every change, in order
 	live     map[string]Item
 }
@@ -43,7 +45,7 @@
 	return d
 }
 
-func (o *sourceStore) since(rev int64) Delta {
+func (o *sourceStore) since(rev store.Revision) Delta {
 	d := Delta{Base: rev, Revision: o.revision}
 	for _, it := range o.log {
 		if it.Revision > rev {
@@ -70,9 +72,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		o := &sourceStore{live: map[string]Item{}}
 		mirrors := []*Mirror{New(), New(), New()}
-		seen := make([]map[string]int64, len(mirrors))
+		seen := make([]map[string]store.Revision, len(mirrors))
 		for i := range seen {
-			seen[i] = map[string]int64{}
+			seen[i] = map[string]store.Revision{}
 		}
 		var late []Delta
 		which := rapid.IntRange(0, len(mirrors)-1)
@@ -106,7 +108,7 @@
 			},
 			"hold a message": func(t *rapid.T) {
 				from := which.Draw(t, "from")
-				late = append(late, mirrors[from].Since(rapid.Int64Range(0, o.revision).Draw(t, "after")), o.all())
+				late = append(late, mirrors[from].Since(store.Revision(rapid.Int64Range(0, int64(o.revision)).Draw(t, "after"))), o.all())
 			},
 			"deliver late": func(t *rapid.T) {
 				if len(late) == 0 {
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -64,7 +64,7 @@
 	for name, value := range map[string]int64{
 		"fleet_role.hub": asNumber(s.Hub), "fleet_role.leader": asNumber(s.Leader),
 		"fleet_instances.live": int64(s.Live), "fleet_instances.known": int64(s.Known),
-		"fleet_copy_age_ms": s.CopyAge.Milliseconds(), "fleet_copy_revision": s.Revision,
+		"fleet_copy_age_ms": s.CopyAge.Milliseconds(), "fleet_copy_revision": s.Revision.Count(), "fleet_copy_epoch": s.Revision.Epoch(),
 		"fleet_syncs_total.served": s.SyncsServed, "fleet_syncs_total.failed": s.SyncsFailed,
 		"fleet_role_changes_total": s.RoleChanges,
 	} {
--- a/node/node.go
+++ b/node/node.go
@@ -26,7 +26,7 @@
 // Store is the client of the platform's key-value store.
 type Store interface {
 	ReadAll(ctx context.Context, prefix string) (mirror.Delta, error)
-	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (mirror.Delta, error)
+	Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (mirror.Delta, error)
 	// ReadAllStale and GetStale may return what was true seconds ago, at a
 	// fraction of the cost of an up-to-date read.
 	ReadAllStale(ctx context.Context, prefix string) (mirror.Delta, error)
@@ -128,13 +128,13 @@
 }
 
 // Watch implements fleet.Source.
-func (s storeSource) Watch(ctx context.Context, after int64, wait time.Duration) (mirror.Delta, error) {
+func (s storeSource) Watch(ctx context.Context, after store.Revision, wait time.Duration) (mirror.Delta, error) {
 	return s.adapter.Store.Changes(ctx, allKeys, after, wait)
 }
 
 // Write implements fleet.Source.
-func (s storeSource) Write(ctx context.Context, key string, value []byte, expect int64) error {
-	_, err := s.adapter.Store.Put(ctx, key, value, expect, 0)
+func (s storeSource) Write(ctx context.Context, key string, value []byte, expect store.Revision) error {
+	_, err := s.adapter.Store.Put(ctx, key, value, int64(expect), 0)
 	return err
 }
 
--- a/node/upstreamchanges.go
+++ b/node/upstreamchanges.go
@@ -6,6 +6,7 @@
 
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/fleet"
+	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // upstreamChanges counts the effects of one update. Each change is logged by the
@@ -13,10 +14,10 @@
 // the volume of logs does not grow with upstreams times instances.
 type upstreamChanges struct {
 	added, draining, removed int
-	lastRevision             int64
+	lastRevision             store.Revision
 }
 
-func (c *upstreamChanges) count(change discovery.Change, revision int64) {
+func (c *upstreamChanges) count(change discovery.Change, revision store.Revision) {
 	c.lastRevision = max(c.lastRevision, revision)
 	switch change {
 	case discovery.Added:
