Read the store in time in a large fleet whose peers confirm nothing

Cause: the wait, meant to spare the store while it is away, did not tell that from a peer that is late, and was longer than the bound. Change: leaders read without a wait; members wait within the bound; a heartbeat says whether the store answers the sender and those that bring it the store's changes, and who hears that from all of its own waits up to 4 s as before. Hubs tell leaders and leaders members at once, before members are due.

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -125,7 +125,12 @@
 	for _, s := range []struct {
 		set  bool
 		flag uint8
-	}{{f.state.Ready, flagReady}, {f.state.Leaving, flagLeaving}, {f.state.Blind, flagBlind}} {
+	}{
+		{f.state.Ready, flagReady},
+		{f.state.Leaving, flagLeaving},
+		{f.state.Blind, flagBlind},
+		{f.lacksStore(f.opt.Now()), flagLacksStore},
+	} {
 		if s.set {
 			b.Flags |= s.flag
 		}
@@ -178,6 +183,8 @@
 	if !known {
 		delete(f.memberVersions, from) // a new incarnation restarts its list version
 	}
+	lackedStore := f.lacksStore(now)
+	f.table.setLacksStore(from, b.Flags&flagLacksStore != 0)
 	isReply := b.Flags&flagReply != 0
 	if !isReply {
 		flags := uint8(flagReply)
@@ -187,6 +194,7 @@
 		f.sendHeartbeat(from, flags)
 	}
 	f.confirmFrom(now, b)
+	f.tellLacksStore(now, lackedStore)
 	newer := b.Revision > f.copy.Revision()
 	if newer && f.behindSince == 0 {
 		f.behindSince = now
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -39,6 +39,9 @@
 	flagReply
 	// flagInfoMissing: the sender of the reply has no Info of the receiver.
 	flagInfoMissing
+	// flagLacksStore: the store answers neither the sender nor, as far as it
+	// knows, those that bring it the store's changes.
+	flagLacksStore
 )
 
 // ageUnknown means that the copy was never confirmed complete.
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -54,6 +54,9 @@
 	// addedAt is when the member was added, lastHeard when it last sent a
 	// heartbeat or sync itself; 0 for never.
 	addedAt, lastHeard time.Duration
+	// lacksStore is set if the member's last heartbeat said that the store does
+	// not answer it.
+	lacksStore bool
 	// unansweredSince is when the first heartbeat was sent to the member that
 	// it has not answered; 0 for none.
 	unansweredSince time.Duration
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -75,7 +75,7 @@
 	now := f.opt.Now()
 	c := dueRead{rank: f.table.HubRank(now), after: f.copy.Revision(), began: now}
 	c.kind, c.wait = f.reader.due(now, readState{
-		rank: c.rank, hasCopy: c.after > 0, live: f.live, isolated: f.table.isolated(now),
+		rank: c.rank, hasCopy: c.after > 0, live: f.live, isolated: f.table.isolated(now), leader: f.table.IsLeader(now), lacksStore: f.lacksStore(now),
 	}, f.opt.Jitter())
 	return c
 }
@@ -114,9 +114,10 @@
 		f.reader.fullReadDue = true
 		return
 	}
-	failedBefore := f.reader.failingSince > 0
+	failedBefore, lackedStore := f.reader.failingSince > 0, f.lacksStore(now)
 	f.reader.callDone(now, c.rank, err == nil, f.opt.Jitter())
 	if err != nil {
+		f.tellLacksStore(now, lackedStore)
 		if !failedBefore {
 			level.Warn(f.opt.Log).Log("msg", "store read failed", "copy_age", f.reader.age(now), "revision", f.copy.Revision(), "err", err)
 		}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -23,12 +23,18 @@
 	restartWait      = 250 * time.Millisecond
 	restartJitter    = 500 * time.Millisecond
 	// smallFleet is the number of instances up to which each may read the store
-	// itself without delay. In a larger one, those whose copy is old while they
-	// do hear from peers wait for a random part of staleJitterPerInstance times
-	// the instances above smallFleet, at most maxStaleJitter.
-	smallFleet             = 32
-	staleJitterPerInstance = 10 * time.Millisecond
-	maxStaleJitter         = 4 * time.Second
+	// itself without delay. In a larger one, the leaders read first, and the
+	// members whose copy is old while they do hear from peers wait for
+	// staleWaitShare of the copy's maximum age, and a random part of as much again:
+	// a leader that can read brings them the copy before. Both together end before
+	// a change must be in force.
+	smallFleet     = 32
+	staleWaitShare = 0.08
+	// While the store answers no one, members wait for a random part of
+	// outageJitterPerInstance times the instances above smallFleet, at most
+	// maxOutageJitter: there is nothing to be in time for.
+	outageJitterPerInstance = 10 * time.Millisecond
+	maxOutageJitter         = 4 * time.Second
 	// hubRetry and memberRetry are the minimum delays after a failed read, of
 	// a hub and of other members; jitter adds up to as much again.
 	hubRetry    = 300 * time.Millisecond
@@ -120,6 +126,10 @@
 	live int
 	// isolated is set if no other instance is known to be reachable.
 	isolated bool
+	// leader is set if the instance serves others of its data centre.
+	leader bool
+	// lacksStore is set if the store most likely answers no instance.
+	lacksStore bool
 }
 
 // due returns the call to make now and, for a watch, how long it waits; for
@@ -143,7 +153,7 @@
 		r.staleReadAt = 0
 		return callNone, r.maxAge - r.age(now)
 	case r.staleReadAt == 0:
-		r.staleReadAt = now + s.staleWait(jitter)
+		r.staleReadAt = now + r.staleWait(s, jitter)
 	}
 	if now < r.staleReadAt {
 		return callNone, r.staleReadAt - now
@@ -155,11 +165,14 @@
 // staleWait returns how long an instance with an old copy waits before it reads
 // the store. In a large fleet, an instance that hears from peers gets a newer copy
 // from them most of the time.
-func (s readState) staleWait(jitter float64) time.Duration {
-	if s.isolated || s.live <= smallFleet {
+func (r *reader) staleWait(s readState, jitter float64) time.Duration {
+	switch {
+	case s.isolated || s.leader || s.live <= smallFleet:
 		return 0
+	case s.lacksStore:
+		return time.Duration(jitter * float64(min(maxOutageJitter, time.Duration(s.live-smallFleet)*outageJitterPerInstance)))
 	}
-	return time.Duration(jitter * float64(min(maxStaleJitter, time.Duration(s.live-smallFleet)*staleJitterPerInstance)))
+	return time.Duration((1 + jitter) * staleWaitShare * float64(r.maxAge))
 }
 
 // age returns the time since the copy was last confirmed complete, or since the
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -272,6 +272,7 @@
 		{"a non-hub with a stale copy watches", fresh, time.Second + defaultMaxCopyAge, member, callWatch},
 		{"in a large fleet it first waits for peers", fresh, time.Second + defaultMaxCopyAge, readState{rank: -1, hasCopy: true, live: 471}, callNone},
 		{"unless it hears of none", fresh, time.Second + defaultMaxCopyAge, readState{rank: -1, hasCopy: true, live: 471, isolated: true}, callWatch},
+		{"a leader does not wait", fresh, time.Second + defaultMaxCopyAge, readState{rank: -1, hasCopy: true, live: 471, leader: true}, callWatch},
 		{"after lost history it reads all", reader{fullReadDue: true, confirmed: true}, 0, readState{hasCopy: true}, callReadAll},
 	} {
 		if got, wait := c.r.due(c.now, c.s, 0.5); got != c.want || got == callNone && wait <= 0 {
