Write a configuration back that the store lost with its older copy

On a site of entries and agents the store's head is what the system itself wrote. After the store came back from an older copy, the agents kept the newer configuration, but a plan confirmed on the older head got a revision that they hold already, and was refused by all: a confirmed change that is never in force.

Change: an agent that reads a head which its own extends writes its own back under the condition of the key's revision. Why it is safe: only a head whose commits contain the stored one is written, and a confirm in between makes the condition fail. A head confirmed on the older one before that is left alone.

--- a/agent/action.go
+++ b/agent/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/membership"
 )
@@ -36,6 +37,13 @@
 	Wait  time.Duration
 }
 
+// RestoreHead writes Head, which the store has lost, back to it if the store revision
+// of the head's key is still Expect. It has no result: the next read shows it.
+type RestoreHead struct {
+	Head   config.Head
+	Expect int64
+}
+
 // ListInstances reads the platform's instance list. The result goes to
 // Node.ListDone.
 type ListInstances struct{}
@@ -52,6 +60,7 @@
 func (Fetch) action()         {}
 func (ReadStore) action()     {}
 func (WatchStore) action()    {}
+func (RestoreHead) action()   {}
 func (ListInstances) action() {}
 func (SyncEntry) action()     {}
 func (Exit) action()          {}
--- a/agent/config_replica.go
+++ b/agent/config_replica.go
@@ -81,6 +81,18 @@
 	return true
 }
 
+// restoreIfLost handles the head that the store holds. If this agent holds one that
+// was accepted after it, the store came back from an older copy, and the newer head
+// is written back. A head that was confirmed on the older one meanwhile is left
+// alone.
+func (r *configReplica) restoreIfLost(stored config.Head, key int64) []Action {
+	held := r.current.Head()
+	if !held.Extends(&stored) {
+		return nil
+	}
+	return []Action{RestoreHead{Head: held, Expect: key}}
+}
+
 // fetchIfNewer compares the revision and digest that the peer at address holds
 // with this agent's, and begins a fetch if the peer's revision is higher and no
 // fetch has made progress within fetchTimeout.
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -67,6 +67,7 @@
 	peerCalls    chan Action
 	storeReads   chan ReadStore
 	storeWatches chan WatchStore
+	headWrites   chan RestoreHead
 	listReads    chan ListInstances
 	entrySyncs   chan SyncEntry
 }
@@ -84,7 +85,7 @@
 		}),
 		events: make(chan event, eventQueueSize), peerClients: newClientPool(r, "peer"), entryClients: newClientPool(r, "entry"),
 		peerCalls: make(chan Action, peerQueueSize), storeReads: make(chan ReadStore, 1), storeWatches: make(chan WatchStore, 1),
-		listReads: make(chan ListInstances, 1), entrySyncs: make(chan SyncEntry, 1),
+		headWrites: make(chan RestoreHead, 1), listReads: make(chan ListInstances, 1), entrySyncs: make(chan SyncEntry, 1),
 	}
 }
 
@@ -119,6 +120,7 @@
 	}
 	g.Go(func() error { return consume(workCtx, d.storeReads, d.readStore) })
 	g.Go(func() error { return consume(workCtx, d.storeWatches, d.watchStore) })
+	g.Go(func() error { return consume(workCtx, d.headWrites, d.restoreHead) })
 	g.Go(func() error { return consume(workCtx, d.listReads, d.listInstances) })
 	g.Go(func() error { return consume(workCtx, d.entrySyncs, d.syncEntry) })
 	g.Go(func() error {
@@ -197,6 +199,8 @@
 		tryEnqueue(d.storeReads, a)
 	case WatchStore:
 		tryEnqueue(d.storeWatches, a)
+	case RestoreHead:
+		tryEnqueue(d.headWrites, a)
 	case ListInstances:
 		tryEnqueue(d.listReads, a)
 	case SyncEntry:
@@ -287,6 +291,19 @@
 	d.postResult(ctx, func(n *Node, now time.Duration) []Action { return n.StoreWatchDone(now, h, v.Revision, changed, err) })
 }
 
+// restoreHead writes a head that the store has lost back to it. A conflict means
+// that another agent did, or that a plan was confirmed meanwhile.
+func (d *Daemon) restoreHead(ctx context.Context, r RestoreHead) {
+	bounded, cancel := context.WithTimeout(ctx, platformReadTimeout)
+	defer cancel()
+	d.incCounter("store.head.restores")
+	err := d.headReader.Restore(bounded, r.Head, r.Expect)
+	if err != nil && !store.IsKind(err, store.Conflict) {
+		d.incCounter("store.failed.head.restore")
+	}
+	level.Warn(d.log).Log("msg", "configuration written back to the store, which had lost it", "revision", r.Head.Revision, "err", err)
+}
+
 func (d *Daemon) listInstances(ctx context.Context, _ ListInstances) {
 	bounded, cancel := context.WithTimeout(ctx, platformReadTimeout)
 	defer cancel()
--- a/agent/node.go
+++ b/agent/node.go
@@ -180,7 +180,7 @@
 		return nil
 	}
 	n.bootstrapped = true
-	return n.Accept(now, h)
+	return append(n.Accept(now, h), n.replica.restoreIfLost(h, key)...)
 }
 
 // StoreWatchDone handles the result of a WatchStore. Key is the store revision of
@@ -195,7 +195,7 @@
 		return nil
 	}
 	n.scheduler.readDone(now, now, key, nil)
-	return n.Accept(now, h)
+	return append(n.Accept(now, h), n.replica.restoreIfLost(h, key)...)
 }
 
 // ListDone handles the result of a ListInstances.
