--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -14,16 +14,22 @@
 
 // heartbeatLoop sends heartbeats until ctx ends.
 func (f *Fleet) heartbeatLoop(ctx context.Context) error {
+	return repeat(ctx, f.tickNow, func(context.Context) time.Duration { return f.tick() })
+}
+
+// repeat calls step at once, then each time after the pause that step returned or
+// when wake is signalled, until ctx ends.
+func repeat(ctx context.Context, wake <-chan struct{}, step func(context.Context) time.Duration) error {
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-f.tickNow:
+		case <-wake:
 		case <-t.C:
 		}
-		t.Reset(f.tick())
+		t.Reset(step(ctx))
 	}
 }
 
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -12,24 +12,18 @@
 )
 
 // readLoop makes the store calls that are due until ctx ends.
-func (f *Fleet) readLoop(ctx context.Context) error {
-	t := time.NewTimer(0)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-f.wake:
-		case <-t.C:
-		}
-		pause := time.Duration(0)
-		for pause == 0 && ctx.Err() == nil {
-			if err := f.opt.Guard.Run("store read", func() { pause = f.readOnce(ctx) }); err != nil {
-				pause = memberRetry
-			}
+func (f *Fleet) readLoop(ctx context.Context) error { return repeat(ctx, f.wake, f.readDue) }
+
+// readDue makes the store calls that are due and returns the time until another one
+// may be.
+func (f *Fleet) readDue(ctx context.Context) time.Duration {
+	pause := time.Duration(0)
+	for pause == 0 && ctx.Err() == nil {
+		if err := f.opt.Guard.Run("store read", func() { pause = f.readOnce(ctx) }); err != nil {
+			pause = memberRetry
 		}
-		t.Reset(pause)
 	}
+	return pause
 }
 
 // readOnce makes the store call that is due and returns 0, or returns the time
