--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -194,6 +194,10 @@
 	return returned
 }
 
+// failing reports whether this instance's last read failed and nothing has confirmed
+// the copy since it began to fail.
+func (r *reader) failing() bool { return r.failingSince > 0 && r.failingSince >= r.confirmedAt }
+
 // callDone records the result of a store call of this instance. A failed call is
 // retried after hubRetry or memberRetry, plus jitter (0 to 1) times as much.
 func (r *reader) callDone(now time.Duration, rank int, ok bool, jitter float64) {
--- a/fleet/storehealth.go
+++ b/fleet/storehealth.go
@@ -38,7 +38,7 @@
 // that confirm it say the same. The copy's age ends the latter when two instances
 // take each other for a carrier.
 func (f *Fleet) lacksStore(now time.Duration) bool {
-	if f.reader.failingSince > 0 {
+	if f.reader.failing() {
 		return true
 	}
 	return f.reader.age(now) >= f.opt.MaxCopyAge/2 && f.table.carriersLackStore(now)
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -314,6 +314,21 @@
 	}
 }
 
+// An instance whose one read had failed, and whose copy peers confirmed afterwards,
+// waited as if the store were away.
+func TestFailedReadEndsWithConfirmation(t *testing.T) {
+	r := reader{maxAge: defaultMaxCopyAge}
+	r.confirm(time.Second)
+	r.callDone(3*time.Second, -1, false, 0)
+	if !r.failing() {
+		t.Error("not failing after a failed read")
+	}
+	r.confirm(4 * time.Second)
+	if r.failing() {
+		t.Error("failing although the copy was confirmed since")
+	}
+}
+
 func TestReaderBlind(t *testing.T) {
 	var r reader
 	r.confirm(time.Second)
