--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"testing"
@@ -127,3 +129,35 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// An upstream that names a limit got second copies of slow requests.
+func TestNoHedgeToRateLimitedUpstream(t *testing.T) {
+	slow := newStub(t, "slow", func(s *stub, c net.Conn, r *http.Request, body string) bool {
+		s.run(r)
+		time.Sleep(900 * time.Millisecond)
+		return answerOK(s, c, r, body)
+	})
+	other := newStub(t, "other", answerOK)
+	tg := newTestGateway(t)
+	tg.configure(2*time.Second, slow, other)
+	// hedgesOf returns the number of hedges until the slow upstream was picked.
+	hedgesOf := func(prefix string) int64 {
+		before := tg.g.metrics.hedges.Count()
+		for i := range 300 {
+			id := fmt.Sprint(prefix, i)
+			wantStatus(t, tg.call("GET", "/clue/1", id, ""), 200)
+			if slow.runCount(id) > 0 {
+				return tg.g.metrics.hedges.Count() - before
+			}
+		}
+		t.Fatal("the slow upstream was never picked")
+		return 0
+	}
+	if n := hedgesOf("unlimited-"); n != 1 {
+		t.Errorf("%d hedges at an upstream without a limit, want 1", n)
+	}
+	other.setRateLimit("1000")
+	if n := hedgesOf("limited-"); n > 0 {
+		t.Errorf("%d hedges at an upstream that names a limit", n)
+	}
+}
