Give a starting instance the configuration that the store lost

Cause: it knows only the store, and the copies of its peers follow the store.

Change: a sync carries the version in force; a peer acts by a configuration newer than the store's only after a loss, and then adds it to its reply if the sender's is older. Nothing is added otherwise.

Open: entries of upstreams that left since the copy.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,6 +58,14 @@
 	ItemsChanged(now time.Duration, items []mirror.Item, source string)
 	// StoreRecovered reports the end of an outage of the store.
 	StoreRecovered(now time.Duration)
+	// ActiveVersion returns the version of the configuration in force, 0 for none.
+	ActiveVersion() uint64
+	// LostConfiguration returns the configuration in force if the store, having
+	// come back from an older copy, holds an older one or none.
+	LostConfiguration() (mirror.Item, bool)
+	// LostConfigurationReceived receives what LostConfiguration returned at the
+	// peer.
+	LostConfigurationReceived(it mirror.Item, peer string)
 	// MembersChanged receives the fleet as this instance sees it.
 	MembersChanged(now time.Duration, v View)
 	// WarningReceived receives a warning that another instance sent.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -38,6 +38,10 @@
 	l.returned++
 }
 
+func (l *recordingListener) ActiveVersion() uint64                          { return 0 }
+func (l *recordingListener) LostConfiguration() (it mirror.Item, lost bool) { return it, false }
+func (l *recordingListener) LostConfigurationReceived(mirror.Item, string)  {}
+
 func (l *recordingListener) MembersChanged(_ time.Duration, v View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -22,6 +22,9 @@
 	Revision store.Revision
 	// Members is the version of the peer's member list that the sender has.
 	Members uint64
+	// ActiveVersion is the version of the configuration in force at the sender, 0
+	// for none.
+	ActiveVersion uint64
 	// MembersOnly omits the store's changes from the reply: the sender does
 	// not know the peer yet, or fetches them within its data centre.
 	MembersOnly bool
@@ -39,6 +42,9 @@
 	Packed []byte
 	Proven bool
 	Age    time.Duration
+	// Lost is the configuration in force at the peer, if it is newer than the
+	// sender's and the store has lost it; without a key if not.
+	Lost mirror.Item
 	// Members and Summaries hold what changed after the requested version, up
 	// to Version.
 	Members   []Member
@@ -69,6 +75,9 @@
 	reply.Members = f.table.ChangedSince(now, args.Members, args.Info.DataCentre)
 	reply.Summaries, reply.Version = f.table.summariesSince(args.Members), f.table.Version()
 	f.notifyMembers()
+	if it, lost := f.listener.LostConfiguration(); lost && f.listener.ActiveVersion() > args.ActiveVersion {
+		reply.Lost = it
+	}
 	if args.MembersOnly {
 		return nil
 	}
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -401,6 +401,9 @@
 
 func (l simListener) ItemsChanged(time.Duration, []mirror.Item, string) {}
 func (l simListener) StoreRecovered(time.Duration)                      {}
+func (l simListener) ActiveVersion() uint64                             { return 0 }
+func (l simListener) LostConfiguration() (it mirror.Item, lost bool)    { return it, false }
+func (l simListener) LostConfigurationReceived(mirror.Item, string)     {}
 func (l simListener) MembersChanged(_ time.Duration, v View)            { l.in.view = v }
 func (l simListener) WarningReceived(time.Duration, Warning)            {}
 
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -70,6 +70,7 @@
 	defer f.mu.Unlock()
 	return SyncArgs{
 		Info: f.opt.Self, State: f.state, Revision: f.copy.Revision(), Members: f.memberVersions[from],
+		ActiveVersion: f.listener.ActiveVersion(),
 		// The peer's Info, and thus its data centre, must be known before the
 		// copy is fetched from it.
 		MembersOnly: !f.table.hasInfo(from) || !f.shouldFetchFrom(f.opt.Now(), from),
@@ -99,5 +100,8 @@
 	} else if d.Revision > 0 && reply.Proven {
 		f.apply(now, d, began-reply.Age, "peer "+from)
 	}
+	if reply.Lost.Key != "" {
+		f.listener.LostConfigurationReceived(reply.Lost, from)
+	}
 	f.notifyMembers()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -65,6 +65,10 @@
 	rng       *rand.Rand
 	table     *route.Table
 	upstreams *discovery.Registry
+	// activeItem is the item of the configuration in force, storedVersion the
+	// version of the one in the copy of the store, 0 for none.
+	activeItem    mirror.Item
+	storedVersion uint64
 }
 
 // New returns a Node; Run starts it.
@@ -216,33 +220,6 @@
 	n.publish()
 }
 
-// applyConfiguration replaces the routes by those of a newer configuration. A
-// deletion, a version that is not newer and a document that can't be decoded
-// leave the configuration in force unchanged.
-func (n *Node) applyConfiguration(it mirror.Item, source string) {
-	if it.Deleted {
-		level.Warn(n.log).Log("msg", "configuration ignored", "reason", "deleted in the store", "revision", it.Revision, "source", source)
-		return
-	}
-	doc, err := n.adapter.DecodeDocument(it.Value)
-	if err != nil {
-		gometrics.GetOrRegisterCounter("malformed_total.configuration", n.registry).Inc(1)
-		level.Warn(n.log).Log("msg", "configuration ignored", "revision", it.Revision, "source", source, "err", err)
-		return
-	}
-	if n.table != nil && doc.Version <= n.table.Version {
-		level.Info(n.log).Log("msg", "configuration ignored", "reason", "not newer", "version", doc.Version, "in_force", n.table.Version, "source", source)
-		return
-	}
-	for _, w := range doc.Warnings {
-		level.Warn(n.log).Log("msg", "configuration warning", "version", doc.Version, "warning", w)
-	}
-	n.table = route.NewTable(doc, n.rng)
-	gometrics.GetOrRegisterGauge("configuration_version", n.registry).Update(int64(doc.Version))
-	level.Info(n.log).Log("msg", "configuration in force", "version", doc.Version, "revision", it.Revision, "routes", len(doc.Rules),
-		"services", len(doc.Services), "source", source)
-}
-
 // applyUpstream applies a changed or deleted upstream entry and returns the effect.
 // An entry that can't be decoded counts as deleted.
 func (n *Node) applyUpstream(now time.Duration, it mirror.Item, source string) discovery.Change {
--- a/node/restored_test.go
+++ b/node/restored_test.go
@@ -113,3 +113,25 @@
 	gone.register(s.kv, "tienda", "ready", 4) // it lives after all
 	s.waitAllWithin(2*maxChangeDelay, "/x/1", 200, "i-gone")
 }
+
+// A node that started after the store came back from an older copy, and before the
+// operator had written again, served by the older configuration.
+func TestRestartKeepsConfigurationThatStoreLost(t *testing.T) {
+	s := newSite(t, 3)
+	a := newBackend(t, "i-a")
+	a.register(s.kv, "tienda", "ready", 1)
+	configure(s.kv, 1, "/x/", "tienda")
+	s.waitAll("/x/1", 200, "i-a")
+	b := s.kv.Backup()
+	configure(s.kv, 2, "/y/", "tienda")
+	s.waitAll("/y/1", 200, "i-a")
+	s.restore(b)
+	s.list[2].end(t)
+	s.list[2] = s.start(2)
+	s.waitAllWithin(maxChangeDelay, "/y/1", 200, "i-a")
+	s.checkFor(500*time.Millisecond, "/y/1", 200, "i-a")
+	configure(s.kv, 2, "/y/", "tienda") // the operator writes it again
+	s.checkFor(500*time.Millisecond, "/y/1", 200, "i-a")
+	configure(s.kv, 3, "/z/", "tienda")
+	s.waitAllWithin(maxChangeDelay, "/z/1", 200, "i-a")
+}
