--- a/node/restored_test.go
+++ b/node/restored_test.go
@@ -18,6 +18,17 @@
 	s.kv.SetFaults(standin.KVFaults{})
 }
 
+// newSiteWithBackup returns three nodes that serve version 1, which routes /x/ to the
+// upstream i-a, and a copy of their store.
+func newSiteWithBackup(t *testing.T) (*site, standin.Backup) {
+	t.Helper()
+	s := newSite(t, 3)
+	newBackend(t, "i-a").register(s.kv, "tienda", "ready", 1)
+	configure(s.kv, 1, "/x/", "tienda")
+	s.waitAll("/x/1", 200, "i-a")
+	return s, s.kv.Backup()
+}
+
 // waitAllWithin waits until every node answers path with the given status and
 // body, and fails the test if that takes longer than limit.
 func (s *site) waitAllWithin(limit time.Duration, path string, status int, body string) {
@@ -41,12 +52,7 @@
 // revision had been given out before.
 func TestConfigurationAfterStoreRestored(t *testing.T) {
 	for _, lost := range []int{1, 3} { // revisions lost; one is given out again
-		s := newSite(t, 3)
-		a := newBackend(t, "i-a")
-		a.register(s.kv, "tienda", "ready", 1)
-		configure(s.kv, 1, "/x/", "tienda")
-		s.waitAll("/x/1", 200, "i-a")
-		b := s.kv.Backup()
+		s, b := newSiteWithBackup(t)
 		for i := range lost {
 			configure(s.kv, 2+i, "/y/", "tienda")
 		}
@@ -62,12 +68,7 @@
 
 // A configuration came back older with the store's copy.
 func TestConfigurationKeptWhenStoreRestored(t *testing.T) {
-	s := newSite(t, 3)
-	a := newBackend(t, "i-a")
-	a.register(s.kv, "tienda", "ready", 1)
-	configure(s.kv, 1, "/x/", "tienda")
-	s.waitAll("/x/1", 200, "i-a")
-	b := s.kv.Backup()
+	s, b := newSiteWithBackup(t)
 	configure(s.kv, 2, "/y/", "tienda")
 	s.waitAll("/y/1", 200, "i-a")
 	s.restore(b)
@@ -117,12 +118,7 @@
 // A node that started after the store came back from an older copy, and before the
 // operator had written again, served by the older configuration.
 func TestRestartKeepsConfigurationThatStoreLost(t *testing.T) {
-	s := newSite(t, 3)
-	a := newBackend(t, "i-a")
-	a.register(s.kv, "tienda", "ready", 1)
-	configure(s.kv, 1, "/x/", "tienda")
-	s.waitAll("/x/1", 200, "i-a")
-	b := s.kv.Backup()
+	s, b := newSiteWithBackup(t)
 	configure(s.kv, 2, "/y/", "tienda")
 	s.waitAll("/y/1", 200, "i-a")
 	s.restore(b)
