Tell a crash of an upstream from a broken connection in the logs

Added: content, a digest of credentials, method, host, path and body, in 'attempt failed'; the line 'upstream crashed under request' and its counter, after a check whether the upstream still listens. No decision uses them.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/internal/netpeek"
+	"github.com/catkinrouter/catkinrouter/quarantine"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
@@ -56,6 +57,9 @@
 	sent, unsent  int
 	mayHaveRun    bool
 	hedgeSearches int
+	// contentDigest is set once content has computed it.
+	contentDigest quarantine.Content
+	contentKnown  bool
 	// failedTry is an attempt with a complete error reply, which is forwarded
 	// if no attempt succeeds.
 	failedTry *try
--- /dev/null
+++ b/gateway/crash.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/quarantine"
+)
+
+const (
+	// crashCheckDelay is the time between a broken connection and the check
+	// whether the upstream still listens: the sockets of a process that ends are
+	// not all closed at once.
+	crashCheckDelay = 20 * time.Millisecond
+	// maxCrashChecks bounds the checks in progress.
+	maxCrashChecks = 128
+)
+
+// content identifies what the call asks for: the caller's credentials, the
+// method, host, path and query, and the body. Callers' addresses are left out,
+// since one caller may have many.
+func (c *call) content() quarantine.Content {
+	if !c.contentKnown {
+		h := &c.ctx.Request.Header
+		c.contentDigest = quarantine.NewContent(h.Peek(fasthttp.HeaderAuthorization), h.Method(), h.Host(), h.RequestURI(), c.body)
+		c.contentKnown = true
+	}
+	return c.contentDigest
+}
+
+// incarnationKey identifies an incarnation of an upstream in messages between
+// instances.
+func incarnationKey(u *discovery.Upstream) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(u.ID+"\x00"+u.Address+"\x00"), uint64(u.StartUnixMilli)))
+}
+
+// brokeOff reports whether err means that the upstream's side closed or reset the
+// connection.
+func brokeOff(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// checkCrash finds out whether the upstream crashed while it ran the attempt,
+// which ended with a broken connection: a crashed one refuses connections. One
+// that still listens has only lost this connection, and one that was leaving has
+// ended as planned.
+func (g *Gateway) checkCrash(c *call, t *try) {
+	if !t.wrote || !brokeOff(t.err) {
+		return
+	}
+	if g.crashChecks.Add(1) > maxCrashChecks {
+		g.crashChecks.Add(-1)
+		g.metrics.crashChecksSkipped.Inc(1)
+		return
+	}
+	content, request, upstream, took := c.content(), c.id, t.upstream, t.took
+	endedAt := g.now()
+	go func() {
+		defer g.crashChecks.Add(-1)
+		// A panic is logged; the crash then counts for nothing.
+		_ = g.guard.Run("crash check", func() {
+			time.Sleep(crashCheckDelay)
+			if !g.hasCrashed(upstream) {
+				return
+			}
+			g.metrics.crashes.Inc(1)
+			g.logEvent("upstream crashed under request", "request", request, "content", content, "upstream", upstream.ID,
+				"service", upstream.Service, "ran_ms", took.Milliseconds(), "age_ms", (g.now() - endedAt).Milliseconds())
+		})
+	}()
+}
+
+// hasCrashed reports whether the upstream refuses connections although it is
+// registered and not draining.
+func (g *Gateway) hasCrashed(u *discovery.Upstream) bool {
+	registered := g.snapshot.Load().byKey[upstreamKey(u)]
+	if registered == nil || !registered.SameIncarnation(u) {
+		return false
+	}
+	cn, err := g.pool.dial(u.Address, dialTimeout)
+	if err == nil {
+		cn.lastReplyAt = time.Now()
+		g.pool.put(cn)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,8 @@
 	phase                     atomic.Uint32
 	inFlight                  atomic.Int64
 	liveCount                 atomic.Int64
+	// crashChecks is the number of checks for crashed upstreams in progress.
+	crashChecks atomic.Int64
 	// lookupTTL is the lifetime of lookup responses, in nanoseconds.
 	lookupTTL atomic.Int64
 
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -222,7 +222,8 @@
 			g.hooks.UpstreamFailed(upstreamKey(t.upstream), weight)
 		}
 		c.log("attempt failed", "upstream", t.upstream.ID, "outcome", t.outcome.String(), "status", status,
-			"took", t.took, "err", t.err)
+			"took", t.took, "err", t.err, "content", c.content())
+		g.checkCrash(c, t)
 	}
 }
 
