--- /dev/null
+++ b/node/crashing_test.go
@@ -0,0 +1,146 @@
+package node_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/standin"
+)
+
+const (
+	// crashPath makes each upstream that begins to run it crash.
+	crashPath = "/x/crash"
+	// crashDelay is how long a request runs before the crash, restartDelay how long
+	// the upstream is down.
+	crashDelay   = 20 * time.Millisecond
+	restartDelay = 400 * time.Millisecond
+	// knownAfter is the time after the third crash from which the request may reach
+	// at most maxLateRuns more upstreams.
+	knownAfter  = 3 * time.Second
+	maxLateRuns = 3
+)
+
+// crashingUpstreams are upstreams that crash under crashPath and start again
+// under a new id and address.
+type crashingUpstreams struct {
+	t  *testing.T
+	kv *standin.KV
+
+	mu      sync.Mutex
+	started int
+	// crashes holds the times of the runs of crashPath.
+	crashes []time.Time
+	ended   bool
+}
+
+func startCrashingUpstreams(t *testing.T, kv *standin.KV, n int) *crashingUpstreams {
+	t.Helper()
+	c := &crashingUpstreams{t: t, kv: kv}
+	for range n {
+		c.start()
+	}
+	t.Cleanup(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.ended = true
+	})
+	return c
+}
+
+// start starts an upstream and registers it.
+func (c *crashingUpstreams) start() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.started++
+	id := fmt.Sprint("i-", c.started)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	srv := &http.Server{}
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Catkinrouter-Backend-Load", "0,0,6,100")
+		if r.URL.Path == "/health" {
+			w.Header().Set("X-Catkinrouter-Instance-Id", id)
+			return
+		}
+		if r.URL.Path == crashPath {
+			c.crash(id, srv)
+			return
+		}
+		w.Header().Set("X-Catkinrouter-Attempt-Id", r.Header.Get("X-Catkinrouter-Attempt-Id"))
+		w.Header().Set("X-Catkinrouter-Server-Stamp", id)
+		fmt.Fprint(w, "ok")
+	})
+	go srv.Serve(ln)
+	b := &backend{id: id, addr: ln.Addr().String()}
+	b.register(c.kv, "tienda", "ready", 1)
+}
+
+// crash ends an upstream and starts the next one after restartDelay.
+func (c *crashingUpstreams) crash(id string, srv *http.Server) {
+	c.mu.Lock()
+	c.crashes = append(c.crashes, time.Now())
+	c.mu.Unlock()
+	time.Sleep(crashDelay)
+	srv.Close()
+	time.AfterFunc(restartDelay, func() {
+		c.kv.Delete("servers/" + id)
+		c.start()
+	})
+}
+
+// crashCount returns the number of crashes so far.
+func (c *crashingUpstreams) crashCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.crashes)
+}
+
+// lateRuns returns the runs of crashPath later than knownAfter after the third.
+func (c *crashingUpstreams) lateRuns() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, at := range c.crashes {
+		if i >= 3 && at.Sub(c.crashes[2]) > knownAfter {
+			n++
+		}
+	}
+	return n
+}
+
+// callFor sends path to the nodes in turn, at the given interval.
+func (s *site) callFor(path string, length, interval time.Duration) (statuses map[int]int) {
+	statuses = map[int]int{}
+	for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
+		status, _ := s.list[i%len(s.list)].call(path)
+		statuses[status]++
+		time.Sleep(interval)
+	}
+	return statuses
+}
+
+// A request that crashes the upstreams that run it was sent to one after the other,
+// by all instances and without end.
+func TestCrashingRequestReachesFewUpstreams(t *testing.T) {
+	s := newSite(t, 3)
+	up := startCrashingUpstreams(t, s.kv, 8)
+	configure(s.kv, 1, "/x/", "tienda")
+	s.waitAll("/x/1", 200, "ok")
+	s.callFor(crashPath, knownAfter+3*time.Second, 100*time.Millisecond)
+	if n := up.lateRuns(); n > maxLateRuns {
+		t.Errorf("%d runs later than %v after the third crash, want at most %d; %d in all", n, knownAfter, maxLateRuns, up.crashCount())
+	}
+	if status, body := s.list[0].call("/x/2"); status != 200 {
+		t.Errorf("another request: status %d, %q", status, strings.TrimSpace(body))
+	}
+}
