--- a/node/crashing_test.go
+++ b/node/crashing_test.go
@@ -144,3 +144,94 @@
 		t.Errorf("another request: status %d, %q", status, strings.TrimSpace(body))
 	}
 }
+
+// quarantineAtAll sends crashPath until no node passes it on.
+func (s *site) quarantineAtAll(up *crashingUpstreams) {
+	s.t.Helper()
+	const quiet = 600 * time.Millisecond
+	for end := time.Now().Add(10 * time.Second); ; {
+		before := up.crashCount()
+		s.callFor(crashPath, quiet, 50*time.Millisecond)
+		if before > 2 && up.crashCount() == before {
+			return
+		}
+		if time.Now().After(end) {
+			s.t.Fatalf("still passed on after %d crashes", up.crashCount())
+		}
+	}
+}
+
+// An instance that started later sent the request to the upstreams again, also where
+// the store was away when the others decided.
+func TestRestartedInstanceKnowsCrashingRequest(t *testing.T) {
+	for _, storeAway := range []bool{false, true} {
+		t.Run(fmt.Sprint("store away: ", storeAway), func(t *testing.T) {
+			s := newSite(t, 3)
+			up := startCrashingUpstreams(t, s.kv, 8)
+			configure(s.kv, 1, "/x/", "tienda")
+			s.waitAll("/x/1", 200, "ok")
+			if storeAway {
+				s.kv.SetFaults(standin.KVFaults{Reset: true})
+			}
+			s.quarantineAtAll(up)
+			if !storeAway {
+				time.Sleep(time.Second) // the decision is written
+			}
+			s.list[2].end(t)
+			s.list[2] = s.start(2)
+			s.list[2].waitUntil(t, func() bool { status, _ := s.list[2].call("/x/2"); return status == 200 })
+			before := up.crashCount()
+			for range 5 {
+				if status, body := s.list[2].call(crashPath); status != 503 {
+					t.Errorf("status %d, %q", status, strings.TrimSpace(body))
+				}
+			}
+			if n := up.crashCount() - before; n != 0 {
+				t.Errorf("%d more crashes", n)
+			}
+		})
+	}
+}
+
+// The decision was lost with the store's older copy, and with the instances that
+// remembered it.
+func TestCrashingRequestStaysKnownAfterStoreRestored(t *testing.T) {
+	s := newSite(t, 3)
+	up := startCrashingUpstreams(t, s.kv, 8)
+	configure(s.kv, 1, "/x/", "tienda")
+	s.waitAll("/x/1", 200, "ok")
+	b := s.kv.Backup()
+	s.quarantineAtAll(up)
+	s.restore(b)
+	time.Sleep(2 * time.Second) // the decision is written again
+	for i := range s.list {
+		s.list[i].end(t)
+		s.list[i] = s.start(i)
+	}
+	s.waitAll("/x/2", 200, "ok")
+	before := up.crashCount()
+	s.callFor(crashPath, time.Second, 50*time.Millisecond)
+	if n := up.crashCount() - before; n != 0 {
+		t.Errorf("%d more crashes", n)
+	}
+}
+
+// Requests that ran beside the crashing one were refused with it.
+func TestRequestsBesideCrashingOneAreServed(t *testing.T) {
+	s := newSite(t, 3)
+	up := startCrashingUpstreams(t, s.kv, 8)
+	configure(s.kv, 1, "/x/", "tienda")
+	s.waitAll("/x/1", 200, "ok")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.quarantineAtAll(up)
+	}()
+	s.callFor("/x/beside", 3*time.Second, 5*time.Millisecond)
+	<-done
+	for i, r := range s.list {
+		if status, body := r.call("/x/beside"); status != 200 {
+			t.Errorf("node %d: status %d, %q", i, status, strings.TrimSpace(body))
+		}
+	}
+}
