Take no reply without the request's ID on a connection in use again

Callers were told "not run, try again" for requests that were running, or these ran at a second upstream. It could happen here where the refusal bears no ID, such as that of a health check: a reply without an ID was taken as the request's.

Change: such a reply is taken only as the first one of its connection. Replies with another ID were skipped before, and still are.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -32,6 +32,8 @@
 	net.Conn
 	r    *bufio.Reader
 	addr string
+	// used is set once a request was sent on the connection.
+	used bool
 	// lastReplyAt is when the last reply arrived on the connection.
 	lastReplyAt time.Time
 	// idleLimit is how long the connection may be idle.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -16,6 +16,7 @@
 	errStrayReplies    = errors.New("too many interim or stray replies from the upstream")
 	errContentEncoding = errors.New("reply has a Content-Encoding, which is not supported")
 	errProtocolSwitch  = errors.New("upstream switched protocols without an upgrade request")
+	errUnidentified    = errors.New("reply without the request's ID on a connection in use again: it may belong to an earlier request")
 )
 
 // maxRepliesRead limits the replies read for one request. Interim replies, and
@@ -24,11 +25,14 @@
 
 // exchange writes out to c and reads the reply to the request with the given
 // ID into resp, with memory for its body. It returns true once a byte may have
-// been sent.
+// been sent. A reply without an ID is taken only if nothing else was asked for on the
+// connection.
 func (g *Gateway) exchange(c *conn, out []byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response, memory *reservation) (wrote bool, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return false, err
 	}
+	first := !c.used
+	c.used = true
 	if _, err := c.Write(out); err != nil {
 		return true, err
 	}
@@ -39,7 +43,11 @@
 		if resp.StatusCode() < fasthttp.StatusOK {
 			continue
 		}
-		if got := string(resp.Header.Peek(g.proto.RequestID)); got == id || id != "" && got == "" {
+		got := string(resp.Header.Peek(g.proto.RequestID))
+		if got == "" && id != "" && !first {
+			return true, errUnidentified
+		}
+		if got == id || got == "" {
 			c.lastReplyAt = time.Now()
 			c.idleLimit = idleLimitOf(resp)
 			if len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0 {
--- /dev/null
+++ b/gateway/faultyreply_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// An upstream wrote a refusal once more on a kept connection, without an ID, while it
+// ran the next request there: the caller was told that it had not run, or it ran at a
+// second upstream.
+func TestRepeatedRefusalIsNoAnswer(t *testing.T) {
+	for _, refusal := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 Misdirected Request\r\nUpstream-Id: other\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+	} {
+		repeat := func(s *stub, c net.Conn, r *http.Request, body string) bool {
+			fmt.Fprint(c, refusal)
+			return answerOK(s, c, r, body)
+		}
+		tg := newTestGateway(t)
+		stubs := []*stub{newStub(t, "a", repeat), newStub(t, "b", repeat)}
+		tg.configure(2*time.Second, stubs...)
+		for i := range 5 {
+			id := fmt.Sprint("p-", i)
+			r := tg.call("POST", "/purchase/1", id, "pack")
+			runs := stubs[0].runCount(id) + stubs[1].runCount(id)
+			if runs != 1 || r.err != nil || r.status == http.StatusServiceUnavailable || r.status == http.StatusMisdirectedRequest {
+				t.Errorf("%.30q: ran %d times, status %d, error %v", refusal, runs, r.status, r.err)
+			}
+		}
+	}
+}
