Show that a reply cut in its head is no success

It can't happen here: cut after each byte of a head with a length and of one without, on both data paths, a request that is not repeated ends as one that may have run (TestReplyCutInItsHead, twice). The tests fail on a reader that takes the end of the connection for the end of the head. No change of the code. Also: a request held back beside the one that crashes upstreams must not be blocked meanwhile (fails without the comparison of the two).

--- a/gateway/faultyreply_test.go
+++ b/gateway/faultyreply_test.go
@@ -34,3 +34,28 @@
 		}
 	}
 }
+
+// An upstream that ended in the middle of its reply's head left the caller with a
+// success that looked complete.
+func TestReplyCutInItsHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nContent-Length: 12\r\n\r\n"
+	const unframed = "HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: %s\r\n\r\n"
+	for _, head := range []string{head, unframed} {
+		whole := len(fmt.Sprintf(head, "c-00"))
+		cut := 0
+		u := newStub(t, "cuts", func(s *stub, c net.Conn, r *http.Request, _ string) bool {
+			id := s.run(r)
+			fmt.Fprint(c, fmt.Sprintf(head, id)[:cut])
+			return false
+		})
+		tg := newTestGateway(t)
+		tg.configure(2*time.Second, u)
+		for cut = range whole {
+			id := fmt.Sprintf("c-%02d", cut%100)
+			r := tg.call("POST", "/purchase/1", id, "pack")
+			if r.err != nil || r.status != http.StatusBadGateway {
+				t.Errorf("cut after %d bytes of %d: status %d, body %q, error %v; want 502", cut, whole, r.status, r.body, r.err)
+			}
+		}
+	}
+}
--- a/proxy/exchange_test.go
+++ b/proxy/exchange_test.go
@@ -224,3 +224,20 @@
 		return true
 	})
 }
+
+// An upstream that ended in the middle of its reply's head left the caller with a
+// success that looked complete.
+func TestReplyCutInItsHead(t *testing.T) {
+	head := replyWithLength("", "X-Note: whole")
+	var cut atomic.Int32
+	site := newTestSite(t, noRules, startRawUpstream(t, func(int, *fasthttp.Request) (string, bool) {
+		return head[:cut.Load()], true
+	}))
+	for n := range len(head) {
+		cut.Store(int32(n))
+		resp := site.roundTrip(rawRequest("POST /buy", "", "Content-Length: 0"))
+		if resp.StatusCode() < 500 || header(resp, headers.Outcome) != "unknown" {
+			t.Errorf("cut after %d bytes of %d: %s", n, len(head), resp.String())
+		}
+	}
+}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -82,7 +82,11 @@
 				q.RecordCrash(now, crashAt(first, u, now))
 				q.RecordCrash(now+time.Millisecond, crashAt(second, u, now))
 			}
-			now += settleTime + 2*time.Millisecond
+			now += 2 * time.Millisecond
+			if !blockedAt(q, now, deadly) || blockedAt(q, now, innocent) {
+				t.Errorf("held back: the crashing one %t, the other %t", blockedAt(q, now, deadly), blockedAt(q, now, innocent))
+			}
+			now += settleTime
 			if !blockedAt(q, now, deadly) || blockedAt(q, now, innocent) {
 				t.Errorf("blocked: the crashing one %t, the other %t", blockedAt(q, now, deadly), blockedAt(q, now, innocent))
 			}
