Refuse requests that a planned stop might cut off

It could happen here: an instance, and an entry, passed on whatever still came on connections opened before, however little time was left.

Change: an instance refuses at once, as not run and with when to come back, what would end after the process: after the time in which callers connect by the request's timeout, before by eight times the usual work, so that no more than stragglers are refused then. An entry refuses what comes once it accepts no connections.

TestRequestLateInPlannedStop (gateway, proxy) failed: late requests ran, in the proxy until the stop's end. TestPlannedStopUnderLoad and TestStopFinishesCalls pass unchanged.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,8 +65,10 @@
 	instanceKnownOnce         sync.Once
 	startupWait               time.Duration
 	phase                     atomic.Uint32
-	inFlight                  atomic.Int64
-	liveCount                 atomic.Int64
+	// stop is set once a planned stop has begun.
+	stop      atomic.Pointer[stopTimes]
+	inFlight  atomic.Int64
+	liveCount atomic.Int64
 	// crashChecks is the number of checks for crashed upstreams in progress.
 	crashChecks atomic.Int64
 	quarantine  lockedQuarantine
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -35,8 +35,11 @@
 		return
 	}
 	c := g.newCall(ctx, snap, r, id, arrived)
-	res := c.run()
-	g.respond(c, res)
+	if !g.stop.Load().admits(arrived, c.deadline-arrived, c.work()) {
+		g.respond(c, c.failureResult("stopping"))
+		return
+	}
+	g.respond(c, c.run())
 }
 
 // startupWait is how long the first requests after a start wait for data that
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -129,3 +130,51 @@
 	text, err := io.ReadAll(resp.Body)
 	return reply{status: resp.StatusCode, body: string(text), err: err}
 }
+
+// Requests that came late in a planned stop were passed on and then cut off without an
+// answer when it ended. One that comes in time must be served, a late one refused
+// before it runs.
+func TestRequestLateInPlannedStop(t *testing.T) {
+	const (
+		stopLimit = 2 * time.Second // callers connect in its first half; calls end 0.5 s before it
+		work      = 600 * time.Millisecond
+	)
+	u := newStub(t, "slow", func(s *stub, c net.Conn, r *http.Request, body string) bool {
+		s.run(r)
+		time.Sleep(work)
+		id := r.Header.Get("Request-Id")
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok", id)
+		return true
+	})
+	tg := startTestGateway(t, stopLimit)
+	tg.configure(time.Second, u)
+	began := time.Now()
+	var all sync.WaitGroup
+	for _, c := range []struct {
+		name   string
+		after  time.Duration
+		status int
+	}{{"in time", 200 * time.Millisecond, 200}, {"late", 1100 * time.Millisecond, 503}, {"last", 1400 * time.Millisecond, 503}} {
+		for _, path := range []string{"/purchase/", "/clue/"} {
+			cn, err := net.Dial("tcp4", tg.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all.Go(func() {
+				defer cn.Close()
+				time.Sleep(c.after - time.Since(began))
+				id := strings.ReplaceAll(path[1:]+c.name, " ", "-")
+				r := callOn(cn, "POST", path+"1", id, "pack")
+				if r.err != nil || r.status != c.status || (r.status == 503) != (u.runCount(id) == 0) {
+					t.Errorf("%s, %s: ran %d times, status %d, error %v; want %d", path, c.name, u.runCount(id), r.status, r.err, c.status)
+				}
+				if c.status == 503 && (r.header.Get("Retry-After") == "" || !r.closes) {
+					t.Errorf("%s, %s: Retry-After %q, closes %t", path, c.name, r.header.Get("Retry-After"), r.closes)
+				}
+			})
+		}
+	}
+	time.Sleep(50 * time.Millisecond) // the connections are accepted
+	tg.stop()
+	all.Wait()
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -27,7 +27,12 @@
 func (s *Server) forward(ctx *fasthttp.RequestCtx) {
 	began := time.Now()
 	c := acquireCall(ctx.Conn())
-	if reqErr := s.readRequest(ctx, c); reqErr != nil {
+	reqErr := s.readRequest(ctx, c)
+	if reqErr == nil && s.currentPhase() >= finishing {
+		// It might be aborted at the end of the stop.
+		reqErr = newRequestError(reasonStopping, "the entry is stopping and takes no more calls")
+	}
+	if reqErr != nil {
 		s.refuse(ctx, reqErr)
 		releaseCall(c)
 		return
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,3 +110,30 @@
 		t.Error(resp.String())
 	}
 }
+
+// Requests that came late in a planned stop, on connections opened before, were passed
+// on and then aborted when it ended.
+func TestRequestLateInPlannedStop(t *testing.T) {
+	var runs atomic.Int32
+	release := make(chan struct{})
+	site := newTestSite(t, config.Rules{Timeout: config.Duration(time.Minute)}, startUpstream(t, func(*fasthttp.RequestCtx) {
+		runs.Add(1)
+		<-release
+	}))
+	site.s.times = stopTimes{limit: time.Minute}
+	inFlight := site.dial()
+	inFlight.send(rawRequest("GET /begun", ""))
+	site.eventually("the call is in flight", func() bool { return runs.Load() == 1 })
+	late := site.dial()
+	site.stop()
+	site.eventually("no more connections are accepted", func() bool { return site.s.currentPhase() == finishing })
+	late.send(rawRequest("POST /late", "", "Content-Length: 0"))
+	resp := late.read()
+	if resp.StatusCode() != fasthttp.StatusServiceUnavailable || header(resp, headers.Outcome) != "not-run" || !resp.ConnectionClose() || runs.Load() != 1 {
+		t.Errorf("ran %d times: %s", runs.Load()-1, resp.String())
+	}
+	close(release)
+	if resp := inFlight.read(); resp.StatusCode() != fasthttp.StatusOK {
+		t.Error(resp.String())
+	}
+}
