--- a/deploy/drawday/kinds.go
+++ b/deploy/drawday/kinds.go
@@ -4,6 +4,7 @@
 
 var faultKinds = []trouble{
 	{kind: "poison", class: true, share: span{0.005, 0.3}, forS: span{5, 25}, hows: []string{"deadly"}},
+	{kind: "poison", class: true, share: span{0.001, 0.01}, forS: span{10, 30}, hows: []string{"deadly"}},
 	{kind: "burst", x: span{1.3, 2.2}, forS: span{2, 6}},
 	{kind: "shift", share: span{0.2, 0.6}, forS: span{3, 7}},
 	{kind: "retry_abuse", share: span{0.2, 0.5}, x: span{2, 4}, forS: span{3, 6}},
