--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -50,6 +50,9 @@
   explain REQUEST [FILE...]
                         print the log lines of one request in order of time,
                         from instances' logs or standard input
+  quarantine -store IP:PORT [lift CONTENT]
+                        on a platform: print the requests that are kept from the
+                        upstreams since these crashed under them, or lift that
 
 exit codes: 0 done, 1 error, 2 wrong usage, 3 refused (stale or unknown plan),
   4 invalid document, 5 unavailable, nothing put in force by this call,
@@ -104,13 +107,13 @@
 func (c *command) run(name string, args []string) error {
 	commands := map[string]func([]string) error{
 		"plan": c.plan, "add": c.add, "confirm": c.confirm, "show": c.show,
-		"history": c.history, "diff": c.diff, "status": c.status, "explain": c.explain,
+		"history": c.history, "diff": c.diff, "status": c.status, "explain": c.explain, "quarantine": c.quarantine,
 		"drain": c.intent("drain"), "undrain": c.intent("undrain"), "remove": c.intent("remove"),
 	}
 	f := commands[name]
 	switch {
 	case name == "":
-		return usageError("no command: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain; -h shows more")
+		return usageError("no command: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain, quarantine; -h shows more")
 	case f == nil:
 		return usageError(fmt.Sprintf("unknown command %q: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain", name))
 	}
--- a/node/crashing_test.go
+++ b/node/crashing_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/catkinrouter/catkinrouter/platform"
+	"github.com/catkinrouter/catkinrouter/quarantine"
 	"github.com/catkinrouter/catkinrouter/standin"
 )
 
@@ -235,3 +237,38 @@
 		}
 	}
 }
+
+// An operator must be able to end a quarantine while the instances run.
+func TestLiftedQuarantineIsServedAgain(t *testing.T) {
+	s := newSite(t, 2)
+	up := startCrashingUpstreams(t, s.kv, 8)
+	configure(s.kv, 1, "/x/", "tienda")
+	s.waitAll("/x/1", 200, "ok")
+	s.quarantineAtAll(up)
+	key := platform.Keys().Quarantine
+	var entries []quarantine.Entry
+	for end := time.Now().Add(5 * time.Second); len(entries) == 0; time.Sleep(10 * time.Millisecond) {
+		value, _ := s.kv.Get(key)
+		entries, _ = quarantine.Decode(value)
+		if time.Now().After(end) {
+			t.Fatal("nothing in the store")
+		}
+	}
+	lifted, found := quarantine.Lift(entries, entries[0].Content, time.Now())
+	if !found {
+		t.Fatalf("not in force: %+v", entries)
+	}
+	value, err := quarantine.Encode(lifted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.kv.Put(key, value)
+	for i, r := range s.list {
+		before := up.crashCount()
+		for end := time.Now().Add(5 * time.Second); up.crashCount() == before; time.Sleep(10 * time.Millisecond) {
+			if r.call(crashPath); time.Now().After(end) {
+				t.Fatalf("node %d still keeps the request from the upstreams", i)
+			}
+		}
+	}
+}
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -151,6 +151,17 @@
 	return n.encodeQuarantine(entries), n.shared.revision, true
 }
 
+// countQuarantined returns the number of requests that are kept from the upstreams.
+func (n *Node) countQuarantined() (count int64) {
+	wall := time.Now()
+	for _, e := range n.gateway.Quarantined() {
+		if e.InForce(wall) {
+			count++
+		}
+	}
+	return count
+}
+
 // encodeQuarantine returns entries as the store holds them.
 func (n *Node) encodeQuarantine(entries []quarantine.Entry) []byte {
 	value, err := quarantine.Encode(entries)
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -39,6 +39,23 @@
 	return entries, nil
 }
 
+// Lift returns entries with the quarantine of a request lifted, as an operator decides;
+// false if it is not quarantined.
+func Lift(entries []Entry, content Content, wall time.Time) ([]Entry, bool) {
+	out := slices.Clone(entries)
+	i := slices.IndexFunc(out, func(e Entry) bool { return e.Content == content })
+	if i < 0 || !out[i].InForce(wall) {
+		return out, false
+	}
+	out[i].Sequence++
+	out[i].Lifted = true
+	out[i].UntilUnixMilli = wall.UnixMilli()
+	return out, true
+}
+
+// InForce reports whether the request is quarantined at a time of day.
+func (e Entry) InForce(wall time.Time) bool { return !e.Lifted && wall.UnixMilli() < e.UntilUnixMilli }
+
 // Entries returns the decisions, by Content. wall is the time of day at now.
 func (t *Table) Entries(now time.Duration, wall time.Time) []Entry {
 	t.Settle(now)
