Obey upstreams that say in a reply that they leave, or ask for a pause

The instance read neither: it sent there until the upstream's entry in the store changed, and at once again after a refusal.

Change: package notice, decisions without I/O. Each final reply to a request or health check is read, its head at least. A leaving upstream gets nothing new until it registers anew: not picked, not probed, its idle connections closed, and an attempt that was picked but not written takes another. A pause holds to its end, the longest of several, at most five minutes, whatever the header's value; then instances return up to a tenth later, each at its own moment, with one request at a time until one is answered. It is no failure. If all upstreams left to a call leave or pause, it is refused at once, with when to come back. Rate limits and these two share one place that admits a request (admit, withdraw, blockedUntil).

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -54,11 +54,11 @@
 	if !c.hasUntried() {
 		return "no-upstream"
 	}
-	due, limited := c.rateLimitedUntil(c.g.queue.ahead(c.service.Name, c.route.Priority))
-	if limited && due >= limit {
-		return "rate-limited"
+	due, reason := c.blockedUntil(c.g.queue.ahead(c.service.Name, c.route.Priority))
+	if due < limit {
+		return ""
 	}
-	return ""
+	return reason
 }
 
 // hasUntried reports whether there is an upstream to which the call has not been
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -263,14 +263,17 @@
 }
 
 // retryAfter returns after how long a refused call has a chance: at the end of its
-// quarantine, or once this instance may send to an upstream again if rate limits
-// prevent it, and 0 if that can't be told.
+// quarantine, or once this instance may send to an upstream again if what they say of
+// themselves prevents it, and 0 if that can't be told.
 func (c *call) retryAfter() time.Duration {
 	if d := c.quarantinedFor(); d > 0 {
 		return d
 	}
-	until, limited := c.rateLimitedUntil(c.g.queue.ahead(c.service.Name, c.route.Priority))
-	if !limited || until == never {
+	until, reason := c.blockedUntil(c.g.queue.ahead(c.service.Name, c.route.Priority))
+	switch {
+	case reason == reasonLeaving:
+		return leavingRetryAfter
+	case reason == "" || until == never:
 		return 0
 	}
 	return max(0, until-c.g.now())
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -104,6 +104,16 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
+// closeIdle closes the idle connections to an address.
+func (p *pool) closeIdle(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[addr] {
+		c.Close()
+	}
+	delete(p.idle, addr)
+}
+
 // closeExpired closes the connections that have been idle for too long.
 func (p *pool) closeExpired() {
 	now := time.Now()
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/notice"
 	"github.com/catkinrouter/catkinrouter/pick"
 	"github.com/catkinrouter/catkinrouter/quota"
 )
@@ -23,6 +24,7 @@
 	incarnation discovery.Upstream
 	evidence    pick.Evidence
 	bucket      quota.Bucket
+	notices     notice.State
 }
 
 func newEvidenceTable() *evidenceTable { return &evidenceTable{byID: map[string]*evidenceEntry{}} }
@@ -45,14 +47,14 @@
 	return entry
 }
 
-// prospect returns the evidence about u before it is probed, and whether its
-// rate limit admits a request.
-func (e *evidenceTable) prospect(now time.Duration, u *discovery.Upstream) (pick.Prospect, quota.Admission) {
+// prospect returns the evidence about u before it is probed, and whether it admits a
+// request.
+func (e *evidenceTable) prospect(now time.Duration, u *discovery.Upstream) (pick.Prospect, admission) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	entry := e.entry(u)
 	p := pick.Prospect{FailureRate: entry.evidence.FailureRate(now), InBackoff: entry.evidence.InBackoff(now)}
-	return p, entry.bucket.Check(now, e.fleet.Division(now), u.ID)
+	return p, admission{rate: entry.bucket.Check(now, e.fleet.Division(now), u.ID), notice: entry.notices.Check(now)}
 }
 
 func (e *evidenceTable) recordOutcome(now time.Duration, u *discovery.Upstream, failed bool, weight float64) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/discovery"
 )
 
 // Errors of an exchange.
@@ -23,11 +25,11 @@
 // late replies to earlier requests, are skipped.
 const maxRepliesRead = 8
 
-// exchange writes out to c and reads the reply to the request with the given
-// ID into resp, with memory for its body. It returns true once a byte may have
-// been sent. A reply without an ID is taken only if nothing else was asked for on the
-// connection.
-func (g *Gateway) exchange(c *conn, out []byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response, memory *reservation) (wrote bool, err error) {
+// exchange writes out to c, a connection to u, and reads the reply to the request with
+// the given ID, empty for a health check, into resp, with memory for its body. It returns
+// true once a byte may have been sent. A reply without an ID is taken only if nothing else
+// was asked for on the connection.
+func (g *Gateway) exchange(c *conn, u *discovery.Upstream, out []byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response, memory *reservation) (wrote bool, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return false, err
 	}
@@ -37,7 +39,7 @@
 		return true, err
 	}
 	for range maxRepliesRead {
-		if err := readReply(c, isHead, resp, memory); err != nil {
+		if err := readHead(c, resp); err != nil {
 			return true, err
 		}
 		if resp.StatusCode() < fasthttp.StatusOK {
@@ -47,30 +49,50 @@
 		if got == "" && id != "" && !first {
 			return true, errUnidentified
 		}
-		if got == id || got == "" {
-			c.lastReplyAt = time.Now()
-			c.idleLimit = idleLimitOf(resp)
-			if len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0 {
-				return true, errContentEncoding
-			}
-			return true, nil
+		own := got == id || got == ""
+		if own {
+			g.recordNotice(u, resp, id == "")
+		}
+		if err := readBody(c, isHead, resp, memory); err != nil {
+			return true, err
+		}
+		if own {
+			return true, finishReply(c, resp)
 		}
 		g.metrics.strayReplies.Inc(1)
 	}
 	return true, errStrayReplies
 }
 
-// readReply reads one final or interim reply with its whole body. Its head, and
-// its trailer, must fit the buffer of the connection.
-func readReply(c *conn, isHead bool, resp *fasthttp.Response, memory *reservation) error {
+// finishReply records that c has delivered a whole reply, and checks that its body can
+// be passed on.
+func finishReply(c *conn, resp *fasthttp.Response) error {
+	c.lastReplyAt = time.Now()
+	c.idleLimit = idleLimitOf(resp)
+	if len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0 {
+		return errContentEncoding
+	}
+	return nil
+}
+
+// readHead reads the head of one final or interim reply. It must fit the buffer of the
+// connection.
+func readHead(c *conn, resp *fasthttp.Response) error {
 	resp.Reset()
 	if err := resp.Header.Read(c.r); err != nil {
 		return unexpectedEOF(err)
 	}
-	switch code := resp.StatusCode(); {
-	case code == fasthttp.StatusSwitchingProtocols:
+	if resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
 		return errProtocolSwitch
-	case code < fasthttp.StatusOK, isHead, code == fasthttp.StatusNoContent, code == fasthttp.StatusNotModified:
+	}
+	return nil
+}
+
+// readBody reads the whole body of a final reply. Its trailer must fit the buffer of the
+// connection.
+func readBody(c *conn, isHead bool, resp *fasthttp.Response, memory *reservation) error {
+	switch code := resp.StatusCode(); {
+	case isHead, code == fasthttp.StatusNoContent, code == fasthttp.StatusNotModified:
 		return nil
 	}
 	return unexpectedEOF(memory.readBody(c, resp))
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -10,6 +10,8 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/discovery"
 )
 
 // replayConn is a connection on which the peer sends some bytes and closes.
@@ -42,7 +44,7 @@
 		memory := g.replyMemory.begin(0)
 		resp := fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseResponse(resp)
-		_, err := g.exchange(c, nil, "r", false, time.Now(), resp, memory)
+		_, err := g.exchange(c, &discovery.Upstream{}, nil, "r", false, time.Now(), resp, memory)
 		if id := string(resp.Header.Peek("Request-Id")); err == nil && id != "r" && id != "" {
 			t.Errorf("the reply to %q was taken", id)
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,6 +22,9 @@
 	// crashes counts the attempts under which an upstream crashed,
 	// crashChecksSkipped the broken ones for which that was not checked.
 	crashes, crashChecksSkipped gometrics.Counter
+	// leaving counts the upstreams that said that they are leaving, pauses the
+	// pauses that upstreams asked for.
+	leaving, pauses gometrics.Counter
 	// crashReports counts the reports of other instances, quarantines and
 	// quarantinesLifted this instance's own decisions.
 	crashReports, quarantines, quarantinesLifted gometrics.Counter
@@ -39,6 +42,7 @@
 	m := &metricSet{
 		registry: registry, connsOpened: c("upstream_connections_opened_total"), probes: c("probes_total"), probesFailed: c("probes_failed_total"),
 		strayReplies: c("stray_replies_total"), crashes: c("upstream_crashes_total"), crashChecksSkipped: c("crash_checks_skipped_total"),
+		leaving: c("upstreams_leaving_total"), pauses: c("upstream_pauses_total"),
 		crashReports: c("crash_reports_total"), quarantines: c("quarantines_total"), quarantinesLifted: c("quarantines_lifted_total"),
 		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"), rateLimited: c("rate_limited_passes_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
 		logFailures: c("log_failures_total"), panics: c("panics_total"), latency: metrics.NewHistogram(),
--- /dev/null
+++ b/gateway/notice.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/notice"
+	"github.com/catkinrouter/catkinrouter/quota"
+)
+
+// errUnwanted ends an attempt before it is sent: its upstream has said meanwhile that
+// it is leaving, or that it wants no requests for a time.
+var errUnwanted = errors.New("upstream is leaving or asked for a pause after it was picked")
+
+// leavingRetryAfter is when callers are told to come back if all upstreams of a service
+// are leaving: the next ones are being started.
+const leavingRetryAfter = time.Second
+
+// never is later than any time.
+const never = time.Duration(math.MaxInt64)
+
+// admission is whether an upstream admits a request, by what it has said of itself.
+type admission struct {
+	rate   quota.Admission
+	notice notice.Admission
+}
+
+// admitted reports whether a request may be sent now.
+func (a admission) admitted() bool { return a.rate.Admitted && a.notice.Admitted }
+
+// limited reports whether anything but load may keep a request from the upstream.
+func (a admission) limited() bool { return a.rate.Limited || !a.notice.Admitted }
+
+// reason returns why a request is kept from a limited upstream.
+func (a admission) reason() string {
+	switch {
+	case a.notice.Leaving:
+		return reasonLeaving
+	case a.notice.Due > a.rate.Due:
+		return reasonPaused
+	}
+	return reasonRateLimited
+}
+
+// Reasons of calls that are refused since no upstream left to them admits a request.
+const (
+	reasonRateLimited = "rate-limited"
+	reasonPaused      = "upstreams-paused"
+	reasonLeaving     = "upstreams-leaving"
+)
+
+// noticeOf returns what a reply of an upstream says of itself.
+func (g *Gateway) noticeOf(resp *fasthttp.Response, health bool) notice.Notice {
+	h := &resp.Header
+	n := notice.Notice{Leaving: g.proto.IsLeaving(string(h.Peek(g.proto.Leaving)))}
+	switch code := resp.StatusCode(); {
+	case health:
+		n.Reply = notice.Health
+	case code == fasthttp.StatusMisdirectedRequest || len(h.Peek(g.proto.NotRun)) > 0:
+		n.Reply = notice.Refusal
+	}
+	if resp.StatusCode() == fasthttp.StatusServiceUnavailable {
+		var values []string
+		for _, v := range h.PeekAll(fasthttp.HeaderRetryAfter) {
+			values = append(values, string(v))
+		}
+		n.Pause = notice.ParseRetryAfter(values, time.Now())
+	}
+	return n
+}
+
+// recordNotice records what a reply of u says of itself. Another upstream that now has
+// the address of u says nothing of it.
+func (g *Gateway) recordNotice(u *discovery.Upstream, resp *fasthttp.Response, health bool) {
+	if resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		return
+	}
+	n, now := g.noticeOf(resp, health), g.now()
+	change := g.evidence.observeNotice(now, u, n, rand.Float64())
+	switch change {
+	case notice.Left:
+		g.metrics.leaving.Inc(1)
+		g.pool.closeIdle(u.Address)
+		g.logEvent("upstream says it is leaving", "upstream", u.ID, "service", u.Service)
+	case notice.Paused:
+		g.metrics.pauses.Inc(1)
+		g.logEvent("upstream asked for a pause", "upstream", u.ID, "service", u.Service, "for", n.Pause)
+	case notice.Resumed:
+		g.logEvent("upstream answers after its pause", "upstream", u.ID, "service", u.Service)
+	}
+}
+
+func (e *evidenceTable) observeNotice(now time.Duration, u *discovery.Upstream, n notice.Notice, random float64) notice.Change {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.entry(u).notices.Observe(now, n, random)
+}
+
+// unwanted reports whether u wants no request now.
+func (e *evidenceTable) unwanted(now time.Duration, u *discovery.Upstream) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.entry(u).notices.Blocked(now)
+}
+
+// leaving reports whether u is leaving.
+func (e *evidenceTable) leaving(u *discovery.Upstream) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.entry(u).notices.Leaving()
+}
+
+// admit counts a request to u if it admits one now. It returns the rate limit under
+// which it was counted.
+func (e *evidenceTable) admit(now time.Duration, u *discovery.Upstream) (limit quota.Limit, admitted bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	entry := e.entry(u)
+	if !entry.notices.Take(now) {
+		return limit, false
+	}
+	if !entry.bucket.Take(now, e.fleet.Division(now), u.ID) {
+		entry.notices.Return()
+		return limit, false
+	}
+	return entry.bucket.Limit(), true
+}
+
+// withdraw gives back what admit counted for a request that was not sent.
+func (e *evidenceTable) withdraw(u *discovery.Upstream, limit quota.Limit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	entry := e.entry(u)
+	entry.notices.Return()
+	if limit.Named {
+		entry.bucket.Return()
+	}
+}
+
+// admit counts a request to the chosen upstream. It returns false if the upstream
+// admits none now.
+func (g *Gateway) admit(ch *choice) bool {
+	ch.rateLimit, ch.admitted = g.evidence.admit(g.now(), ch.upstream)
+	if !ch.admitted {
+		g.metrics.rateLimited.Inc(1)
+	}
+	return ch.admitted
+}
+
+// withdraw gives back what admit counted for a request that was not sent.
+func (g *Gateway) withdraw(ch *choice) {
+	if ch.admitted {
+		g.evidence.withdraw(ch.upstream, ch.rateLimit)
+	}
+}
+
+// blockedUntil returns when this instance may send the call to an upstream, after
+// ahead other calls, and why not now; the reason is empty if an upstream is open. The time
+// is never if no upstream left to the call will admit one.
+func (c *call) blockedUntil(ahead int) (until time.Duration, reason string) {
+	now := c.g.now()
+	var waiting []quota.Admission
+	var reasons []string
+	for _, u := range c.upstreams() {
+		if c.tried[u.ID] {
+			continue
+		}
+		_, a := c.g.evidence.prospect(now, u)
+		if !a.limited() {
+			return 0, ""
+		}
+		if reason = a.reason(); a.notice.Leaving || a.rate.Limited && !a.rate.Held {
+			continue
+		}
+		waiting = append(waiting, quota.Admission{Due: max(a.rate.Due, a.notice.Due), Interval: a.rate.Interval})
+		reasons = append(reasons, reason)
+	}
+	if len(waiting) == 0 {
+		return never, reason
+	}
+	for range ahead {
+		first := &waiting[earliest(waiting)]
+		first.Due = max(first.Due, now) + first.Interval
+	}
+	i := earliest(waiting)
+	return waiting[i].Due, reasons[i]
+}
+
+// earliest returns the index of the admission that is due first.
+func earliest(list []quota.Admission) (first int) {
+	for i := range list {
+		if list[i].Due < list[first].Due {
+			first = i
+		}
+	}
+	return first
+}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -39,14 +39,16 @@
 	// sentSince counts this instance's requests to the upstream that the
 	// report does not include yet.
 	sentSince int
-	// rateLimit is the upstream's limit under which the choice was counted.
+	// admitted is set once the choice was counted as a request, under the upstream's
+	// rateLimit.
+	admitted  bool
 	rateLimit quota.Limit
 }
 
-// releaseChoice returns the connection of an unused choice to the pool, and what
-// was counted under the upstream's rate limit.
+// releaseChoice returns the connection of an unused choice to the pool, and what was
+// counted for it.
 func (g *Gateway) releaseChoice(ch choice) {
-	g.returnQuota(&ch)
+	g.withdraw(&ch)
 	if ch.conn != nil {
 		g.pool.put(ch.conn)
 	}
@@ -69,7 +71,7 @@
 }
 
 // pickUpstream picks an upstream of the service to which the call has not been
-// sent yet, and returns false if there is none that its rate limit admits. It
+// sent yet, and returns false if there is none that admits a request. It
 // probes few upstreams, those in the same data centre first, and more of them
 // while none has an acceptable delay.
 func (g *Gateway) pickUpstream(c *call) (choice, bool) {
@@ -99,7 +101,7 @@
 }
 
 // furtherProbes returns how many of n further probes may be sent: those that the
-// budget has to spare, and minProbes while rate limits have left no choice.
+// budget has to spare, and minProbes while no upstream has admitted the call.
 func (g *Gateway) furtherProbes(best choice, n int) int {
 	switch {
 	case n == 0 || g.probeBudget.takeSpare(g.now(), n):
@@ -132,8 +134,7 @@
 }
 
 // pickBest returns the best of the probe results and the previous choice, and
-// releases the others. An upstream whose rate limit admits no request is never
-// chosen.
+// releases the others. An upstream that admits no request is never chosen.
 func (g *Gateway) pickBest(best choice, job pick.Job, results []probeResult) choice {
 	now := g.now()
 	fullness, paces := g.estimates.fullnessOf(results[0].upstream.Service), g.estimates.pacesOf(results[0].upstream.Service)
@@ -159,7 +160,7 @@
 		cost := delay + job.Risk(cand)
 		rejected := choice{probeResult: res}
 		better := choice{probeResult: res, cost: cost, delay: delay, sentSince: cand.SentSince}
-		if (best.upstream == nil || cost < best.cost) && g.takeQuota(&better) {
+		if (best.upstream == nil || cost < best.cost) && g.admit(&better) {
 			rejected, best = best, better
 		}
 		g.releaseChoice(rejected)
@@ -167,9 +168,9 @@
 	return best
 }
 
-// candidates returns the upstreams of the call's service, except those to
-// which the call has been sent and those whose rate limit admits no request. Of
-// these, one whose limit may be out of date is probed last.
+// candidates returns the upstreams of the call's service, except those to which the
+// call has been sent, those that are leaving or asked for a pause, and those whose rate
+// limit admits no request. Of the last, one whose limit may be out of date is probed last.
 func (g *Gateway) candidates(c *call, localFirst bool) candidates {
 	all := c.upstreams()
 	list := make([]*discovery.Upstream, 0, len(all))
@@ -179,11 +180,11 @@
 		if c.tried[u.ID] {
 			continue
 		}
-		p, admission := g.evidence.prospect(now, u)
-		if !admission.Admitted && !admission.Recheck {
+		p, a := g.evidence.prospect(now, u)
+		if !a.notice.Admitted || !a.rate.Admitted && !a.rate.Recheck {
 			continue
 		}
-		p.InBackoff = p.InBackoff || !admission.Admitted
+		p.InBackoff = p.InBackoff || !a.rate.Admitted
 		p.Local = localFirst && u.DataCentre == g.opt.DataCentre
 		p.IdleConn = localFirst && g.pool.hasIdle(u.Address)
 		if !p.InBackoff {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -34,6 +34,10 @@
 	// no limit.
 	RateLimit      string
 	ParseRateLimit func(string) (float64, error)
+	// Leaving is the header in which an upstream says that it is leaving; IsLeaving
+	// decodes its value, empty if there is none.
+	Leaving   string
+	IsLeaving func(string) bool
 	// LookupDataCentre is the query parameter of a lookup that holds the caller's
 	// data centre. EncodeLookup encodes the body of the response.
 	LookupDataCentre string
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -108,11 +108,11 @@
 // handOff gives a choice to the first queued call of the service, if there is one
 // and the upstream's rate limit admits it.
 func (g *Gateway) handOff(service string, ch choice) bool {
-	if g.queue.empty(service) || !g.takeQuota(&ch) {
+	if g.queue.empty(service) || !g.admit(&ch) {
 		return false
 	}
 	if !g.queue.handOff(service, ch) {
-		g.returnQuota(&ch)
+		g.withdraw(&ch)
 		return false
 	}
 	g.metrics.handoffs.Inc(1)
@@ -137,7 +137,7 @@
 			return
 		}
 	}
-	if closes {
+	if closes || g.evidence.leaving(t.upstream) {
 		cn.Close()
 		return
 	}
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -53,68 +52,3 @@
 	defer e.mu.Unlock()
 	e.fleet.Set(now, f)
 }
-
-// takeQuota counts a request to the chosen upstream under its rate limit. It
-// returns false if this instance may not send one now.
-func (g *Gateway) takeQuota(ch *choice) bool {
-	admitted, now := false, g.now()
-	g.evidence.withBucket(now, ch.upstream, func(b *quota.Bucket, d *quota.Division) {
-		ch.rateLimit = b.Limit()
-		admitted = b.Take(now, d, ch.upstream.ID)
-	})
-	if !admitted {
-		g.metrics.rateLimited.Inc(1)
-	}
-	return admitted
-}
-
-// returnQuota gives back what takeQuota counted for a request that was not sent.
-func (g *Gateway) returnQuota(ch *choice) {
-	if ch.upstream != nil && ch.rateLimit.Named {
-		g.evidence.withBucket(g.now(), ch.upstream, func(b *quota.Bucket, _ *quota.Division) { b.Return() })
-	}
-}
-
-// never is later than any time.
-const never = time.Duration(math.MaxInt64)
-
-// rateLimitedUntil returns when this instance may send the call to an upstream,
-// after ahead other calls, and whether that is what the call waits for: all
-// upstreams left to it name a rate limit. The time is never if this instance
-// holds a part of none of them.
-func (c *call) rateLimitedUntil(ahead int) (until time.Duration, limited bool) {
-	now := c.g.now()
-	var held []quota.Admission
-	limited = c.hasUntried()
-	for _, u := range c.upstreams() {
-		if c.tried[u.ID] {
-			continue
-		}
-		_, a := c.g.evidence.prospect(now, u)
-		switch {
-		case !a.Limited:
-			return 0, false
-		case a.Held:
-			held = append(held, a)
-		}
-	}
-	if len(held) == 0 {
-		return never, limited
-	}
-	for range ahead {
-		first := earliest(held)
-		first.Due = max(first.Due, now) + first.Interval
-	}
-	return earliest(held).Due, true
-}
-
-// earliest returns the admission that is due first.
-func earliest(list []quota.Admission) *quota.Admission {
-	first := &list[0]
-	for i := range list {
-		if list[i].Due < first.Due {
-			first = &list[i]
-		}
-	}
-	return first
-}
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -33,7 +33,8 @@
 		RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectUpstream: "Expect-Upstream", UpstreamID: "Upstream-Id",
 		NotRun: "Not-Run", Signature: "Signature", Load: "Load", LookupDataCentre: "place", LookupPath: "/lookup", ReadyPath: "/ready",
 		EncodeLookup: func(addresses []string, _ time.Duration) ([]byte, error) { return json.Marshal(addresses) },
-		RateLimit:    "Rate-Limit", ParseRateLimit: func(s string) (float64, error) { return strconv.ParseFloat(s, 64) },
+		Leaving:      "Leaving", IsLeaving: func(s string) bool { return s == "yes" },
+		RateLimit: "Rate-Limit", ParseRateLimit: func(s string) (float64, error) { return strconv.ParseFloat(s, 64) },
 		ParseLoad: func(s string) (r pick.Report, err error) {
 			var percent float64
 			n, err := fmt.Sscanf(s, "%d,%d,%d,%f", &r.Running, &r.Waiting, &r.Slots, &percent)
@@ -63,6 +64,8 @@
 	mu           sync.Mutex
 	load         string
 	rateLimit    string // named in all replies, unless empty
+	leaving      bool   // said in all replies
+	probes       int    // health requests
 	do           behaviour
 	runs         map[string]int
 	bodies       []string
@@ -107,8 +110,9 @@
 			}
 			s.mu.Lock()
 			load := s.load
+			s.probes++
 			s.mu.Unlock()
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%s%sContent-Length: 0\r\n\r\n", s.id, load, s.limitHeader(), end)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%s%sContent-Length: 0\r\n\r\n", s.id, load, s.noticeHeaders(), end)
 			if s.closesAfterHealth {
 				return
 			}
@@ -147,14 +151,31 @@
 	s.rateLimit = perSecond
 }
 
-// limitHeader returns the header line that names the rate limit.
-func (s *stub) limitHeader() string {
+// setLeaving makes all replies say that the stub is leaving, or no longer.
+func (s *stub) setLeaving(leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rateLimit == "" {
-		return ""
+	s.leaving = leaving
+}
+
+// noticeHeaders returns the header lines in which the stub speaks of itself.
+func (s *stub) noticeHeaders() (lines string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rateLimit != "" {
+		lines = "Rate-Limit: " + s.rateLimit + "\r\n"
+	}
+	if s.leaving {
+		lines += "Leaving: yes\r\n"
 	}
-	return "Rate-Limit: " + s.rateLimit + "\r\n"
+	return lines
+}
+
+// arrivals returns the number of requests with id and of all health requests so far.
+func (s *stub) arrivals(id string) (runs, probes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id], s.probes
 }
 
 // run records that the stub ran the request, and returns its ID.
@@ -175,7 +196,7 @@
 func answerOK(s *stub, c net.Conn, r *http.Request, body string) bool {
 	id := s.run(r)
 	text := "answer to " + id + " " + body
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, s.id, s.limitHeader(), len(text), text)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, s.id, s.noticeHeaders(), len(text), text)
 	return true
 }
 
@@ -283,7 +304,7 @@
 func callOn(c net.Conn, method, path, id, body string) reply {
 	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n%s",
 		method, path, testHost, id, len(body), body)
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
 	if err != nil {
 		return reply{err: err}
 	}
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -97,7 +97,7 @@
 		}
 		c.g.evidence.update(t.upstream, (*pick.Evidence).Ended)
 		if !t.wrote {
-			c.g.returnQuota(&t.choice)
+			c.g.withdraw(&t.choice)
 		}
 		t.release(func() { t.finished = true })
 		c.finished <- t
@@ -126,9 +126,16 @@
 		}
 		return
 	}
+	if g.evidence.unwanted(g.now(), t.upstream) {
+		t.err = errUnwanted
+		if t.clearConn() {
+			g.pool.put(cn)
+		}
+		return
+	}
 	cn.writeBuf = g.appendRequest(cn.writeBuf[:0], c, t.upstream.ID, timeLeft)
 	sent := g.now()
-	t.wrote, t.err = g.exchange(cn, cn.writeBuf, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp, t.memory)
+	t.wrote, t.err = g.exchange(cn, t.upstream, cn.writeBuf, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp, t.memory)
 	t.took = g.now() - sent
 	if t.err == nil {
 		g.recordRateLimit(t.upstream, t.resp)
@@ -201,7 +208,7 @@
 	status := t.resp.StatusCode()
 	failed, weight := true, 1.0
 	switch {
-	case errors.Is(t.err, errNoTime):
+	case errors.Is(t.err, errNoTime), errors.Is(t.err, errUnwanted):
 		t.outcome, weight = notRun, 0 // no evidence about the upstream
 	case t.err != nil && !t.wrote:
 		t.outcome = notRun
@@ -210,7 +217,9 @@
 	case status == fasthttp.StatusMisdirectedRequest:
 		t.outcome, weight = notRun, misdirectedWeight
 	case len(t.resp.Header.Peek(g.proto.NotRun)) > 0:
-		t.outcome, weight = notRun, shedWeight
+		if t.outcome, weight = notRun, shedWeight; g.noticeOf(t.resp, false).Pause > 0 {
+			weight = 0 // the upstream says itself for how long
+		}
 	case status >= fasthttp.StatusInternalServerError:
 		t.outcome = ranAndFailed
 	case status < fasthttp.StatusMultipleChoices && len(t.resp.Header.Peek(g.proto.Signature)) == 0:
