Let the soak's upstreams say that they leave, or ask for pauses

The soak's upstreams say in replies that they are leaving, though registered as ready, or refuse a request with a pause; its callers note which instance they sent each request to, so the ledger knows who was told what. Violations: a request sent after an instance had passed on that an upstream leaves and that reached it; more than two that reached it in a pause, half a second after the refusal.

--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -32,10 +32,23 @@
 	reportedNotRun map[string]string
 	// servedBy is the configuration version of the upstream that ran each
 	// request.
-	servedBy   map[string]int
+	servedBy map[string]int
+	// sentTo is the instance incarnation to which each request was sent, and when.
+	sentTo     map[string]sending
 	violations []string
 }
 
+// sending is when a request was sent, and the instance incarnation that got it.
+type sending struct {
+	key string
+	at  time.Time
+}
+
+// newLedger returns an empty ledger.
+func newLedger() *ledger {
+	return &ledger{runs: map[string]int{}, reportedNotRun: map[string]string{}, servedBy: map[string]int{}, sentTo: map[string]sending{}}
+}
+
 func (l *ledger) addViolation(format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -55,6 +68,8 @@
 	seq  int
 	// state is the one last registered.
 	state string
+	// notices is what the upstream says of itself in its replies.
+	notices notices
 }
 
 func newUpstream(t *testing.T, l *ledger, id string, version int) *upstream {
@@ -73,12 +88,16 @@
 
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Catkinrouter-Backend-Load", "0,0,6,100")
+	u.sayLeaving(w)
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Catkinrouter-Instance-Id", u.id)
 		return
 	}
 	id := r.Header.Get("X-Catkinrouter-Attempt-Id")
 	w.Header().Set("X-Catkinrouter-Attempt-Id", id)
+	if u.refuseForPause(w, id) {
+		return
+	}
 	if r.Header.Get("X-Catkinrouter-Expect-Instance") != u.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -249,6 +268,8 @@
 type response struct {
 	status int
 	body   string
+	// leaving is the upstream that said in the response that it is leaving.
+	leaving string
 }
 
 // call sends one request on a new connection.
@@ -271,7 +292,11 @@
 	if err != nil {
 		return response{}
 	}
-	return response{resp.StatusCode, string(b)}
+	out := response{status: resp.StatusCode, body: string(b)}
+	if resp.Header.Get("Server-Leaving") != "" {
+		out.leaving = resp.Header.Get("X-Catkinrouter-Server-Stamp")
+	}
+	return out
 }
 
 // serveKV serves kv on a loopback port and returns the address.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,6 +65,8 @@
 	// restoreRNG decides about backup, the copy from which the store comes back.
 	restoreRNG *rand.Rand
 	backup     standin.Backup
+	// noticeRNG decides what upstreams say of themselves.
+	noticeRNG *rand.Rand
 
 	mu            sync.Mutex
 	upstreams     []*upstream
@@ -77,9 +79,10 @@
 func run(t *testing.T, bin string, seed uint64) {
 	s := &soak{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), kv: standin.NewKV(), newestServed: map[string]int{},
-		ledger: &ledger{runs: map[string]int{}, reportedNotRun: map[string]string{}, servedBy: map[string]int{}},
+		ledger: newLedger(),
 	}
 	s.restoreRNG = rand.New(rand.NewPCG(seed, 1000))
+	s.noticeRNG = rand.New(rand.NewPCG(seed, 1001))
 	kv := serveKV(t, s.kv)
 	s.changeConfiguration()
 	s.backup = s.kv.Backup()
@@ -102,6 +105,7 @@
 	for range *steps {
 		s.injectFault()
 		s.restoreStore()
+		s.injectNotice()
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond)
 	}
 	s.clearFaults()
@@ -124,14 +128,19 @@
 		}
 	}
 	for range 2 {
-		s.upstreamCount++
-		u := newUpstream(s.t, s.ledger, fmt.Sprintf("i-%d", s.upstreamCount), s.version)
-		u.register(s.kv, "ready")
-		s.upstreams = append(s.upstreams, u)
+		s.addUpstream()
 	}
 	configure(s.kv, s.version)
 }
 
+// addUpstream adds an upstream to the newest service. The caller holds the lock.
+func (s *soak) addUpstream() {
+	s.upstreamCount++
+	u := newUpstream(s.t, s.ledger, fmt.Sprintf("i-%d", s.upstreamCount), s.version)
+	u.register(s.kv, "ready")
+	s.upstreams = append(s.upstreams, u)
+}
+
 // injectFault injects one fault or changes the configuration. Faults may overlap.
 func (s *soak) injectFault() {
 	in := s.instances[s.rng.IntN(len(s.instances))]
@@ -240,7 +249,11 @@
 	s.mu.Lock()
 	minVersion := s.newestServed[key]
 	s.mu.Unlock()
+	s.ledger.mu.Lock()
+	s.ledger.sentTo[id] = sending{key, time.Now()}
+	s.ledger.mu.Unlock()
 	resp := in.call("/"+kind+"/", id)
+	s.recordResponse(key, resp)
 	switch {
 	case resp.status == 200:
 		s.checkResponse(key, minVersion, id, resp)
