--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -64,20 +64,23 @@
 	return b, binary.Read(bytes.NewReader(p), binary.BigEndian, &b)
 }
 
-// Warning is a datagram that reports a failed request to an upstream, so that
-// other instances learn of it without failed requests of their own.
+// Warning is a datagram that reports a failed request to an upstream, or that an
+// upstream says that it is leaving, so that other instances learn of it without requests
+// of their own.
 type Warning struct {
 	Format uint8
-	// Upstream is the hash of the upstream's ID.
+	// Upstream identifies the upstream to the listeners.
 	Upstream uint64
 	// Weight is the weight of the failure, in hundredths of a request.
 	Weight uint8
+	// Leaving is set if the upstream is leaving; Weight is then 0.
+	Leaving bool
 	// Forward asks the receiver to pass the warning on to its data centre.
 	Forward bool
 }
 
 // warningFormat changes with the layout of a Warning.
-const warningFormat = 102
+const warningFormat = 104
 
 func (w Warning) encode() []byte {
 	var out bytes.Buffer
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,7 +103,10 @@
 		pool: newPool(metrics), replyMemory: newReplyMemory(opt.MemoryBytes), evidence: newEvidenceTable(), estimates: newWorkEstimates(), queue: newWaitQueue(),
 		retryBudgets: newRetryBudgets(opt.Limits.RetryBudget), probeBudget: newProbeBudget(opt.Limits.ProbesPerUpstream),
 		configured: make(chan struct{}), instanceKnown: make(chan struct{}), startupWait: startupWait,
-		hooks:      Hooks{UpstreamFailed: func(uint64, float64) {}, DataNeeded: func() {}, CrashFound: func(CrashReport) {}, QuarantineChanged: func() {}},
+		hooks: Hooks{
+			UpstreamFailed: func(uint64, float64) {}, UpstreamLeaving: func(uint64) {}, DataNeeded: func() {},
+			CrashFound: func(CrashReport) {}, QuarantineChanged: func() {},
+		},
 		quarantine: lockedQuarantine{table: quarantine.New()},
 		rng:        rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
@@ -134,6 +137,9 @@
 	// UpstreamFailed is called when an upstream failed a request, with the weight
 	// of the failure relative to a failed request.
 	UpstreamFailed func(key uint64, weight float64)
+	// UpstreamLeaving is called when an upstream has said to this instance that it is
+	// leaving; key identifies its incarnation.
+	UpstreamLeaving func(key uint64)
 	// DataNeeded is called when a request or lookup arrives before there is data
 	// to serve it.
 	DataNeeded func()
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -84,9 +84,8 @@
 	change := g.evidence.observeNotice(now, u, n, rand.Float64())
 	switch change {
 	case notice.Left:
-		g.metrics.leaving.Inc(1)
-		g.pool.closeIdle(u.Address)
-		g.logEvent("upstream says it is leaving", "upstream", u.ID, "service", u.Service)
+		g.upstreamLeft(u, "upstream")
+		g.hooks.UpstreamLeaving(incarnationKey(u))
 	case notice.Paused:
 		g.metrics.pauses.Inc(1)
 		g.logEvent("upstream asked for a pause", "upstream", u.ID, "service", u.Service, "for", n.Pause)
@@ -95,6 +94,32 @@
 	}
 }
 
+// upstreamLeft does what follows once u is leaving.
+func (g *Gateway) upstreamLeft(u *discovery.Upstream, source string) {
+	g.metrics.leaving.Inc(1)
+	g.pool.closeIdle(u.Address)
+	g.logEvent("upstream is leaving", "upstream", u.ID, "service", u.Service, "source", source)
+}
+
+// RecordRemoteLeaving records that another instance was told by an upstream that it is
+// leaving. key identifies its incarnation: one that this instance does not know, or
+// that has registered anew since, is not concerned.
+func (g *Gateway) RecordRemoteLeaving(key uint64) {
+	snap := g.snapshot.Load()
+	if snap == nil {
+		return
+	}
+	for _, u := range snap.byKey {
+		if incarnationKey(u) != key {
+			continue
+		}
+		if g.evidence.observeNotice(g.now(), u, notice.Notice{Reply: notice.Health, Leaving: true}, 0) == notice.Left {
+			g.upstreamLeft(u, "peer")
+		}
+		return
+	}
+}
+
 func (e *evidenceTable) observeNotice(now time.Duration, u *discovery.Upstream, n notice.Notice, random float64) notice.Change {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -104,6 +104,36 @@
 	wantStatus(t, tg.call("GET", "/clue/1", "served", ""), http.StatusOK)
 }
 
+// Other instances sent to a leaving upstream until it told them too; a hint about an
+// earlier registration must not concern the next one.
+func TestLeavingUpstreamIsToldToOthers(t *testing.T) {
+	leaves, stays := newStub(t, "leaves", answerOK), newStub(t, "stays", answerOK)
+	told := make(chan uint64, 100)
+	tg := newTestGateway(t)
+	tg.g.hooks.UpstreamLeaving = func(key uint64) { told <- key }
+	tg.configure(2*time.Second, leaves, stays)
+	leaves.setLeaving(true)
+	waitFor(t, "told", func() bool { tg.call("GET", "/clue/1", "first", ""); return len(told) > 0 })
+	tg.call("GET", "/clue/1", "second", "")
+	key := <-told
+	if len(told) > 0 {
+		t.Error("told twice")
+	}
+
+	leaves.setLeaving(false)
+	other := newTestGateway(t)
+	other.configure(2*time.Second, leaves, stays)
+	other.g.RecordRemoteLeaving(key + 1) // another incarnation
+	other.callUntilRun(leaves, "GET")
+	other.g.RecordRemoteLeaving(key)
+	for i := range 30 {
+		id := fmt.Sprint("hinted-", i)
+		if wantStatus(t, other.call("GET", "/clue/1", id, ""), http.StatusOK); leaves.runCount(id) > 0 {
+			t.Fatal("used after the hint")
+		}
+	}
+}
+
 // An upstream that was picked before it said that it leaves, or wants a pause, got the
 // request all the same.
 func TestPickedUpstreamIsAskedNoMore(t *testing.T) {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -68,14 +68,11 @@
 	tg := newTestGateway(t)
 	var mu sync.Mutex
 	var told []CrashReport
-	tg.g.SetHooks(Hooks{
-		UpstreamFailed: func(uint64, float64) {}, DataNeeded: func() {}, QuarantineChanged: func() {},
-		CrashFound: func(r CrashReport) {
-			mu.Lock()
-			defer mu.Unlock()
-			told = append(told, r)
-		},
-	})
+	tg.g.hooks.CrashFound = func(r CrashReport) {
+		mu.Lock()
+		defer mu.Unlock()
+		told = append(told, r)
+	}
 	tg.configure(2*time.Second, s)
 	content := contentOf("POST", "/clue/1", "x")
 	tg.reportRemoteCrashes(contentOf("POST", "/clue/2", "x"), 1) // from now on answers are remembered
--- a/node/node.go
+++ b/node/node.go
@@ -92,6 +92,7 @@
 		UpstreamFailed: func(key uint64, weight float64) {
 			n.fleet.Warn(fleet.Warning{Upstream: key, Weight: uint8(min(weight, 1) * warningWeightScale)})
 		},
+		UpstreamLeaving:   func(key uint64) { n.fleet.Warn(fleet.Warning{Upstream: key, Leaving: true}) },
 		DataNeeded:        func() { n.fleet.RequestCopy() },
 		CrashFound:        n.reportCrash,
 		QuarantineChanged: func() { signal(n.quarantineChanged) },
@@ -292,6 +293,10 @@
 
 // WarningReceived implements fleet.Listener.
 func (n *Node) WarningReceived(_ time.Duration, w fleet.Warning) {
+	if w.Leaving {
+		n.gateway.RecordRemoteLeaving(w.Upstream)
+		return
+	}
 	n.gateway.RecordRemoteFailure(w.Upstream, float64(w.Weight)/warningWeightScale)
 }
 
