--- a/store/revision.go
+++ b/store/revision.go
@@ -12,7 +12,11 @@
 // others.
 const countBits = 40
 
-// NewRevision returns the Revision of a count in an epoch, both at least 0.
+// MaxEpoch is the highest epoch that a Revision can hold.
+const MaxEpoch = 1<<(63-countBits) - 1
+
+// NewRevision returns the Revision of a count in an epoch, both at least 0, the
+// epoch at most MaxEpoch.
 func NewRevision(epoch, count int64) Revision { return Revision(epoch<<countBits | count) }
 
 // Epoch returns the epoch.
