Share the simulated clock of the tests

Four simulations (agent, entry, fleet, quarantine) each had an event queue of their own, and one of them ran events of the same time in no fixed order. internal/simclock has it once, with a test. No check changes; all four packages pass. Also: a method that nothing uses goes.

--- a/agent/fleet_faults_test.go
+++ b/agent/fleet_faults_test.go
@@ -69,7 +69,7 @@
 func running(h *host) bool { return !h.down && !h.paused }
 
 // markDead records the death of the current run of h's entry.
-func (m *faultMachine) markDead(h *host) { m.diedAt[h.entry.incarnation] = m.f.now }
+func (m *faultMachine) markDead(h *host) { m.diedAt[h.entry.incarnation] = m.f.Now }
 
 func (m *faultMachine) actions() map[string]func(*rapid.T) {
 	f := m.f
@@ -162,8 +162,8 @@
 	for _, o := range h.entry.state.Members {
 		since, dead := m.diedAt[o.Incarnation]
 		// For a host that was paused or restarted, the limit counts from then.
-		if limit := max(since, h.resumed, h.started) + dropLimit; dead && !o.Leaving && m.f.now > limit && o.ID != h.id {
-			t.Fatalf("%s advertises %s, dead for %v", h.id, o.ID, m.f.now-since)
+		if limit := max(since, h.resumed, h.started) + dropLimit; dead && !o.Leaving && m.f.Now > limit && o.ID != h.id {
+			t.Fatalf("%s advertises %s, dead for %v", h.id, o.ID, m.f.Now-since)
 		}
 	}
 }
@@ -292,7 +292,7 @@
 // other one after it.
 func TestConcurrentConfirmsDuringRegionPartition(t *testing.T) {
 	f := newFleet(8, 1)
-	store := storetest.NewStore(func() time.Time { return time.Unix(0, int64(f.now)) }, nil)
+	store := storetest.NewStore(func() time.Time { return time.Unix(0, int64(f.Now)) }, nil)
 	first := f.confirmConcurrently(t, store, 1)
 	if _, ok := f.advanceUntil(convergenceLimit, func() bool { return viewsConverged(f.hosts) && revisionActive(f.hosts, first.Revision) }); !ok {
 		t.Fatal("views do not converge at the start")
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"cmp"
-	"container/heap"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,18 +8,16 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/internal/simclock"
 	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/store"
 )
 
 // fleet simulates a fleet of Nodes on a simulated clock: a network with faults,
-// the platform's store and its instance list. Its event queue runs the Nodes and
-// the deliveries in order of time.
+// the platform's store and its instance list.
 type fleet struct {
-	now    time.Duration
+	simclock.Clock
 	rng    *rand.Rand
-	events eventHeap
-	seq    int
 	hosts  []*host
 	byPeer map[string]*host
 
@@ -86,27 +82,6 @@
 	done       bool
 }
 
-type scheduledEvent struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type eventHeap []scheduledEvent
-
-func (e eventHeap) Len() int { return len(e) }
-func (e eventHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].seq, e[j].seq)) < 0
-}
-func (e eventHeap) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *eventHeap) Push(v any)   { *e = append(*e, v.(scheduledEvent)) }
-func (e *eventHeap) Pop() any {
-	l := *e
-	v := l[len(l)-1]
-	*e = l[:len(l)-1]
-	return v
-}
-
 // newFleet starts n hosts in two regions; the list holds all of them.
 func newFleet(n int, seed uint64) *fleet {
 	f := &fleet{
@@ -130,33 +105,20 @@
 	return f.byPeer[peer]
 }
 
-func (f *fleet) schedule(d time.Duration, run func()) {
-	f.seq++
-	heap.Push(&f.events, scheduledEvent{f.now + d, f.seq, run})
-}
-
 // advance runs all events of the next d and advances the clock by d.
-func (f *fleet) advance(d time.Duration) {
-	end := f.now + d
-	for len(f.events) > 0 && f.events[0].at <= end {
-		e := heap.Pop(&f.events).(scheduledEvent)
-		f.now = e.at
-		e.run()
-	}
-	f.now = end
-}
+func (f *fleet) advance(d time.Duration) { f.RunUntil(f.Now + d) }
 
 // advanceUntil advances the clock until done returns true, and returns the time
 // that took. It returns false if limit passes first.
 func (f *fleet) advanceUntil(limit time.Duration, done func() bool) (time.Duration, bool) {
-	from := f.now
+	from := f.Now
 	for !done() {
-		if f.now-from >= limit {
-			return f.now - from, false
+		if f.Now-from >= limit {
+			return f.Now - from, false
 		}
 		f.advance(100 * time.Millisecond)
 	}
-	return f.now - from, true
+	return f.Now - from, true
 }
 
 // randomDelay returns the time that one message takes.
@@ -166,29 +128,29 @@
 func (h *host) start() {
 	h.generation++
 	h.down, h.paused, h.exited, h.backlog = false, false, false, nil
-	h.started = h.f.now
+	h.started = h.f.Now
 	h.highestRevision = 0
 	h.startEntry()
 	h.node = NewNode(Options{
 		ID: h.id, DataCentre: h.region + "-1", Region: h.region, PeerAddress: h.address,
-		EntryAddress: h.address, Incarnation: uint64(1_700_000_000_000 + h.f.now.Milliseconds()), Seed: h.f.rng.Uint64(),
+		EntryAddress: h.address, Incarnation: uint64(1_700_000_000_000 + h.f.Now.Milliseconds()), Seed: h.f.rng.Uint64(),
 	})
 	h.tick(h.generation)
 }
 
 func (h *host) startEntry() {
-	h.entry = fakeEntry{incarnation: h.f.rng.Uint64(), started: h.f.now}
+	h.entry = fakeEntry{incarnation: h.f.rng.Uint64(), started: h.f.Now}
 	h.highestRevision = 0
 }
 
 func (h *host) tick(generation int) {
 	h.runEvent(generation, func() {
 		h.perform(h.node.Tick(h.now()))
-		h.f.schedule(TickInterval, func() { h.tick(generation) })
+		h.f.After(TickInterval, func() { h.tick(generation) })
 	})
 }
 
-func (h *host) now() time.Duration { return h.f.now - h.started }
+func (h *host) now() time.Duration { return h.f.Now - h.started }
 
 // runEvent runs an event of the given generation of the host. If the host is
 // paused, the event runs on resume; if the generation has ended, it is dropped.
@@ -207,7 +169,7 @@
 func (h *host) pause() { h.paused = true }
 
 func (h *host) resume() {
-	h.paused, h.resumed = false, h.f.now
+	h.paused, h.resumed = false, h.f.Now
 	waiting := h.backlog
 	h.backlog = nil
 	for _, run := range waiting {
@@ -250,7 +212,7 @@
 			}
 		})
 	}
-	f.schedule(callTimeout, func() { finish(nil) })
+	f.After(callTimeout, func() { finish(nil) })
 	if to == nil || to.down || f.partitioned(h, to) || f.rng.Float64() < f.loss {
 		return
 	}
@@ -261,12 +223,12 @@
 			if reply == nil || f.partitioned(to, h) || f.rng.Float64() < f.loss {
 				return
 			}
-			f.schedule(f.randomDelay(), func() { finish(reply) })
+			f.After(f.randomDelay(), func() { finish(reply) })
 		})
 	}
-	f.schedule(f.randomDelay(), deliver)
+	f.After(f.randomDelay(), deliver)
 	if f.rng.Float64() < f.duplication {
-		f.schedule(f.randomDelay()+f.randomDelay(), deliver)
+		f.After(f.randomDelay()+f.randomDelay(), deliver)
 	}
 }
 
@@ -324,12 +286,12 @@
 func (h *host) readStore() {
 	f, generation, began := h.f, h.generation, h.now()
 	f.storeCalls++
-	f.schedule(f.randomStoreDelay(), func() {
+	f.After(f.randomStoreDelay(), func() {
 		head, headKeyRevision, err := f.head, f.headKeyRevision, error(nil)
 		if !f.storeReachable(h) {
 			head, headKeyRevision, err = config.Head{}, 0, errStoreDown
 		}
-		f.schedule(f.randomStoreDelay(), func() {
+		f.After(f.randomStoreDelay(), func() {
 			h.runEvent(generation, func() { h.perform(h.node.StoreReadDone(h.now(), began, head, headKeyRevision, err)) })
 		})
 	})
@@ -345,7 +307,7 @@
 		}
 		w.done = true
 		head, headKeyRevision := f.head, f.headKeyRevision
-		f.schedule(f.randomStoreDelay(), func() {
+		f.After(f.randomStoreDelay(), func() {
 			h.runEvent(w.generation, func() { h.perform(h.node.StoreWatchDone(h.now(), head, headKeyRevision, changed, err)) })
 		})
 	}
@@ -356,7 +318,7 @@
 		end(true, nil)
 	default:
 		f.watchers = append(f.watchers, w)
-		f.schedule(a.Wait, func() { end(false, nil) })
+		f.After(a.Wait, func() { end(false, nil) })
 	}
 }
 
@@ -366,14 +328,14 @@
 	if !f.storeReachable(h) {
 		list, err = nil, errStoreDown
 	}
-	f.schedule(f.randomDelay(), func() {
+	f.After(f.randomDelay(), func() {
 		h.runEvent(generation, func() { h.node.ListDone(h.now(), list, err) })
 	})
 }
 
 func (h *host) syncEntry(a SyncEntry) {
 	f, generation := h.f, h.generation
-	f.schedule(time.Millisecond, func() {
+	f.After(time.Millisecond, func() {
 		h.runEvent(generation, func() { h.perform(h.node.EntrySyncDone(h.now(), h.handleEntrySync(a.State))) })
 	})
 }
@@ -384,7 +346,7 @@
 	if e.down {
 		return nil
 	}
-	e.memberCache.Resolve(h.f.now, &st)
+	e.memberCache.Resolve(h.f.Now, &st)
 	e.state = st
 	if len(st.Document) > 0 {
 		e.revision = st.Revision
@@ -394,7 +356,7 @@
 	}
 	h.highestRevision = max(h.highestRevision, e.revision)
 	return &link.Status{
-		Incarnation: e.incarnation, Uptime: h.f.now - e.started, Revision: e.revision, Spare: 0.5,
+		Incarnation: e.incarnation, Uptime: h.f.Now - e.started, Revision: e.revision, Spare: 0.5,
 		Leaving: e.leaving, LeavingUpstreams: e.leavingUpstreams,
 	}
 }
@@ -416,7 +378,7 @@
 			continue
 		}
 		w.done = true
-		f.schedule(f.randomStoreDelay(), func() {
+		f.After(f.randomStoreDelay(), func() {
 			w.h.runEvent(w.generation, func() { w.h.perform(w.h.node.StoreWatchDone(w.h.now(), head, headKeyRevision, true, nil)) })
 		})
 	}
--- a/entry/pool_simulation_test.go
+++ b/entry/pool_simulation_test.go
@@ -1,21 +1,20 @@
 package entry
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/balance"
 	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/internal/simclock"
 )
 
 // poolSimulation runs pools against fake upstreams on a simulated clock.
 // Upstreams have slots and an unbounded queue, and report their load on each
 // reply.
 type poolSimulation struct {
-	now          time.Duration
-	events       events
+	simclock.Clock
 	rng          *rand.Rand
 	pools        []*Pool
 	upstreams    map[string]*fakeUpstream
@@ -74,10 +73,10 @@
 // of the calls on top of its equal part of the rest. Requests in flight at the
 // end continue in the next run.
 func (s *poolSimulation) run(d time.Duration, load, firstShare float64) {
-	end := s.now + d
+	end := s.Now + d
 	var arrival, tick func()
 	arrival = func() {
-		if s.now >= end {
+		if s.Now >= end {
 			return
 		}
 		e := s.rng.IntN(len(s.pools))
@@ -85,25 +84,20 @@
 			e = 0
 		}
 		s.call(s.pools[e])
-		s.schedule(time.Duration(s.rng.ExpFloat64()/(load*s.capacity())*float64(time.Second)), arrival)
+		s.After(time.Duration(s.rng.ExpFloat64()/(load*s.capacity())*float64(time.Second)), arrival)
 	}
 	tick = func() {
-		if s.now >= end {
+		if s.Now >= end {
 			return
 		}
 		for _, p := range s.pools {
-			p.Probes(s.now)
+			p.Probes(s.Now)
 		}
-		s.schedule(maintainInterval, tick)
+		s.After(maintainInterval, tick)
 	}
-	s.schedule(0, arrival)
-	s.schedule(0, tick)
-	for len(s.events) > 0 && s.events[0].at <= end {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.do()
-	}
-	s.now = end
+	s.After(0, arrival)
+	s.After(0, tick)
+	s.RunUntil(end)
 }
 
 // resetCounts clears what was measured.
@@ -116,24 +110,24 @@
 }
 
 func (s *poolSimulation) call(p *Pool) {
-	id, _, ok := p.Pick(s.now, balance.Query{})
+	id, _, ok := p.Pick(s.Now, balance.Query{})
 	if !ok {
 		return
 	}
 	u := s.upstreams[id]
-	p.Sent(s.now, id, balance.Short)
+	p.Sent(s.Now, id, balance.Short)
 	s.calls++
 	s.requestsByDC[u.DataCentre]++
 	u.requests++
-	start := s.now
+	start := s.Now
 	finish := func(d balance.Done) {
 		rtt := time.Duration(0)
 		if u.DataCentre != p.view.DataCentre {
 			rtt = remoteRTT
 		}
-		s.schedule(rtt, func() {
-			d.Latency = s.now - start
-			p.Finished(s.now, id, d)
+		s.After(rtt, func() {
+			d.Latency = s.Now - start
+			p.Finished(s.Now, id, d)
 			if !d.Failed {
 				s.latencies = append(s.latencies, d.Latency)
 			}
@@ -149,7 +143,7 @@
 func (s *poolSimulation) serve(u *fakeUpstream, done func()) {
 	d := time.Duration(float64(meanServiceTime) * u.slow * (0.5 + 0.5*s.rng.ExpFloat64()))
 	run := func() {
-		s.schedule(d, func() {
+		s.After(d, func() {
 			u.working--
 			done()
 			if len(u.waiting) > 0 {
@@ -167,33 +161,9 @@
 }
 
 func (s *poolSimulation) report(u *fakeUpstream) *balance.Load {
-	u.reports = append(u.reports, fakeReport{s.now, u.working})
-	for len(u.reports) > 1 && s.now-u.reports[1].at >= u.reportAge {
+	u.reports = append(u.reports, fakeReport{s.Now, u.working})
+	for len(u.reports) > 1 && s.Now-u.reports[1].at >= u.reportAge {
 		u.reports = u.reports[1:]
 	}
 	return &balance.Load{Outstanding: u.reports[0].working, Slots: u.Slots}
 }
-
-func (s *poolSimulation) schedule(d time.Duration, do func()) {
-	heap.Push(&s.events, event{s.now + d, do})
-}
-
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
--- a/fleet/simulatedfleet_test.go
+++ b/fleet/simulatedfleet_test.go
@@ -56,17 +56,17 @@
 	for _, in := range s.instances {
 		in.cpuUsed, in.bytesSent = 0, 0
 	}
-	calls, began := s.calls, s.now
+	calls, began := s.calls, s.Now
 	failed, roleChanges := s.totals()
 	var slowest time.Duration
-	for i := 0; s.now < began+length; i++ {
+	for i := 0; s.Now < began+length; i++ {
 		slowest = max(slowest, s.waitFor(s.put(fmt.Sprint("upstream-", i%upstreams), fmt.Sprint(i)), maxChangeDelay))
-		s.runUntil(s.now + 200*time.Millisecond)
+		s.RunUntil(s.Now + 200*time.Millisecond)
 	}
 	if slowest >= maxChangeDelay {
 		t.Errorf("a change took %v to be in force everywhere", slowest)
 	}
-	if rate := (s.calls - calls) / (s.now - began).Seconds(); rate > maxCallsPerSecond {
+	if rate := (s.calls - calls) / (s.Now - began).Seconds(); rate > maxCallsPerSecond {
 		t.Errorf("%.1f store calls a second", rate)
 	}
 	failedNow, roleChangesNow := s.totals()
@@ -74,7 +74,7 @@
 		t.Errorf("%d syncs failed and %d role changes without a failure", failedNow-failed, roleChangesNow-roleChanges)
 	}
 	for _, in := range s.instances {
-		if load := in.cpuUsed.Seconds() / (s.now - began).Seconds(); load > maxLoad {
+		if load := in.cpuUsed.Seconds() / (s.Now - began).Seconds(); load > maxLoad {
 			t.Errorf("%s with %.2f cores spends %.0f%% of its processor on the fleet", in.info.Address, in.cores, 100*load)
 		}
 	}
@@ -104,9 +104,9 @@
 		if i >= reports*2/3 && i%(reports/9) == 0 {
 			report(suspect, i > reports*2/3)
 		}
-		s.runUntil(s.now + interval)
+		s.RunUntil(s.Now + interval)
 	}
-	s.runUntil(s.now + maxReportDelay)
+	s.RunUntil(s.Now + maxReportDelay)
 	for _, in := range s.instances {
 		if n := in.crashReports[suspect]; n < 2 {
 			t.Errorf("%s knows of %d of the three crashes under one request", in.info.Address, n)
@@ -121,14 +121,14 @@
 		in.stop()
 	}
 	s.wantChange(t, "two leaders killed", maxChangeDelay)
-	s.runUntil(s.now + maxViewDelay)
+	s.RunUntil(s.Now + maxViewDelay)
 	s.wantAllKnown(t, "two leaders killed")
 	for _, in := range s.instances[:2] {
 		in.start(false)
 		in.f.SetState(true, false)
 	}
 	s.wantChange(t, "leaders back", maxChangeDelay)
-	s.runUntil(s.now + maxViewDelay)
+	s.RunUntil(s.Now + maxViewDelay)
 	s.wantAllKnown(t, "leaders back")
 }
 
@@ -136,12 +136,12 @@
 func (s *simulation) checkLeadersFrozen(t *testing.T) {
 	t.Helper()
 	for _, in := range s.instances[:10] {
-		in.frozen = s.now + 5*time.Second
+		in.frozen = s.Now + 5*time.Second
 	}
 	s.wantChange(t, "all leaders frozen", maxChangeDelay)
-	s.runUntil(s.now + 5*time.Second + maxViewDelay)
+	s.RunUntil(s.Now + 5*time.Second + maxViewDelay)
 	s.wantChange(t, "leaders awake", maxChangeDelay)
-	s.runUntil(s.now + maxViewDelay)
+	s.RunUntil(s.Now + maxViewDelay)
 	s.wantAllKnown(t, "leaders awake")
 }
 
@@ -151,7 +151,7 @@
 	t.Helper()
 	calls := s.calls
 	s.storeOut = true
-	s.runUntil(s.now + 4*time.Second)
+	s.RunUntil(s.Now + 4*time.Second)
 	s.storeOut = false
 	s.wantChange(t, "store back", maxChangeDelay)
 	if n := s.calls - calls; n > float64(len(s.instances)) && n > maxCallsPerFailure {
@@ -165,20 +165,20 @@
 	for _, in := range s.instances {
 		in.stop()
 	}
-	s.runUntil(s.now + time.Second)
+	s.RunUntil(s.Now + time.Second)
 	calls := s.calls
 	for _, in := range s.instances {
-		s.at(s.now+time.Duration(s.rng.Float64()*float64(200*time.Millisecond)), func() {
+		s.At(s.Now+time.Duration(s.rng.Float64()*float64(200*time.Millisecond)), func() {
 			in.start(false)
 			in.f.SetState(true, false)
 		})
 	}
-	s.runUntil(s.now + 200*time.Millisecond)
+	s.RunUntil(s.Now + 200*time.Millisecond)
 	s.wantChange(t, "all restarted", maxRestartDelay)
 	if n := s.calls - calls; n > maxCallsPerFailure {
 		t.Errorf("all restarted: %.0f store calls", n)
 	}
-	s.runUntil(s.now + maxViewDelay)
+	s.RunUntil(s.Now + maxViewDelay)
 	s.wantAllKnown(t, "all restarted")
 }
 
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"container/heap"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/catkinrouter/catkinrouter/internal/simclock"
 	"github.com/catkinrouter/catkinrouter/mirror"
 	"github.com/catkinrouter/catkinrouter/store"
 )
@@ -36,9 +36,7 @@
 // simulation runs the fleets of many instances in simulated time, over links and
 // processors of limited capacity. It is deterministic but for Go's map order.
 type simulation struct {
-	now       time.Duration
-	queue     eventQueue
-	order     int
+	simclock.Clock
 	rng       *rand.Rand
 	instances []*simInstance
 	byAddress map[string]*simInstance
@@ -50,41 +48,6 @@
 	storeOut bool
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
-func (s *simulation) at(t time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.queue, event{max(t, s.now), s.order, do})
-}
-
-func (s *simulation) runUntil(end time.Duration) {
-	for len(s.queue) > 0 && s.queue[0].at <= end {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.do()
-	}
-	s.now = end
-}
-
 // simInstance is one instance with a share of a core and a link.
 type simInstance struct {
 	s     *simulation
@@ -139,14 +102,14 @@
 
 func (in *simInstance) start(first bool) {
 	in.run++
-	in.up, in.started, in.syncs, in.reading = true, in.s.now, 0, false
-	in.cpuFree = in.s.now
+	in.up, in.started, in.syncs, in.reading = true, in.s.Now, 0, false
+	in.cpuFree = in.s.Now
 	in.info.Incarnation++
 	in.view = View{}
 	in.crashReports = map[[16]byte]int{}
 	in.f = New(Options{
 		Self: in.info, Seeds: in.seeds, FirstStart: first, DirectoryKey: "directory", MaxCopyAge: 2400 * time.Millisecond,
-		Now: func() time.Duration { return in.s.now - in.started }, Log: log.NewNopLogger(),
+		Now: func() time.Duration { return in.s.Now - in.started }, Log: log.NewNopLogger(),
 		Jitter: in.s.rng.Float64, OnStoreCall: func(string) {},
 	}, simSource{in.s}, simListener{in})
 	in.f.send = in.sendDatagram
@@ -167,8 +130,8 @@
 	}
 	cost = time.Duration(float64(cost) / in.cores)
 	in.cpuUsed += cost
-	in.cpuFree = max(in.cpuFree, in.s.now, in.frozen) + cost
-	in.s.at(in.cpuFree, func() {
+	in.cpuFree = max(in.cpuFree, in.s.Now, in.frozen) + cost
+	in.s.At(in.cpuFree, func() {
 		if in.up && in.run == run {
 			do()
 			in.startWork()
@@ -179,12 +142,12 @@
 // transmit sends bytes over the instance's link and calls arrive at the end.
 func (in *simInstance) transmit(bytes int, arrive func()) {
 	in.bytesSent += bytes
-	in.linkFree = max(in.linkFree, in.s.now) + time.Duration(float64(bytes*8)/in.mbps)*time.Microsecond
-	in.s.at(in.linkFree+linkLatency, arrive)
+	in.linkFree = max(in.linkFree, in.s.Now) + time.Duration(float64(bytes*8)/in.mbps)*time.Microsecond
+	in.s.At(in.linkFree+linkLatency, arrive)
 }
 
 func (in *simInstance) sendDatagram(to string, p []byte) {
-	in.cpuFree = max(in.cpuFree, in.s.now) + time.Duration(float64(sendCost)/in.cores)
+	in.cpuFree = max(in.cpuFree, in.s.Now) + time.Duration(float64(sendCost)/in.cores)
 	in.cpuUsed += time.Duration(float64(sendCost) / in.cores)
 	target := in.s.byAddress[to]
 	in.transmit(datagramBytes, func() {
@@ -197,7 +160,7 @@
 func (in *simInstance) tick(run int) {
 	in.exec(run, tickCost, func() {
 		next := in.f.tick()
-		in.s.at(in.s.now+next, func() { in.tick(run) })
+		in.s.At(in.s.Now+next, func() { in.tick(run) })
 	})
 }
 
@@ -241,10 +204,10 @@
 			in.f.handleSyncReply(from, &args, began, reply, err)
 		})
 	}
-	in.s.at(in.s.now+stallTimeout, func() { end(0, nil, errStalled) })
+	in.s.At(in.s.Now+stallTimeout, func() { end(0, nil, errStalled) })
 	peer := in.s.byAddress[from]
 	if peer == nil || !peer.up {
-		in.s.at(in.s.now+linkLatency, func() { end(0, nil, errSimulated) })
+		in.s.At(in.s.Now+linkLatency, func() { end(0, nil, errSimulated) })
 		return
 	}
 	in.transmit(syncBytes, func() {
@@ -275,7 +238,7 @@
 	if c.kind == callNone {
 		in.timers++
 		timer := in.timers
-		in.s.at(in.s.now+c.wait, func() {
+		in.s.At(in.s.Now+c.wait, func() {
 			if in.run == run && in.timers == timer {
 				in.read()
 			}
@@ -292,7 +255,7 @@
 		})
 	}
 	pages := len(in.s.items)/pageItems + 1
-	after := func(latency time.Duration, do func()) { in.s.at(in.s.now+latency, do) }
+	after := func(latency time.Duration, do func()) { in.s.At(in.s.Now+latency, do) }
 	if in.s.storeOut {
 		in.s.calls++
 		after(storeLatency, func() { done(mirror.Delta{}, &store.Error{Kind: store.Unavailable}) })
@@ -331,11 +294,11 @@
 		}
 	}
 	if s.revision > c.after {
-		s.at(s.now+storeLatency, end)
+		s.At(s.Now+storeLatency, end)
 		return
 	}
-	s.watches = append(s.watches, func() { s.at(s.now+storeLatency, end) })
-	s.at(s.now+c.wait, end)
+	s.watches = append(s.watches, func() { s.At(s.Now+storeLatency, end) })
+	s.At(s.Now+c.wait, end)
 }
 
 func (s *simulation) put(key, value string) store.Revision {
@@ -420,21 +383,21 @@
 // startAll starts all instances within 0.3 s and lets upstreams register.
 func (s *simulation) startAll(upstreams int) {
 	for _, in := range s.instances {
-		s.at(s.now+time.Duration(s.rng.Float64()*float64(300*time.Millisecond)), func() {
+		s.At(s.Now+time.Duration(s.rng.Float64()*float64(300*time.Millisecond)), func() {
 			in.start(true)
 			in.f.SetState(true, false)
 		})
 	}
 	for i := range upstreams {
-		s.at(s.now+time.Duration(i)*2*time.Second/time.Duration(upstreams), func() { s.put(fmt.Sprint("upstream-", i), "ready") })
+		s.At(s.Now+time.Duration(i)*2*time.Second/time.Duration(upstreams), func() { s.put(fmt.Sprint("upstream-", i), "ready") })
 	}
-	s.runUntil(8 * time.Second)
+	s.RunUntil(8 * time.Second)
 }
 
 // running returns the instances that are up and not frozen.
 func (s *simulation) running() (out []*simInstance) {
 	for _, in := range s.instances {
-		if in.up && in.frozen <= s.now {
+		if in.up && in.frozen <= s.Now {
 			out = append(out, in)
 		}
 	}
@@ -455,11 +418,11 @@
 // waitFor runs until all running instances hold the revision, and returns the
 // time that it took, at most limit.
 func (s *simulation) waitFor(revision store.Revision, limit time.Duration) time.Duration {
-	began := s.now
-	for s.lagging(revision) > 0 && s.now-began < limit {
-		s.runUntil(s.now + 20*time.Millisecond)
+	began := s.Now
+	for s.lagging(revision) > 0 && s.Now-began < limit {
+		s.RunUntil(s.Now + 20*time.Millisecond)
 	}
-	return s.now - began
+	return s.Now - began
 }
 
 // totals returns the failed syncs and role changes of all running instances.
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -30,9 +30,6 @@
 	notice notice.Admission
 }
 
-// admitted reports whether a request may be sent now.
-func (a admission) admitted() bool { return a.rate.Admitted && a.notice.Admitted }
-
 // limited reports whether anything but load may keep a request from the upstream.
 func (a admission) limited() bool { return a.rate.Limited || !a.notice.Admitted }
 
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math"
@@ -9,6 +8,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/internal/simclock"
 )
 
 // Bounds of what a request that crashes upstreams may do, and of what it may cost
@@ -41,11 +42,9 @@
 // simulated is a fleet of instances, each with its own Table, and the upstreams of
 // one service.
 type simulated struct {
-	t         *testing.T
+	t *testing.T
+	simclock.Clock
 	rng       *rand.Rand
-	now       time.Duration
-	queue     simQueue
-	order     int
 	instances []*Table
 	upstreams []*simUpstream
 	nextID    uint64
@@ -86,27 +85,6 @@
 	callerRetries   = 1
 )
 
-type simEvent struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(e any)   { *q = append(*q, e.(simEvent)) }
-func (q *simQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 func newSimulated(t *testing.T, instances, upstreams int, seed uint64) *simulated {
 	s := &simulated{t: t, blamed: map[Content]bool{}, work: simWork, rng: rand.New(rand.NewPCG(seed, uint64(instances)))}
 	for range instances {
@@ -119,31 +97,18 @@
 	return s
 }
 
-func (s *simulated) after(d time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.queue, simEvent{s.now + d, s.order, do})
-}
-
 // every calls do at random times, perSecond times a second on average, within the
 // first length.
 func (s *simulated) every(perSecond float64, length time.Duration, do func()) {
 	var next func()
 	next = func() {
-		if s.now > length {
+		if s.Now > length {
 			return
 		}
 		do()
-		s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
-	}
-	s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
-}
-
-func (s *simulated) run() {
-	for len(s.queue) > 0 && s.queue[0].at <= s.length {
-		e := heap.Pop(&s.queue).(simEvent)
-		s.now = e.at
-		e.do()
+		s.After(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
+	s.After(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 }
 
 // request sends a request from any instance.
@@ -154,7 +119,7 @@
 func (s *simulated) send(content Content, instance, attempts, callerLeft int) {
 	if attempts == 0 {
 		if callerLeft > 0 {
-			s.after(simRetryWait, func() { s.request(content, callerLeft-1) })
+			s.After(simRetryWait, func() { s.request(content, callerLeft-1) })
 		}
 		return
 	}
@@ -162,7 +127,7 @@
 	if u == nil {
 		return // refused in any case
 	}
-	_, blocked := s.instances[instance].Blocked(s.now, content)
+	_, blocked := s.instances[instance].Blocked(s.Now, content)
 	s.share(instance)
 	if blocked {
 		switch content {
@@ -174,18 +139,18 @@
 		}
 		return
 	}
-	run := &simRun{content, instance, s.now, attempts - 1, callerLeft}
+	run := &simRun{content, instance, s.Now, attempts - 1, callerLeft}
 	u.inFlight = append(u.inFlight, run)
 	switch content {
 	case deadly:
-		s.after(simCrashTime, func() { s.crash(u, run) })
+		s.After(simCrashTime, func() { s.crash(u, run) })
 		return
 	case innocent:
 		s.popularRuns++
 	default:
 		s.runs++
 	}
-	s.after(time.Duration((0.5+s.rng.Float64())*float64(s.work)), func() { s.answer(u, run) })
+	s.After(time.Duration((0.5+s.rng.Float64())*float64(s.work)), func() { s.answer(u, run) })
 }
 
 func (s *simulated) anyUpstream() *simUpstream {
@@ -203,8 +168,8 @@
 		return
 	}
 	u.inFlight = slices.Delete(u.inFlight, i, i+1)
-	if s.instances[run.instance].RecordAnswer(s.now, s.now, run.content) {
-		s.tellAnswered(run.instance, s.now, run.content)
+	if s.instances[run.instance].RecordAnswer(s.Now, s.Now, run.content) {
+		s.tellAnswered(run.instance, s.Now, run.content)
 	}
 }
 
@@ -213,7 +178,7 @@
 	s.answerReports++
 	s.instances[from].ShareAnswer(at, content)
 	s.broadcast(from, func(i int) {
-		s.instances[i].RecordAnswer(s.now, at, content)
+		s.instances[i].RecordAnswer(s.Now, at, content)
 		s.instances[i].ShareAnswer(at, content)
 		s.share(i)
 	})
@@ -222,10 +187,10 @@
 // deliverCrash gives an instance another one's report. An instance that knows of an
 // answer tells it, unless another one does so first.
 func (s *simulated) deliverCrash(i int, c Crash) {
-	if s.instances[i].RecordCrash(s.now, c) != Exonerated {
+	if s.instances[i].RecordCrash(s.Now, c) != Exonerated {
 		return
 	}
-	s.after(time.Duration(s.rng.Float64()*float64(MaxAnswerDelay)), func() {
+	s.After(time.Duration(s.rng.Float64()*float64(MaxAnswerDelay)), func() {
 		if at, unshared := s.instances[i].UnsharedAnswer(c.Began, c.Content); unshared {
 			s.tellAnswered(i, at, c.Content)
 		}
@@ -236,7 +201,7 @@
 // request is held back, of the earlier crashes too.
 func (s *simulated) report(i int, c Crash) {
 	crashes := []Crash{c}
-	switch s.instances[i].RecordCrash(s.now, c) {
+	switch s.instances[i].RecordCrash(s.Now, c) {
 	case Exonerated:
 		return
 	case Held:
@@ -257,13 +222,13 @@
 	for _, d := range decisions {
 		if d.Content != deadly && !d.Lifted {
 			s.blamed[d.Content] = true
-			s.t.Logf("%v: instance %d quarantined %v for %d crashes", s.now, from, d.Content, d.Crashes)
+			s.t.Logf("%v: instance %d quarantined %v for %d crashes", s.Now, from, d.Content, d.Crashes)
 		}
 	}
-	entries := s.instances[from].Entries(s.now, time.UnixMilli(0).Add(s.now))
-	s.after(simStore, func() {
+	entries := s.instances[from].Entries(s.Now, time.UnixMilli(0).Add(s.Now))
+	s.After(simStore, func() {
 		for i, t := range s.instances {
-			t.Merge(s.now, time.UnixMilli(0).Add(s.now), entries)
+			t.Merge(s.Now, time.UnixMilli(0).Add(s.Now), entries)
 			s.share(i)
 		}
 	})
@@ -275,7 +240,7 @@
 		return
 	}
 	if run != nil {
-		s.crashes = append(s.crashes, s.now)
+		s.crashes = append(s.crashes, s.Now)
 	} else {
 		s.crashesOther++
 	}
@@ -284,17 +249,17 @@
 	u.inFlight = nil
 	for _, r := range broken {
 		s.broken++
-		c := Crash{Content: r.content, Upstream: u.id, Began: r.began, At: s.now}
-		s.after(simCheck, func() {
+		c := Crash{Content: r.content, Upstream: u.id, Began: r.began, At: s.Now}
+		s.After(simCheck, func() {
 			s.report(r.instance, c)
 		})
 		wait := time.Duration(0)
 		if s.instances[r.instance].Crashes(r.content) >= CautiousFrom {
 			wait = simCheck + time.Millisecond
 		}
-		s.after(wait, func() { s.send(r.content, r.instance, r.left, r.callerLeft) })
+		s.After(wait, func() { s.send(r.content, r.instance, r.left, r.callerLeft) })
 	}
-	s.after(simDown, func() {
+	s.After(simDown, func() {
 		s.nextID++
 		u.id, u.up = s.nextID, true
 	})
@@ -304,7 +269,7 @@
 func (s *simulated) broadcast(from int, deliver func(to int)) {
 	for i := range s.instances {
 		if i != from && s.rng.Float64() >= simLoss {
-			s.after(time.Duration(s.rng.Float64()*float64(simLatency)), func() { deliver(i) })
+			s.After(time.Duration(s.rng.Float64()*float64(simLatency)), func() { deliver(i) })
 		}
 	}
 }
@@ -365,7 +330,7 @@
 	if c.popular > 0 {
 		s.every(c.popular, s.length, func() { s.request(innocent, 0) })
 	}
-	s.after(simWarmup, func() {
+	s.After(simWarmup, func() {
 		if c.deadly > 0 {
 			s.every(c.deadly, s.length, func() { s.request(deadly, 0) })
 		}
@@ -373,7 +338,7 @@
 			s.every(c.crashes, s.length, func() { s.crashOthers(c.atOnce) })
 		}
 	})
-	s.run()
+	s.RunUntil(s.length)
 }
 
 // check reports what must not have happened.
