Obey pauses in catkin-entry too, by the same decisions

The entry now uses package notice: a paused upstream has no weight until the end, then one call at a time until one is answered; the refusal is no evidence against it. If all pause, callers get upstreams-paused, with when to come back. Retry-After is parsed in one place, fractions and dates too.

--- a/attempt/reason.go
+++ b/attempt/reason.go
@@ -12,6 +12,7 @@
 	ReasonNoConfiguration Reason = "no-configuration"
 	ReasonUnknownService  Reason = "unknown-service"
 	ReasonNoUpstream      Reason = "no-upstream"
+	ReasonPaused          Reason = "upstreams-paused"
 	ReasonBodyTooLarge    Reason = "body-too-large"
 	ReasonDeadline        Reason = "deadline"
 	ReasonOverload        Reason = "overload"
@@ -55,6 +56,7 @@
 	{ReasonNoConfiguration, notRun, "the entry has no configuration yet: use another entry"},
 	{ReasonUnknownService, notRun, "no service has this Host: correct the name, or confirm a configuration that has it"},
 	{ReasonNoUpstream, notRun, "no upstream takes new work: repeat later; operators check the upstreams' states"},
+	{ReasonPaused, notRun, "all upstreams asked for a pause: repeat after Retry-After"},
 	{ReasonBodyTooLarge, notRun, "the body is above the service's max_body: send less, or raise max_body"},
 	{ReasonDeadline, notRunOrUnknown, "the time left was too short: allow more time"},
 	{ReasonOverload, notRun, "the wait for a slot would pass the deadline: repeat after Retry-After"},
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -6,6 +6,7 @@
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/balance"
 	"github.com/catkinrouter/catkinrouter/limit"
+	"github.com/catkinrouter/catkinrouter/notice"
 )
 
 // endKind classifies how an attempt ended.
@@ -38,6 +39,18 @@
 	return succeeded
 }
 
+// pause returns how long the upstream wants no requests from this entry, 0 if it does
+// not say.
+func (r *Result) pause(ended endKind) time.Duration {
+	if ended != shed || r.Status != statusUnavailable {
+		return 0
+	}
+	return r.RetryAfter
+}
+
+// statusUnavailable is the status of replies whose RetryAfter asks for a pause.
+const statusUnavailable = 503
+
 // Finished reports the end of an attempt. Unknown attempts, such as cancelled
 // ones, are ignored.
 func (n *Node) Finished(now time.Duration, id uint64, r Result, out []Step) []Step {
@@ -70,11 +83,20 @@
 // statistics of the route and of hedging.
 func (n *Node) recordAttemptEnd(now time.Duration, c *call, a pending, ended endKind, r Result) {
 	latency := now - a.sentAt
+	pause := r.pause(ended)
+	refused := ended == shed && pause == 0
 	c.svc.pool.Finished(now, a.upstream, balance.Done{
 		Class: c.class, Latency: latency, Failed: ended == failed || ended == notSent || ended == replyLost,
-		Shed: ended == shed, Leaving: r.Leaving, Load: r.Load,
+		Shed: refused, Leaving: r.Leaving, Load: r.Load,
+		Cancelled: pause > 0, // the upstream itself says for how long: no evidence about it
 	})
-	c.shed = ended == shed
+	switch ended {
+	case shed:
+		c.svc.pool.Observe(now, a.upstream, notice.Notice{Reply: notice.Refusal, Pause: pause})
+	case succeeded, failed:
+		c.svc.pool.Observe(now, a.upstream, notice.Notice{Reply: notice.Answer})
+	}
+	c.shed = refused
 	c.mayHaveRun = c.mayHaveRun || ended == failed || ended == replyLost
 	c.latency = 0
 	if ended != succeeded {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -10,6 +10,7 @@
 	"github.com/catkinrouter/catkinrouter/balance/policies"
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/health"
+	"github.com/catkinrouter/catkinrouter/notice"
 	"github.com/catkinrouter/catkinrouter/probe"
 )
 
@@ -30,7 +31,11 @@
 	maintainedAt  time.Duration // time of the last run of maintain
 	inSubset      []bool
 	dueProbes     []int // reused by Probes
-	started       bool  // Update has been called with the time
+	// notices holds what each upstream has said of itself. pausing is set while some
+	// upstream has weight 0 for that.
+	notices []notice.State
+	pausing bool
+	started bool // Update has been called with the time
 }
 
 // ProbeTarget is an upstream that is to be probed once.
@@ -81,6 +86,7 @@
 	tableUpstreams := balanceUpstreams(svc.Upstreams)
 	table := balance.NewTable(tableUpstreams, view.DataCentre, p.table)
 	p.health = p.carryOverHealth(now, svc.Upstreams)
+	p.notices = p.carryOverNotices(svc.Upstreams)
 	p.planner = probe.NewPlanner(now, probeSettings(rules, view), probeTargets(svc.Upstreams), p.planner)
 	p.table, p.upstreams, p.view, p.rules = table, svc.Upstreams, view, rules
 	p.picker = policyBuilder(rules.Policy).Build(table)
@@ -171,9 +177,10 @@
 	if !ok {
 		i, ok = p.picker.Pick(now, q, p.rng)
 	}
-	if !ok {
+	if !ok || !p.admits(now, i) {
 		return "", "", false
 	}
+	p.take(now, i)
 	return p.upstreams[i].ID, p.upstreams[i].Address, true
 }
 
@@ -184,7 +191,8 @@
 	if q.NonIdempotent || len(q.Exclude) > 0 || q.Class != balance.Short {
 		return 0, false
 	}
-	return p.health.Trial(now)
+	i, ok := p.health.Trial(now)
+	return i, ok && p.admits(now, i)
 }
 
 // Sent records that a request of class c is sent to the upstream.
--- a/entry/pool_state.go
+++ b/entry/pool_state.go
@@ -22,9 +22,10 @@
 	p.refreshWeights(now)
 }
 
-// refreshWeights updates the weights if the health of an upstream has changed.
+// refreshWeights updates the weights if the health of an upstream has changed, or while
+// upstreams pause.
 func (p *Pool) refreshWeights(now time.Duration) {
-	if p.health.Version() != p.healthVersion {
+	if p.pausing || p.health.Version() != p.healthVersion {
 		p.updateWeights(now)
 	}
 }
@@ -41,9 +42,13 @@
 // setWeights sets the weights and returns how many are above 0. With subsetOnly,
 // upstreams outside of the subset get 0.
 func (p *Pool) setWeights(now time.Duration, subsetOnly bool) (ready int) {
+	p.pausing = false
 	for i := range p.upstreams {
 		w := 0.0
-		if p.inSubset[i] || !subsetOnly {
+		switch {
+		case !p.admits(now, i):
+			p.pausing = true
+		case p.inSubset[i] || !subsetOnly:
 			w = p.health.Weight(now, i)
 		}
 		p.table.SetWeight(i, w)
--- a/entry/start.go
+++ b/entry/start.go
@@ -104,7 +104,11 @@
 	if c.mayHaveRun {
 		return n.end(now, c, refusal(attempt.Unknown, c.lostReason()), out)
 	}
-	return n.end(now, c, refusal(attempt.NotRun, attempt.ReasonNoUpstream), out)
+	a := refusal(attempt.NotRun, attempt.ReasonNoUpstream)
+	if until, paused := c.svc.pool.PausedUntil(now); paused {
+		a.Reason, a.RetryAfter = attempt.ReasonPaused, until-now
+	}
+	return n.end(now, c, a, out)
 }
 
 // newAttempt picks an upstream that the call has not been sent to, and returns
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -62,11 +62,7 @@
 		n.Reply = notice.Refusal
 	}
 	if resp.StatusCode() == fasthttp.StatusServiceUnavailable {
-		var values []string
-		for _, v := range h.PeekAll(fasthttp.HeaderRetryAfter) {
-			values = append(values, string(v))
-		}
-		n.Pause = notice.ParseRetryAfter(values, time.Now())
+		n.Pause = notice.ParseRetryAfter(h.PeekAll(fasthttp.HeaderRetryAfter), time.Now())
 	}
 	return n
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -36,7 +36,11 @@
 		{"date that has passed", []string{"Fri, 02 Jan 2026 03:04:01 GMT"}, 0},
 		{"date far away", []string{"Fri, 02 Jan 2099 03:04:01 GMT"}, MaxPause},
 	} {
-		if got := ParseRetryAfter(c.values, wall); got != c.want {
+		var values [][]byte
+		for _, v := range c.values {
+			values = append(values, []byte(v))
+		}
+		if got := ParseRetryAfter(values, wall); got != c.want {
 			t.Errorf("%s: %q is %v, want %v", c.name, c.values, got, c.want)
 		}
 	}
@@ -130,7 +134,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text string, unix int64) {
 		unix = max(0, min(unix, math.MaxInt32))
-		if d := ParseRetryAfter([]string{text}, time.Unix(unix, 0)); d < 0 || d > MaxPause {
+		if d := ParseRetryAfter([][]byte{[]byte(text)}, time.Unix(unix, 0)); d < 0 || d > MaxPause {
 			t.Errorf("%q is %v", text, d)
 		}
 	})
--- a/notice/retryafter.go
+++ b/notice/retryafter.go
@@ -13,9 +13,9 @@
 // values the longest counts, at most MaxPause. A value that is empty, negative, not a
 // number or unreadable counts as none, as does a date that has passed; infinite
 // counts as MaxPause.
-func ParseRetryAfter(values []string, wall time.Time) (pause time.Duration) {
+func ParseRetryAfter(values [][]byte, wall time.Time) (pause time.Duration) {
 	for _, v := range values {
-		pause = max(pause, parseOne(strings.TrimSpace(v), wall))
+		pause = max(pause, parseOne(strings.TrimSpace(string(v)), wall))
 	}
 	return pause
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/catkinrouter/catkinrouter/balance"
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/headers"
+	"github.com/catkinrouter/catkinrouter/notice"
 )
 
 // Errors of an exchange.
@@ -36,8 +37,6 @@
 	chunkedLength  = -1
 	// maxInterim bounds the replies that are read in search of the final one.
 	maxInterim = 16
-	// maxRetryAfter caps the Retry-After of a reply.
-	maxRetryAfter = 3600 // seconds
 )
 
 // exchange sends the call's request to the address of the attempt and reads
@@ -208,9 +207,7 @@
 	r.Load = parseLoad(string(h.Peek(headers.Load)))
 	r.Outcome = parseOutcome(string(h.Peek(headers.Outcome)))
 	r.Reason = attempt.Reason(h.Peek(headers.Reason))
-	if n, err := fasthttp.ParseUint(h.Peek(fasthttp.HeaderRetryAfter)); err == nil {
-		r.RetryAfter = time.Duration(min(n, maxRetryAfter)) * time.Second
-	}
+	r.RetryAfter = notice.ParseRetryAfter(h.PeekAll(fasthttp.HeaderRetryAfter), time.Now())
 }
 
 // parseOutcome returns the outcome named s; 0 if there is none.
