Quarantine calls that crash upstreams at catkin-entry too

Each entry now decides from the crashes under its own calls, by package quarantine; decisions travel with the agents' messages and syncs, also to agents and entries that start later. A broken connection is told from a crash by internal/crashcheck, on both data paths.

Credentials are part of what is recognised, since others' answers would clear a call.

Tests: TestCrashingCallReachesFewUpstreams (entry, proxy), TestAnsweredCallIsNotQuarantined, TestCallsOfOtherCallersAreNotQuarantined, TestDecisionOfAnotherEntryCounts, TestDecisionsReachOtherEntries (agent). They fail without the block, without answers, without the messages and without sending again. Not done: entries don't share crashes, only decisions.

--- a/agent/entry_sync.go
+++ b/agent/entry_sync.go
@@ -7,6 +7,7 @@
 
 	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/membership"
+	"github.com/catkinrouter/catkinrouter/quarantine"
 )
 
 // entrySync is the agent's side of the synchronisation with its entry: the last
@@ -18,6 +19,8 @@
 	nextSync time.Duration
 	syncing  bool
 	leaving  leavingUpstreams
+	// quarantine holds the decisions of all entries.
+	quarantine sharedQuarantine
 	// detail is the last status with upstreams or counters, detailRequestedAt
 	// when such a status was last requested.
 	detail            link.Status
@@ -53,6 +56,9 @@
 	if now-e.detailRequestedAt >= e.currentDetailInterval() {
 		st.Detail, e.detailRequestedAt = true, now
 	}
+	if decisions := e.quarantine.list(now); quarantine.Missing(decisions, e.status.Quarantined) {
+		st.Quarantined = decisions
+	}
 	listsDue := now-e.sentAt >= max(minMembersInterval, time.Duration(len(members))*membersIntervalPerMember)
 	notAcked := e.ackedIncarnation != e.status.Incarnation || !e.alive(now)
 	if !listsDue && !notAcked && slices.Equal(leaving, e.sentLeaving) && slices.EqualFunc(members, e.sentMembers, equalExceptLoad) {
@@ -80,7 +86,7 @@
 }
 
 func newEntrySync() entrySync {
-	return entrySync{statusAt: never, detailRequestedAt: never, sentAt: never, leaving: leavingUpstreams{}}
+	return entrySync{statusAt: never, detailRequestedAt: never, sentAt: never, leaving: leavingUpstreams{}, quarantine: sharedQuarantine{}}
 }
 
 // beginIfDue reports whether a sync is due, and marks it as begun if so.
@@ -117,6 +123,7 @@
 	for _, id := range st.LeavingUpstreams {
 		e.leaving.addLocal(now, id)
 	}
+	e.quarantine.add(now, st.Quarantined)
 }
 
 // leavingUpstreams holds the upstreams that some entry saw leaving, by ID.
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/internal/simclock"
 	"github.com/catkinrouter/catkinrouter/link"
+	"github.com/catkinrouter/catkinrouter/quarantine"
 	"github.com/catkinrouter/catkinrouter/store"
 )
 
@@ -72,6 +73,7 @@
 	revision         uint64
 	leaving          bool
 	leavingUpstreams []string
+	quarantined      []quarantine.Entry
 	state            link.State
 	memberCache      link.MemberCache
 }
@@ -351,13 +353,16 @@
 	if len(st.Document) > 0 {
 		e.revision = st.Revision
 	}
+	if quarantine.Missing(st.Quarantined, e.quarantined) {
+		e.quarantined = st.Quarantined
+	}
 	if e.revision < h.highestRevision {
 		h.violations = append(h.violations, fmt.Sprintf("%s: active revision %d after %d", h.id, e.revision, h.highestRevision))
 	}
 	h.highestRevision = max(h.highestRevision, e.revision)
 	return &link.Status{
 		Incarnation: e.incarnation, Uptime: h.f.Now - e.started, Revision: e.revision, Spare: 0.5,
-		Leaving: e.leaving, LeavingUpstreams: e.leavingUpstreams,
+		Leaving: e.leaving, LeavingUpstreams: e.leavingUpstreams, Quarantined: e.quarantined,
 	}
 }
 
--- a/agent/node.go
+++ b/agent/node.go
@@ -116,6 +116,7 @@
 	m.Revision, m.Digest = held.Revision, shortDigest(held.Digest)
 	m.ReadAge = n.scheduler.readAgeMillis(now)
 	m.Leaving = n.entry.leaving.nextBatch(now)
+	m.Quarantined = n.entry.quarantine.nextBatch(now)
 	return m
 }
 
@@ -145,6 +146,9 @@
 func (n *Node) processMessage(now time.Duration, address string, m *membership.Message) []Action {
 	n.scheduler.observePeerRead(now, m.ReadAge)
 	n.entry.leaving.addRemote(now, m.Leaving)
+	if n.entry.quarantine.add(now, m.Quarantined) {
+		n.entry.requestSync()
+	}
 	return n.replica.fetchIfNewer(now, address, m.Revision, m.Digest)
 }
 
--- a/attempt/reason.go
+++ b/attempt/reason.go
@@ -13,6 +13,7 @@
 	ReasonUnknownService  Reason = "unknown-service"
 	ReasonNoUpstream      Reason = "no-upstream"
 	ReasonPaused          Reason = "upstreams-paused"
+	ReasonQuarantined     Reason = "quarantined"
 	ReasonBodyTooLarge    Reason = "body-too-large"
 	ReasonDeadline        Reason = "deadline"
 	ReasonOverload        Reason = "overload"
@@ -57,6 +58,7 @@
 	{ReasonUnknownService, notRun, "no service has this Host: correct the name, or confirm a configuration that has it"},
 	{ReasonNoUpstream, notRun, "no upstream takes new work: repeat later; operators check the upstreams' states"},
 	{ReasonPaused, notRun, "all upstreams asked for a pause: repeat after Retry-After"},
+	{ReasonQuarantined, notRun, "the upstreams that ran this request crashed: repeat after Retry-After; operators look for the cause in the upstreams"},
 	{ReasonBodyTooLarge, notRun, "the body is above the service's max_body: send less, or raise max_body"},
 	{ReasonDeadline, notRunOrUnknown, "the time left was too short: allow more time"},
 	{ReasonOverload, notRun, "the wait for a slot would pass the deadline: repeat after Retry-After"},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	// Digest is a hash of the request's URI and body, or of the URI alone if
 	// the body is streamed. Repeats of a Key must have the same Digest.
 	Digest uint64
+	// CredentialsDigest is a hash of the caller's credentials.
+	CredentialsDigest uint64
 	// Streamed is set if the body is not buffered, so that it can be sent only
 	// once.
 	Streamed bool
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -102,6 +102,7 @@
 	if ended != succeeded {
 		return
 	}
+	n.recordAnswered(now, c)
 	c.latency = latency
 	c.svc.routes.Observe(c.bucket, latency)
 	if c.class == balance.Short {
@@ -140,6 +141,17 @@
 	return attempt.ReasonLost
 }
 
+// quarantinedRefusal returns the answer to a call that is kept from the upstreams for d
+// since these crash under it.
+func quarantinedRefusal(c *call, d time.Duration) Step {
+	if c.mayHaveRun {
+		return refusal(attempt.Unknown, c.lostReason())
+	}
+	a := refusal(attempt.NotRun, attempt.ReasonQuarantined)
+	a.RetryAfter = d
+	return a
+}
+
 // refusal returns an answer that reports why a call was refused.
 func refusal(o attempt.Outcome, why attempt.Reason) Step {
 	return Step{Outcome: o, Reason: why, RetriesSpent: true}
--- a/entry/node.go
+++ b/entry/node.go
@@ -50,6 +50,7 @@
 	timers        timingWheel
 	dueCalls      []uint64
 	counters      counters
+	crashes       crashes
 }
 
 // service is the state of one service at this entry.
@@ -83,6 +84,7 @@
 		calls:    map[uint64]*call{},
 		attempts: map[uint64]*call{},
 		counters: newCounters(),
+		crashes:  newCrashes(),
 	}
 }
 
@@ -104,6 +106,7 @@
 		return
 	}
 	n.revision, n.doc = revision, doc
+	n.crashes.retain(doc)
 	n.signer = attempt.NewSigner(doc.PermitKeys)
 	before, old := n.services, slices.Clone(n.ordered)
 	n.services = make(map[string]*service, len(doc.Services))
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -13,11 +13,14 @@
 	if c.callerDone {
 		return false
 	}
-	if why := c.retryDenial(now, ended, r); why != "" {
+	why := c.retryDenial(now, ended, r)
+	if why == "" && n.quarantinedFor(now, c) > 0 {
+		why = attempt.DeniedQuarantined
+	}
+	if why != "" {
 		n.counters.countRetry(why)
-		return false
 	}
-	return true
+	return why == ""
 }
 
 // retryDenial returns why the call is not sent again; empty if it may be. The
--- a/entry/start.go
+++ b/entry/start.go
@@ -26,6 +26,9 @@
 	if why := n.refusalReason(now, c); why != "" {
 		return n.end(now, c, refusal(attempt.NotRun, why), out)
 	}
+	if d := n.quarantinedFor(now, c); d > 0 {
+		return n.end(now, c, quarantinedRefusal(c, d), out)
+	}
 	c.svc.retries.Deposit()
 	if c.idempotent {
 		c.svc.hedges.Deposit()
@@ -98,6 +101,9 @@
 // send sends the call's first attempt, or ends the call if no upstream may
 // take it.
 func (n *Node) send(now time.Duration, c *call, out []Step) []Step {
+	if d := n.quarantinedFor(now, c); d > 0 { // decided while the call was queued
+		return n.end(now, c, quarantinedRefusal(c, d), out)
+	}
 	if step, ok := n.newAttempt(now, c, ""); ok {
 		return append(out, step)
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -2,23 +2,17 @@
 
 import (
 	"encoding/binary"
-	"errors"
-	"io"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/internal/crashcheck"
 	"github.com/catkinrouter/catkinrouter/quarantine"
 )
 
 const (
-	// crashCheckDelay is the time between a broken connection and the check
-	// whether the upstream still listens: the sockets of a process that ends are
-	// not all closed at once.
-	crashCheckDelay = 20 * time.Millisecond
 	// maxCrashChecks bounds the checks in progress.
 	maxCrashChecks = 128
 	// maxCrashCheckWait bounds how long the next attempt of a suspected request waits
@@ -44,18 +38,12 @@
 	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(u.ID+"\x00"+u.Address+"\x00"), uint64(u.StartUnixMilli)))
 }
 
-// brokeOff reports whether err means that the upstream's side closed or reset the
-// connection.
-func brokeOff(err error) bool {
-	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // checkCrash finds out whether the upstream crashed while it ran the attempt,
 // which ended with a broken connection: a crashed one refuses connections. One
 // that still listens has only lost this connection, and one that was leaving has
 // ended as planned.
 func (g *Gateway) checkCrash(c *call, t *try) {
-	if !t.wrote || !brokeOff(t.err) {
+	if !t.wrote || !crashcheck.BrokeOff(t.err) {
 		return
 	}
 	if g.crashChecks.Add(1) > maxCrashChecks {
@@ -72,7 +60,7 @@
 		defer close(checked)
 		// A panic is logged; the crash then counts for nothing.
 		_ = g.guard.Run("crash check", func() {
-			time.Sleep(crashCheckDelay)
+			time.Sleep(crashcheck.Delay)
 			if !g.hasCrashed(upstream) {
 				return
 			}
@@ -109,5 +97,5 @@
 		cn.lastReplyAt = time.Now()
 		g.pool.put(cn)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return crashcheck.Refused(err)
 }
--- a/link/link.go
+++ b/link/link.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/quarantine"
 )
 
 // SyncMethod is the net/rpc method that the agent calls.
@@ -25,6 +27,9 @@
 	Members []Member
 	// LeavingUpstreams are IDs of upstreams that other entries saw leaving.
 	LeavingUpstreams []string
+	// Quarantined is what entries have decided about calls that crash upstreams, if this
+	// entry lacks some of it.
+	Quarantined []quarantine.Entry
 	// Same is set if Members and LeavingUpstreams are unchanged since the
 	// last State that carried them, apart from the members' age and load. Both
 	// are empty then, and a MemberCache restores them.
@@ -61,9 +66,11 @@
 	Leaving bool
 	// LeavingUpstreams are IDs of upstreams that this entry itself saw leaving.
 	LeavingUpstreams []string
-	Upstreams        []UpstreamState
-	Counters         []Counter
-	Shares           []Share
+	// Quarantined is what this entry knows of calls that crash upstreams.
+	Quarantined []quarantine.Entry
+	Upstreams   []UpstreamState
+	Counters    []Counter
+	Shares      []Share
 }
 
 // UpstreamState is an entry's view of one upstream.
--- a/membership/message.go
+++ b/membership/message.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/quarantine"
 )
 
 // Info holds the properties that an instance reports about itself and that
@@ -47,6 +49,8 @@
 	ReadAge uint32
 	// Leaving holds upstreams that entries have observed leaving.
 	Leaving []LeavingUpstream
+	// Quarantined holds what entries have decided about calls that crash upstreams.
+	Quarantined []quarantine.Entry
 }
 
 // LeavingUpstream is an upstream that an entry has observed leaving.
@@ -58,11 +62,13 @@
 
 // Bounds of a Message.
 const (
-	MaxBeats     = 24
-	MaxInfos     = 16
-	MaxLeaving   = 16
-	maxStale     = 8
-	maxTextBytes = 64 // bytes
+	MaxBeats   = 24
+	MaxInfos   = 16
+	MaxLeaving = 16
+	// MaxQuarantined bounds Message.Quarantined.
+	MaxQuarantined = 8
+	maxStale       = 8
+	maxTextBytes   = 64 // bytes
 )
 
 // MalformedError reports a peer's message that violates the protocol.
@@ -86,6 +92,8 @@
 		return &MalformedError{"too many infos, wanted keys or stale keys"}
 	case len(m.Leaving) > MaxLeaving:
 		return &MalformedError{"too many leaving upstreams"}
+	case len(m.Quarantined) > MaxQuarantined:
+		return &MalformedError{"too many quarantined calls"}
 	}
 	for _, l := range m.Leaving {
 		if l.ID == "" || len(l.ID) > maxTextBytes {
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -41,9 +41,8 @@
 	}
 	c.ec.Streamed = c.req.rest != nil
 	c.ec.BodyBytes = max(len(c.req.body), length, 0)
-	if c.ec.Key != "" {
-		c.ec.Digest = requestDigest(ctx.Request.Header.RequestURI(), c.req.body, c.ec.Streamed)
-	}
+	c.ec.Digest = requestDigest(ctx.Request.Header.RequestURI(), c.req.body, c.ec.Streamed)
+	c.ec.CredentialsDigest = xxhash.Sum64(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
 	return nil
 }
 
@@ -190,7 +189,7 @@
 
 // requestDigest returns a hash of the request's URI and, unless it is
 // streamed, its body. It detects a key that is used for two different
-// requests.
+// requests, and a request that comes again.
 func requestDigest(uri, body []byte, streamed bool) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -238,7 +238,19 @@
 		d.node.Configure(now, in.Revision, doc)
 	}
 	d.node.SetMembers(now, in.Members, in.LeavingUpstreams)
-	return d.node.Status(now)
+	wall := time.Now()
+	d.node.MergeQuarantined(now, wall, in.Quarantined)
+	out := d.node.Status(now)
+	out.Quarantined = d.node.Quarantined(now, wall)
+	return out
+}
+
+// crashed reports that an upstream crashed at a time under an attempt of a call, sent at
+// began.
+func (d *dispatcher) crashed(c entry.Call, upstream string, began, at time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.node.Crashed(d.now(), c, upstream, began, at)
 }
 
 // status returns the Node's status.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -74,6 +74,7 @@
 		if r.MayHaveSent {
 			s.m.truncatedReplies.Inc(1)
 		}
+		s.checkCrash(c, t, began, &r)
 		return r
 	}
 	t.complete = true
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -46,6 +46,8 @@
 
 	times stopTimes
 	phase atomic.Uint32 // the phase of a planned stop
+
+	crashChecks atomic.Int64 // checks for crashed upstreams in progress
 }
 
 // New returns a Server that has no configuration yet.
