Keep what an upstream's present incarnation has said

Found on reading: a late reply of an upstream's earlier incarnation, under the same ID, replaced the evidence about the present one, so a pause, leaving or a rate limit was forgotten and the next pick sent there. TestEndedIncarnationChangesNothing fails before. Also: the counter of rate-limited passes no longer counts upstreams that pause.

--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -37,11 +37,15 @@
 	fn(&e.entry(u).evidence)
 }
 
-// entry returns the entry of u. The caller holds the lock.
+// entry returns the entry of u, one that is not kept if a later incarnation is known. The
+// caller holds the lock.
 func (e *evidenceTable) entry(u *discovery.Upstream) *evidenceEntry {
-	entry := e.byID[u.ID]
-	if entry == nil || !entry.incarnation.SameIncarnation(u) {
-		entry = &evidenceEntry{incarnation: *u}
+	known := e.byID[u.ID]
+	if known != nil && known.incarnation.SameIncarnation(u) {
+		return known
+	}
+	entry := &evidenceEntry{incarnation: *u}
+	if known == nil || known.incarnation.StartUnixMilli <= u.StartUnixMilli {
 		e.byID[u.ID] = entry
 	}
 	return entry
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -134,7 +134,7 @@
 }
 
 // admit counts a request to u if it admits one now. It returns the rate limit under
-// which it was counted.
+// which it was counted, or that admitted none.
 func (e *evidenceTable) admit(now time.Duration, u *discovery.Upstream) (limit quota.Limit, admitted bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -144,7 +144,7 @@
 	}
 	if !entry.bucket.Take(now, e.fleet.Division(now), u.ID) {
 		entry.notices.Return()
-		return limit, false
+		return entry.bucket.Limit(), false
 	}
 	return entry.bucket.Limit(), true
 }
@@ -164,7 +164,7 @@
 // admits none now.
 func (g *Gateway) admit(ch *choice) bool {
 	ch.rateLimit, ch.admitted = g.evidence.admit(g.now(), ch.upstream)
-	if !ch.admitted {
+	if !ch.admitted && ch.rateLimit.Named {
 		g.metrics.rateLimited.Inc(1)
 	}
 	return ch.admitted
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -152,6 +152,20 @@
 	}
 }
 
+// A late reply of an upstream's earlier incarnation made what the present one had said
+// forgotten.
+func TestEndedIncarnationChangesNothing(t *testing.T) {
+	table := newEvidenceTable()
+	before := &discovery.Upstream{ID: "u", Address: "a", StartUnixMilli: 1}
+	after := &discovery.Upstream{ID: "u", Address: "b", StartUnixMilli: 2}
+	table.recordOutcome(0, before, true, 1)
+	table.observeNotice(0, after, notice.Notice{Pause: time.Minute}, 0)
+	table.recordOutcome(1, before, true, 1)
+	if !table.unwanted(2, after) || table.unwanted(2, before) {
+		t.Error("the pause is lost, or counts for the earlier incarnation")
+	}
+}
+
 // An upstream that asked for a pause got further requests. They go to the others
 // meanwhile, and if all pause, callers are told at once until when.
 func TestPausedUpstreamGetsNothing(t *testing.T) {
