Let the test's upstream run a request before it repeats a refusal

Traced: the stub wrote the repeated refusal before it noted the run, so the instance's 502, which is right, could arrive before the note. The stub now notes it first, which is also the case reported.

--- a/gateway/faultyreply_test.go
+++ b/gateway/faultyreply_test.go
@@ -17,9 +17,11 @@
 		"HTTP/1.1 421 Misdirected Request\r\nUpstream-Id: other\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
 	} {
-		repeat := func(s *stub, c net.Conn, r *http.Request, body string) bool {
+		repeat := func(s *stub, c net.Conn, r *http.Request, _ string) bool {
+			id := s.run(r)
 			fmt.Fprint(c, refusal)
-			return answerOK(s, c, r, body)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", id)
+			return true
 		}
 		tg := newTestGateway(t)
 		stubs := []*stub{newStub(t, "a", repeat), newStub(t, "b", repeat)}
