--- a/standin/faults.go
+++ b/standin/faults.go
@@ -20,6 +20,8 @@
 	Drain bool `json:"drain,omitempty"`
 	// ReportLagMillis is the age of the load that is reported, in milliseconds.
 	ReportLagMillis int `json:"report_lag_ms,omitempty"`
+	// PauseSeconds sheds each request and asks for a pause of that many seconds.
+	PauseSeconds float64 `json:"pause_s,omitempty"`
 	// LoseReplies runs each request and closes the connection without a
 	// response.
 	LoseReplies bool `json:"lose_replies,omitempty"`
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -86,6 +86,9 @@
 	case string(ctx.Path()) == headers.HealthPath:
 		ctx.SetBodyString("ok")
 		return
+	case f.PauseSeconds > 0 && string(ctx.Path()) != headers.ProbePath:
+		u.shedRequest(ctx, f)
+		return
 	case f.Drain:
 		ctx.Response.Header.Set(headers.Leaving, "1")
 	}
@@ -133,6 +136,9 @@
 	u.shed.Add(1)
 	ctx.Error("shed", fasthttp.StatusServiceUnavailable)
 	ctx.Response.Header.Set(headers.Shed, "1")
+	if f.PauseSeconds > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(f.PauseSeconds, 'f', -1, 64))
+	}
 	if f.Drain {
 		ctx.Response.Header.Set(headers.Leaving, "1")
 	}
