--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -37,6 +37,16 @@
 	return attempts, answer, now
 }
 
+// newQuarantiningNode returns a node that has quarantined the crashing call, and the time.
+func newQuarantiningNode() (*Node, time.Duration) {
+	n := newNode(8, config.Rules{})
+	now := time.Second
+	for id := range uint64(10) {
+		_, _, now = playCrash(n, now, crashingCall(id+1))
+	}
+	return n, now + time.Second
+}
+
 // A call that crashes the upstreams that run it was sent to one after the other.
 func TestCrashingCallReachesFewUpstreams(t *testing.T) {
 	n := newNode(8, config.Rules{})
@@ -89,12 +99,7 @@
 
 // The credentials are part of what a call asks for: others' answers show nothing.
 func TestCallsOfOtherCallersAreNotQuarantined(t *testing.T) {
-	n := newNode(8, config.Rules{})
-	now := time.Second
-	for id := range uint64(10) {
-		_, _, now = playCrash(n, now, crashingCall(id+1))
-	}
-	now += time.Second
+	n, now := newQuarantiningNode()
 	other := crashingCall(100)
 	other.CredentialsDigest = 5
 	if s := n.Start(now, other, nil); len(s) != 1 || s[0].Kind != StepSend {
@@ -107,12 +112,7 @@
 
 // Other entries must know what one has decided, also one that starts later.
 func TestDecisionOfAnotherEntryCounts(t *testing.T) {
-	n := newNode(8, config.Rules{})
-	now := time.Second
-	for id := range uint64(10) {
-		_, _, now = playCrash(n, now, crashingCall(id+1))
-	}
-	now += time.Second
+	n, now := newQuarantiningNode()
 	wall := time.Now()
 	decisions := n.Quarantined(now, wall)
 	if len(decisions) != 1 {
--- a/node/crashing_test.go
+++ b/node/crashing_test.go
@@ -54,6 +54,16 @@
 	return c
 }
 
+// newCrashingSite returns nodes that serve /x/ by eight crashing upstreams.
+func newCrashingSite(t *testing.T, nodes int) (*site, *crashingUpstreams) {
+	t.Helper()
+	s := newSite(t, nodes)
+	up := startCrashingUpstreams(t, s.kv, 8)
+	configure(s.kv, 1, "/x/", "tienda")
+	s.waitAll("/x/1", 200, "ok")
+	return s, up
+}
+
 // start starts an upstream and registers it.
 func (c *crashingUpstreams) start() {
 	c.mu.Lock()
@@ -134,10 +144,7 @@
 // A request that crashes the upstreams that run it was sent to one after the other,
 // by all instances and without end.
 func TestCrashingRequestReachesFewUpstreams(t *testing.T) {
-	s := newSite(t, 3)
-	up := startCrashingUpstreams(t, s.kv, 8)
-	configure(s.kv, 1, "/x/", "tienda")
-	s.waitAll("/x/1", 200, "ok")
+	s, up := newCrashingSite(t, 3)
 	s.callFor(crashPath, knownAfter+3*time.Second, 100*time.Millisecond)
 	if n := up.lateRuns(); n > maxLateRuns {
 		t.Errorf("%d runs later than %v after the third crash, want at most %d; %d in all", n, knownAfter, maxLateRuns, up.crashCount())
@@ -168,10 +175,7 @@
 func TestRestartedInstanceKnowsCrashingRequest(t *testing.T) {
 	for _, storeAway := range []bool{false, true} {
 		t.Run(fmt.Sprint("store away: ", storeAway), func(t *testing.T) {
-			s := newSite(t, 3)
-			up := startCrashingUpstreams(t, s.kv, 8)
-			configure(s.kv, 1, "/x/", "tienda")
-			s.waitAll("/x/1", 200, "ok")
+			s, up := newCrashingSite(t, 3)
 			if storeAway {
 				s.kv.SetFaults(standin.KVFaults{Reset: true})
 			}
@@ -198,10 +202,7 @@
 // The decision was lost with the store's older copy, and with the instances that
 // remembered it.
 func TestCrashingRequestStaysKnownAfterStoreRestored(t *testing.T) {
-	s := newSite(t, 3)
-	up := startCrashingUpstreams(t, s.kv, 8)
-	configure(s.kv, 1, "/x/", "tienda")
-	s.waitAll("/x/1", 200, "ok")
+	s, up := newCrashingSite(t, 3)
 	b := s.kv.Backup()
 	s.quarantineAtAll(up)
 	s.restore(b)
@@ -220,10 +221,7 @@
 
 // Requests that ran beside the crashing one were refused with it.
 func TestRequestsBesideCrashingOneAreServed(t *testing.T) {
-	s := newSite(t, 3)
-	up := startCrashingUpstreams(t, s.kv, 8)
-	configure(s.kv, 1, "/x/", "tienda")
-	s.waitAll("/x/1", 200, "ok")
+	s, up := newCrashingSite(t, 3)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -240,10 +238,7 @@
 
 // An operator must be able to end a quarantine while the instances run.
 func TestLiftedQuarantineIsServedAgain(t *testing.T) {
-	s := newSite(t, 2)
-	up := startCrashingUpstreams(t, s.kv, 8)
-	configure(s.kv, 1, "/x/", "tienda")
-	s.waitAll("/x/1", 200, "ok")
+	s, up := newCrashingSite(t, 2)
 	s.quarantineAtAll(up)
 	key := platform.Keys().Quarantine
 	var entries []quarantine.Entry
