--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -52,6 +52,8 @@
 // Site is a small deployment.
 type Site struct {
 	KV *standin.KV
+	// MaxFDs, if above 0, limits the descriptors of each instance's process.
+	MaxFDs int
 
 	dir       string
 	storeAddr string
@@ -200,7 +202,11 @@
 	if in.stopped {
 		return errStopped
 	}
-	cmd := exec.Command("target/catkin-node", "-metrics-port", "9464")
+	command := "exec target/catkin-node -metrics-port 9464"
+	if n := in.site.MaxFDs; n > 0 {
+		command = fmt.Sprintf("ulimit -n %d; %s", n, command)
+	}
+	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Env = []string{platform.SettingsVariable + "=" + in.settingsFile(), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG")}
 	cmd.Stdout, cmd.Stderr = in.log, in.log
 	if err := cmd.Start(); err != nil {
@@ -294,13 +300,25 @@
 	_ = in.cmd.Process.Signal(sig)
 }
 
+// Lose kills the process and starts it no more.
+func (in *Instance) Lose() {
+	in.site.Log("%s is lost", in.Name)
+	in.shutDown()
+}
+
 func (in *Instance) shutDown() {
 	in.mu.Lock()
 	in.stopped = true
 	_ = in.cmd.Process.Kill()
 	in.mu.Unlock()
 	<-in.done
-	in.log.Close()
+}
+
+// Stopped reports whether the instance was stopped for good.
+func (in *Instance) Stopped() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.stopped
 }
 
 // LogTail returns the last n lines that the process wrote.
@@ -329,3 +347,14 @@
 	}
 	return false
 }
+
+// Descriptors returns the number of descriptors that the process has open.
+func (in *Instance) Descriptors() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", in.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return len(list)
+}
--- a/review/kit/server.go
+++ b/review/kit/server.go
@@ -22,9 +22,8 @@
 	At                                  time.Time
 }
 
-// Server is a stand-in server of a service.
-type Server struct {
-	site     *Site
+// Entry is a server's entry in the store.
+type Entry struct {
 	ID       string
 	Service  string
 	Address  string
@@ -32,6 +31,12 @@
 	State    string
 	Sequence int
 	Born     int64
+}
+
+// Server is a stand-in server of a service.
+type Server struct {
+	Entry
+	site *Site
 	// Work is how long a request takes.
 	Work time.Duration
 	// Intercept, if set, may answer a request in another way and then returns true.
@@ -41,7 +46,6 @@
 	srv     *http.Server
 	running int
 	runs    []Run
-	silent  bool // writes no heartbeats
 	closed  bool
 }
 
@@ -54,7 +58,10 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &Server{site: s, ID: id, Service: service, Address: ln.Addr().String(), Slots: slots, Work: work, State: "ready", Born: time.Now().UnixMilli()}
+	v := &Server{
+		Entry: Entry{ID: id, Service: service, Address: ln.Addr().String(), Slots: slots, State: "ready", Born: time.Now().UnixMilli()},
+		site:  s, Work: work,
+	}
 	v.srv = &http.Server{Handler: http.HandlerFunc(v.serve), IdleTimeout: 10 * time.Second}
 	go func() { _ = v.srv.Serve(ln) }()
 	s.servers = append(s.servers, v)
@@ -68,14 +75,12 @@
 		for {
 			time.Sleep(heartbeat)
 			v.mu.Lock()
-			closed, silent := v.closed, v.silent
+			closed := v.closed
 			v.mu.Unlock()
 			if closed {
 				return
 			}
-			if !silent {
-				v.write()
-			}
+			v.write()
 		}
 	}()
 }
@@ -84,26 +89,21 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.Sequence++
-	var text bytes.Buffer
-	if serverTemplate.Execute(&text, v) == nil {
-		v.site.KV.Put(platform.Keys().UpstreamPrefix+v.ID, text.Bytes())
-	}
+	v.site.PutEntry(v.Entry)
 }
 
-// SetSilent starts or ends a time without heartbeats.
-func (v *Server) SetSilent(silent bool) {
-	v.mu.Lock()
-	v.silent = silent
-	v.mu.Unlock()
-	if !silent {
-		v.write()
+// PutEntry writes a server's entry to the store.
+func (s *Site) PutEntry(e Entry) {
+	var text bytes.Buffer
+	if serverTemplate.Execute(&text, e) == nil {
+		s.KV.Put(platform.Keys().UpstreamPrefix+e.ID, text.Bytes())
 	}
 }
 
-// Expire removes the server's entry, as the store does after its silence.
-func (v *Server) Expire() {
-	v.site.Log("the store removes the entry of %s", v.ID)
-	v.site.KV.Delete(platform.Keys().UpstreamPrefix + v.ID)
+// RemoveEntry removes a server's entry from the store.
+func (s *Site) RemoveEntry(id string) {
+	s.Log("the store removes the entry of %s", id)
+	s.KV.Delete(platform.Keys().UpstreamPrefix + id)
 }
 
 // Close ends the server without a word.
