Review: a fraction as a weight keeps the configuration out of force

Seen: a version with the weights 0.75 and 0.25 is ignored as a whole, so that a route that it moves keeps its old service. At fault: platform/document.go decodes weights as whole numbers and gives up the document for one row.

--- a/review/kit/config.go
+++ b/review/kit/config.go
@@ -19,10 +19,18 @@
 	Unsafe = "unsafe"
 )
 
-// Route is a route of the operator's configuration.
+// Part is a service's part of a route's requests.
+type Part struct {
+	Service string
+	// Weight is a number in JSON.
+	Weight string
+}
+
+// Route is a route of the operator's configuration, with a service or with parts.
 type Route struct {
 	Name, Host, Prefix, Kind, Service          string
 	TimeoutMs, TargetMs, Priority, MaxAttempts int
+	Split                                      []Part
 }
 
 // Config is the operator's configuration, with the limits that the platform's pages
--- a/review/kit/server.go
+++ b/review/kit/server.go
@@ -196,3 +196,13 @@
 
 // HealthPath is the health path of all services.
 const HealthPath = "/health"
+
+// Servers returns the servers of a service.
+func (s *Site) Servers(service string) (out []*Server) {
+	for _, v := range s.servers {
+		if v.Service == service {
+			out = append(out, v)
+		}
+	}
+	return out
+}
