--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -89,6 +90,12 @@
 	s.storeAddr = ln.Addr().String()
 	go func() { _ = (&fasthttp.Server{Handler: s.KV.Handle, Logger: discard{}}).Serve(ln) }()
 	s.closers = append(s.closers, func() { ln.Close() })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.Exit(NotRun, "interrupted")
+	}()
 	return s, nil
 }
 
