Review: a configuration with fractions as weights ends all service at a restart

Seen: a version with the weights 0.75 and 0.25 is never in force; after all processes were killed, no instance has a configuration and all requests get 503. At fault: platform/document.go decodes weights as whole numbers and gives up the document for one row.

--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -169,7 +169,7 @@
 func (s *Site) AddInstance(storeAddr string) (*Instance, error) {
 	n := len(s.instances) + 1
 	in := &Instance{
-		site: s, Name: fmt.Sprintf("front-quito-centro-%d", n), IP: fmt.Sprintf("%s%d", s.prefix, n), First: n == 1, MemoryMB: MemoryMB,
+		site: s, Name: fmt.Sprintf("front-quito-centro-%d", n), IP: fmt.Sprintf("%s%d", s.prefix, n), First: true, MemoryMB: MemoryMB,
 		Store: storeAddr, done: make(chan struct{}),
 	}
 	if storeAddr == "" {
@@ -177,11 +177,7 @@
 	}
 	in.Front = fmt.Sprintf("%s:%d", in.IP, in.Port(0))
 	in.Seeds = []string{fmt.Sprintf("%s1:%d", s.prefix, in.Port(2))}
-	var text bytes.Buffer
-	if err := settingsTemplate.Execute(&text, in); err != nil {
-		return nil, err
-	}
-	if err := os.WriteFile(in.settingsFile(), text.Bytes(), 0o600); err != nil {
+	if err := in.writeSettings(); err != nil {
 		return nil, err
 	}
 	var err error
@@ -197,6 +193,15 @@
 	return in, nil
 }
 
+// writeSettings writes the settings in effect.
+func (in *Instance) writeSettings() error {
+	var text bytes.Buffer
+	if err := settingsTemplate.Execute(&text, in); err != nil {
+		return err
+	}
+	return os.WriteFile(in.settingsFile(), text.Bytes(), 0o600)
+}
+
 func (in *Instance) settingsFile() string { return filepath.Join(in.site.dir, in.Name+".yaml") }
 
 // errStopped ends the restarts of an instance.
@@ -242,7 +247,8 @@
 		}
 		in.site.Log("%s ended: %v; its last lines:\n%s", in.Name, err, in.LogTail(3))
 		time.Sleep(restartDelay)
-		if in.start() != nil {
+		in.First = false // the system has started before
+		if in.writeSettings() != nil || in.start() != nil {
 			return
 		}
 	}
