Log the address and connection of a failed attempt

The log of the instance has two attempts of it that ended with 421, the second after 75 ms, at an upstream that had sent one. Nothing shows whether the second 421 was the upstream's answer to that attempt, or one to another: the line names neither the address, which both upstreams shared, nor the connection.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/internal/netpeek"
@@ -32,6 +33,8 @@
 	net.Conn
 	r    *bufio.Reader
 	addr string
+	// number identifies the connection in logs.
+	number uint64
 	// used is set once a request was sent on the connection.
 	used bool
 	// lastReplyAt is when the last reply arrived on the connection.
@@ -44,6 +47,7 @@
 // pool holds idle connections by address. It is safe for concurrent use.
 type pool struct {
 	metrics *metricSet
+	dialled atomic.Uint64 // the number of the newest connection
 	mu      sync.Mutex
 	idle    map[string][]*conn // most recently used last
 }
@@ -89,7 +93,7 @@
 		return nil, err
 	}
 	p.metrics.connsOpened.Inc(1)
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, connBuffer), addr: addr, idleLimit: defaultIdleLimit}, nil
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, connBuffer), addr: addr, number: p.dialled.Add(1), idleLimit: defaultIdleLimit}, nil
 }
 
 // put returns a connection to the pool after its last reply was read
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -52,6 +52,9 @@
 	// discarded once the call will not use the reply.
 	finished, discarded bool
 
+	// connNumber is that of the connection on which the request was written, 0 if none.
+	connNumber uint64
+
 	resp    *fasthttp.Response
 	memory  *reservation // of the reply's body
 	wrote   bool
@@ -133,6 +136,7 @@
 		}
 		return
 	}
+	t.connNumber = cn.number
 	cn.writeBuf = g.appendRequest(cn.writeBuf[:0], c, t.upstream.ID, timeLeft)
 	sent := g.now()
 	t.wrote, t.err = g.exchange(cn, t.upstream, cn.writeBuf, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp, t.memory)
@@ -242,7 +246,7 @@
 			g.hooks.UpstreamFailed(upstreamKey(t.upstream), weight)
 		}
 		c.log("attempt failed", "upstream", t.upstream.ID, "outcome", t.outcome.String(), "status", status,
-			"took", t.took, "err", t.err, "content", c.content())
+			"address", t.upstream.Address, "conn", t.connNumber, "took", t.took, "err", t.err, "content", c.content())
 		g.checkCrash(c, t)
 	}
 }
