Never send a request's ID twice on one connection

Cause: the reply to a request is told from late ones by the request's ID. A second attempt of a call bears the same ID, and connections are pooled by address. Where an upstream comes back at its address with a new ID, the first attempt, for the old one, ends with 421, the connection goes back to the pool, and the second attempt takes it. A late copy of the 421 then has the ID that is waited for.

Evidence: with the connection logged, both attempts of each request that was refused and ran (2 of 2) went over one connection (80 and 80, 460 and 460), and the second 421 came after 12 and 6 ms, just when the server wrote its copy. Ruled out: a genuine second 421 (the server turned each of them away once), and an attempt still in flight when the refusal was sent (both had ended).

Change: a connection knows the IDs that it has carried and carries none of them again: the call then gets a new connection. A call without an ID gets one that has carried nothing. A connection closes after 512 requests, so it knows all of them. This is decided where an attempt gets its connection, so it holds for probed, handed-over and kept ones alike, and for callers that use an ID again.

Why it works: a reply with the ID can then only be to this sending, or a copy of its own answer.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 )
 
@@ -26,6 +29,9 @@
 	// idleCheckInterval is the time between two checks for expired idle
 	// connections.
 	idleCheckInterval = time.Second
+	// maxRequestsPerConn bounds the IDs that are kept of a connection, which is closed
+	// after so many requests.
+	maxRequestsPerConn = 512
 )
 
 // conn is a connection to an upstream. It carries one exchange at a time.
@@ -37,6 +43,8 @@
 	number uint64
 	// used is set once a request was sent on the connection.
 	used bool
+	// sent holds hashes of the IDs of the requests sent on it, health checks aside.
+	sent []uint64
 	// lastReplyAt is when the last reply arrived on the connection.
 	lastReplyAt time.Time
 	// idleLimit is how long the connection may be idle.
@@ -44,6 +52,27 @@
 	writeBuf  []byte
 }
 
+// mayCarry reports whether the reply to a request with the given ID can be told from all
+// others on c: replies are told apart by their requests' IDs, and a copy of an earlier one
+// may still arrive.
+func (c *conn) mayCarry(id string) bool {
+	if id == "" {
+		return !c.used
+	}
+	return !slices.Contains(c.sent, xxhash.Sum64String(id))
+}
+
+// recordSent records that a request, or a health check if id is empty, is sent on c.
+func (c *conn) recordSent(id string) {
+	c.used = true
+	if id != "" {
+		c.sent = append(c.sent, xxhash.Sum64String(id))
+	}
+}
+
+// exhausted reports whether c has carried as many requests as one connection may.
+func (c *conn) exhausted() bool { return len(c.sent) >= maxRequestsPerConn }
+
 // pool holds idle connections by address. It is safe for concurrent use.
 type pool struct {
 	metrics *metricSet
@@ -99,7 +128,7 @@
 // put returns a connection to the pool after its last reply was read
 // completely.
 func (p *pool) put(c *conn) {
-	if c.r.Buffered() > 0 {
+	if c.r.Buffered() > 0 || c.exhausted() {
 		c.Close()
 		return
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -28,13 +28,13 @@
 // exchange writes out to c, a connection to u, and reads the reply to the request with
 // the given ID, empty for a health check, into resp, with memory for its body. It returns
 // true once a byte may have been sent. A reply without an ID is taken only if nothing else
-// was asked for on the connection.
+// was asked for on the connection, which must not have carried the same ID before.
 func (g *Gateway) exchange(c *conn, u *discovery.Upstream, out []byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response, memory *reservation) (wrote bool, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return false, err
 	}
 	first := !c.used
-	c.used = true
+	c.recordSent(id)
 	if _, err := c.Write(out); err != nil {
 		return true, err
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,6 +15,9 @@
 	probes       gometrics.Counter
 	probesFailed gometrics.Counter
 	strayReplies gometrics.Counter
+	// repeatedIDs counts the connections passed over because they had carried a request
+	// with the same ID.
+	repeatedIDs gometrics.Counter
 	// rateLimitChanges counts changes of upstreams' rate limits, limitedSends
 	// the attempts sent to an upstream that names one, rateLimited the probed
 	// upstreams that were passed over for it.
@@ -41,7 +44,8 @@
 	c := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter(name, registry) }
 	m := &metricSet{
 		registry: registry, connsOpened: c("upstream_connections_opened_total"), probes: c("probes_total"), probesFailed: c("probes_failed_total"),
-		strayReplies: c("stray_replies_total"), crashes: c("upstream_crashes_total"), crashChecksSkipped: c("crash_checks_skipped_total"),
+		strayReplies: c("stray_replies_total"), repeatedIDs: c("repeated_ids_total"),
+		crashes: c("upstream_crashes_total"), crashChecksSkipped: c("crash_checks_skipped_total"),
 		leaving: c("upstreams_leaving_total"), pauses: c("upstream_pauses_total"),
 		crashReports: c("crash_reports_total"), quarantines: c("quarantines_total"), quarantinesLifted: c("quarantines_lifted_total"),
 		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"), rateLimited: c("rate_limited_passes_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -121,10 +121,10 @@
 
 // finishExchange records the load report of a reply as evidence. It hands the
 // connection to a queued call if the upstream has room, and otherwise returns
-// it to the pool, or closes it if the upstream does.
+// it to the pool, or closes it if the upstream does or it is exhausted.
 func (g *Gateway) finishExchange(c *call, t *try, cn *conn) {
 	r, err := g.proto.ParseLoad(string(t.resp.Header.Peek(g.proto.Load)))
-	closes := t.resp.ConnectionClose()
+	closes := t.resp.ConnectionClose() || cn.exhausted()
 	if err == nil {
 		room := g.estimates.fullnessOf(c.service.Name).Room(g.now(), &r, 0)
 		g.evidence.update(t.upstream, func(ev *pick.Evidence) {
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -111,11 +111,10 @@
 // send executes the attempt.
 func (g *Gateway) send(c *call, t *try) {
 	timeLeft := c.deadline - t.startedAt
-	cn := t.choice.conn
-	if cn == nil {
-		if cn, t.err = g.pool.dial(t.upstream.Address, timeLeft); t.err != nil {
-			return
-		}
+	cn, err := g.connFor(c, &t.choice, timeLeft)
+	if err != nil {
+		t.err = err
+		return
 	}
 	if !t.setConn(cn) {
 		cn.Close()
@@ -152,6 +151,19 @@
 	g.finishExchange(c, t, cn)
 }
 
+// connFor returns the choice's connection, or a new one if it has none or one that may not
+// carry the call.
+func (g *Gateway) connFor(c *call, ch *choice, timeout time.Duration) (*conn, error) {
+	if ch.conn != nil && ch.conn.mayCarry(c.id) {
+		return ch.conn, nil
+	}
+	if ch.conn != nil {
+		g.metrics.repeatedIDs.Inc(1)
+		g.pool.put(ch.conn)
+	}
+	return g.pool.dial(ch.upstream.Address, timeout)
+}
+
 // replyMargin is how long after the call's deadline the connection still waits
 // for a reply, because the call itself cancels the attempt at its deadline.
 const replyMargin = 100 * time.Millisecond
