Number the requests on an entry's connection, and skip late copies of replies

Entries match replies to calls by their place on the connection alone, which a copy takes. Work that is not idempotent takes only connections that carried nothing, so it is not touched.

Change: each request to an upstream bears its number on the connection, in Catkin-Attempt, which an upstream may echo. A reply that names an earlier number is skipped. Once an upstream has echoed, a reply without a number ends the connection, and the call is repeated as after a lost reply; so is one that can't be skipped since a HEAD request was sent before. An upstream that echoes nothing is served as before. A number from a caller is dropped.

TestRequestHeaders lists the new header among those that it compares exactly.

--- a/headers/headers.go
+++ b/headers/headers.go
@@ -16,6 +16,10 @@
 	// Caller identifies the caller, for fair queueing under overload. Without
 	// it the caller's IP address is used.
 	Caller = "Catkin-Caller"
+	// Attempt is the number of the request among those that the entry has sent on the
+	// connection. An upstream that echoes it in its replies lets the entry tell a second,
+	// late copy of an earlier reply from the reply that is due.
+	Attempt = "Catkin-Attempt"
 	// Forwarded is set by an entry that forwards a keyed call to its home, the
 	// entry that the permit names.
 	Forwarded = "Catkin-Forwarded"
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -88,5 +88,5 @@
 // internalHeaders lists the reply headers that are not passed to callers.
 var internalHeaders = [...]string{
 	fasthttp.HeaderKeepAlive, fasthttp.HeaderProxyConnection, fasthttp.HeaderProxyAuthenticate, fasthttp.HeaderUpgrade,
-	headers.Load, headers.Shed, headers.Leaving, headers.Reason,
+	headers.Load, headers.Shed, headers.Leaving, headers.Reason, headers.Attempt,
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -22,7 +22,7 @@
 var (
 	errUnframed       = errors.New("reply has neither a Content-Length nor chunks, so a truncated one would look complete: make the upstream send one of them")
 	errProtocolSwitch = errors.New("upstream switched protocols without an Upgrade request: make it answer in HTTP/1.1")
-	errInterim        = errors.New("upstream sent too many interim (1xx) replies without a final one")
+	errSkipped        = errors.New("upstream sent too many interim (1xx) or repeated replies without the one that is due")
 	errCancelled      = errors.New("attempt was cancelled")
 	errNoTimeLeft     = errors.New("no time left for the attempt")
 	errProbeStatus    = errors.New("upstream did not answer the probe with status 200")
@@ -35,8 +35,8 @@
 	// reply that ends when its connection closes, and of a chunked reply.
 	identityLength = -2
 	chunkedLength  = -1
-	// maxInterim bounds the replies that are read in search of the final one.
-	maxInterim = 16
+	// maxSkipped bounds the replies that are read in search of the final one.
+	maxSkipped = 16
 )
 
 // exchange sends the call's request to the address of the attempt and reads
@@ -104,8 +104,8 @@
 		return false, errCancelled
 	}
 	req := &cl.req
-	c.used = true
 	c.out = append(c.out[:0], req.head...)
+	c.out = c.appendAttempt(c.out, req.headOnly)
 	c.out = req.appendAttemptHeaders(c.out, &cl.ec, &t.step, left)
 	if req.rest == nil && len(req.body) > 0 && len(req.body) <= maxInlineBody {
 		c.out = append(c.out, req.body...)
@@ -140,38 +140,62 @@
 	if hasNoBody(resp, headOnly) {
 		return nil, nil
 	}
-	length := resp.Header.ContentLength()
-	switch {
-	case length == identityLength:
-		return nil, errUnframed
+	switch length := resp.Header.ContentLength(); {
 	case mayStream && length > streamThreshold:
 		return newReplyStream(c, resp, length), nil
 	case mayStream && length == chunkedLength:
 		return c.receiveChunks(resp)
 	}
+	return nil, c.readBody(resp)
+}
+
+// readBody reads the whole body and trailer of a reply.
+func (c *conn) readBody(resp *fasthttp.Response) error {
+	length := resp.Header.ContentLength()
+	if length == identityLength {
+		return errUnframed
+	}
 	if err := resp.ReadBody(c.r, maxReplyBytes); err != nil {
-		return nil, err
+		return err
 	}
 	if length == chunkedLength {
-		return nil, unexpectedEOF(resp.Header.ReadTrailer(c.r))
+		return unexpectedEOF(resp.Header.ReadTrailer(c.r))
 	}
-	return nil, nil
+	return nil
 }
 
-// readHeader reads the header of the final reply and skips interim replies.
+// readHeader reads the header of the final reply. It skips interim replies, and late copies
+// of replies to earlier requests.
 func readHeader(c *conn, resp *fasthttp.Response) error {
-	for range maxInterim {
+	for range maxSkipped {
 		if err := resp.Header.Read(c.r); err != nil {
 			return err
 		}
 		switch code := resp.StatusCode(); {
 		case code == fasthttp.StatusSwitchingProtocols:
 			return errProtocolSwitch
-		case code >= fasthttp.StatusOK:
-			return nil
+		case code < fasthttp.StatusOK:
+			continue
+		}
+		late, err := c.isLate(resp)
+		if !late || err != nil {
+			return err
 		}
+		if err := c.skip(resp); err != nil {
+			return err
+		}
+	}
+	return errSkipped
+}
+
+// skip reads a late reply to its end.
+func (c *conn) skip(resp *fasthttp.Response) error {
+	if hasNoBody(resp, false) {
+		return nil
 	}
-	return errInterim
+	err := c.readBody(resp)
+	resp.ResetBody()
+	return err
 }
 
 // hasNoBody reports whether a reply ends with its header.
--- a/proxy/handler_test.go
+++ b/proxy/handler_test.go
@@ -36,7 +36,7 @@
 	delete(got, headers.Deadline)
 	want := map[string]string{
 		"line": "POST /buy?pack=7&x=%20", "body": "two packs", "Host": testService, "Content-Length": "9", "Content-Type": "text/plain",
-		headers.Try: "2", headers.Depth: "4", headers.Caller: "plaza", "Cookie": "a=b",
+		headers.Try: "2", headers.Depth: "4", headers.Caller: "plaza", headers.Attempt: "1", "Cookie": "a=b",
 	}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
--- a/proxy/probe.go
+++ b/proxy/probe.go
@@ -93,7 +93,8 @@
 	}
 	c.out = append(c.out[:0], "GET "+headers.ProbePath+" HTTP/1.1\r\nHost: "...)
 	c.out = append(c.out, st.Service...)
-	c.out = append(c.out, "\r\n\r\n"...)
+	c.out = append(c.out, "\r\n"...)
+	c.out = append(c.appendAttempt(c.out, false), "\r\n"...)
 	if _, err := c.Write(c.out); err != nil {
 		return err
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -100,6 +100,7 @@
 	case headers.Forwarded:
 		c.Forwarded = true
 		return checkFlagHeader(v, reasonBadForwarded, headers.Forwarded)
+	case headers.Attempt: // of the connection that the request came on
 	case headers.Caller:
 		if !isVisibleASCII(v, maxCaller) {
 			return newHeaderError(reasonBadCaller, headers.Caller, "send up to 128 visible ASCII characters")
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -75,6 +75,13 @@
 
 // Handle serves requests, probes and health checks.
 func (u *Upstream) Handle(ctx *fasthttp.RequestCtx) {
+	u.serve(ctx)
+	if number := ctx.Request.Header.Peek(headers.Attempt); len(number) > 0 {
+		ctx.Response.Header.SetBytesV(headers.Attempt, number)
+	}
+}
+
+func (u *Upstream) serve(ctx *fasthttp.RequestCtx) {
 	u.mu.Lock()
 	f, faultsSince := u.faults, u.faultsSince
 	u.mu.Unlock()
