Keep following the platform's list of instances past an odd entry

What operators would see: agents that stopped following the platform's list of instances, list.failed rising with each read, from one entry that another program wrote.

Cause: the list is decoded as one value. One entry of another type, with a number out of range, or nested more than 10,000 levels deep is an error of the whole. Others were taken as instances to contact: null, an empty object, ports out of range.

Those that can't be instances are counted (list.malformed) and logged, one line a read. The body of a list is bounded, at 8 MB.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -308,13 +308,24 @@
 	bounded, cancel := context.WithTimeout(ctx, platformReadTimeout)
 	defer cancel()
 	d.incCounter("list.reads")
-	l, err := d.listClient.Instances(bounded)
+	l, malformed, err := d.listClient.Instances(bounded)
 	if err != nil {
 		d.incCounter("list.failed")
 	}
+	d.malformedInstances(malformed)
 	d.postResult(ctx, func(n *Node, now time.Duration) []Action { n.ListDone(now, l, err); return nil })
 }
 
+// malformedInstances counts and logs the entries of the platform's list that were ignored.
+func (d *Daemon) malformedInstances(malformed []*store.MalformedInstance) {
+	for range malformed {
+		d.incCounter("list.malformed")
+	}
+	if len(malformed) > 0 {
+		level.Warn(d.log).Log("msg", "entries of the platform's list of instances ignored", "entries", len(malformed), "first", malformed[0])
+	}
+}
+
 func (d *Daemon) syncEntry(ctx context.Context, s SyncEntry) {
 	var st *link.Status
 	var received link.Status
--- a/store/list.go
+++ b/store/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -17,8 +16,12 @@
 	Instances []Instance `json:"instances"`
 }
 
-// listTimeout is the timeout of a read without a deadline.
-const listTimeout = 2 * time.Second
+const (
+	// listTimeout is the timeout of a read without a deadline.
+	listTimeout = 2 * time.Second
+	// maxListBytes bounds the body of a list.
+	maxListBytes = 8 << 20
+)
 
 // ListClient implements List over HTTP. It is safe for concurrent use and makes
 // no retries.
@@ -31,7 +34,7 @@
 // port.
 func NewListClient(address string) *ListClient {
 	return &ListClient{url: "http://" + address + ListPath, http: &fasthttp.Client{
-		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxListBytes,
 	}}
 }
 
@@ -39,7 +42,7 @@
 func (c *ListClient) Close() { c.http.CloseIdleConnections() }
 
 // Instances implements List.
-func (c *ListClient) Instances(ctx context.Context) ([]Instance, error) {
+func (c *ListClient) Instances(ctx context.Context) ([]Instance, []*MalformedInstance, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -49,14 +52,14 @@
 		timeout = time.Until(deadline)
 	}
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
-		return nil, &Error{Kind: Unavailable, Op: ListPath, Err: err}
+		return nil, nil, &Error{Kind: Unavailable, Op: ListPath, Err: err}
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, &Error{Kind: Unavailable, Op: ListPath, Err: fmt.Errorf("status %d", resp.StatusCode())}
+		return nil, nil, &Error{Kind: Unavailable, Op: ListPath, Err: fmt.Errorf("status %d", resp.StatusCode())}
 	}
-	var l InstanceList
-	if err := json.Unmarshal(resp.Body(), &l); err != nil {
-		return nil, &Error{Kind: Invalid, Op: ListPath, Err: err}
+	list, malformed, err := decodeList(resp.Body())
+	if err != nil {
+		return nil, nil, &Error{Kind: Invalid, Op: ListPath, Err: err}
 	}
-	return l.Instances, nil
+	return list, malformed, nil
 }
--- a/store/store.go
+++ b/store/store.go
@@ -54,5 +54,6 @@
 
 // List reads the platform's list of instances.
 type List interface {
-	Instances(ctx context.Context) ([]Instance, error)
+	// Instances returns the entries that are instances, and an error for each other one.
+	Instances(ctx context.Context) ([]Instance, []*MalformedInstance, error)
 }
