Skip a late copy of a health reply before the answer to a request

What callers saw: 502, "may have run", for a purchase that the upstream ran and answered.

Health replies bear no request's ID. A request follows its health check on the same connection, so a late copy of the health reply comes where the answer is due, and a reply without an ID on a used connection ended the request as unknown.

Change: a reply that can only be a health reply (it names the upstream, bears no signature and no refusal, status 200 or 503) is skipped like other late replies. An answer can't be mistaken for one: a success needs the signature.

TestLateCopyOfHealthReplyIsNoAnswer failed before in 10 of 10 calls. Whether upstreams repeat health replies on the platform is not known.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,11 +45,10 @@
 		if resp.StatusCode() < fasthttp.StatusOK {
 			continue
 		}
-		got := string(resp.Header.Peek(g.proto.RequestID))
-		if got == "" && id != "" && !first {
-			return true, errUnidentified
+		own, err := g.isOwn(resp, id, first)
+		if err != nil {
+			return true, err
 		}
-		own := got == id || got == ""
 		if own {
 			g.recordNotice(u, resp, id == "")
 		}
@@ -64,6 +63,32 @@
 	return true, errStrayReplies
 }
 
+// isOwn reports whether resp is the reply to the request with the given ID, empty for a
+// health check, and not a late one to an earlier request. It returns an error if that can't
+// be told; first is set if nothing was sent on the connection before.
+func (g *Gateway) isOwn(resp *fasthttp.Response, id string, first bool) (bool, error) {
+	switch got := string(resp.Header.Peek(g.proto.RequestID)); {
+	case got == id:
+		return true, nil
+	case got != "":
+		return false, nil
+	case first:
+		return true, nil
+	case g.isHealthReply(resp):
+		return false, nil
+	}
+	return false, errUnidentified
+}
+
+// isHealthReply reports whether resp can only be the reply to a health check: it names the
+// upstream, and is neither a refusal nor signed.
+func (g *Gateway) isHealthReply(resp *fasthttp.Response) bool {
+	h := &resp.Header
+	code := h.StatusCode()
+	return (code == fasthttp.StatusOK || code == fasthttp.StatusServiceUnavailable) &&
+		len(h.Peek(g.proto.UpstreamID)) > 0 && len(h.Peek(g.proto.NotRun)) == 0 && len(h.Peek(g.proto.Signature)) == 0
+}
+
 // finishReply records that c has delivered a whole reply, and checks that its body can
 // be passed on.
 func finishReply(c *conn, resp *fasthttp.Response) error {
--- a/gateway/repeatedid_test.go
+++ b/gateway/repeatedid_test.go
@@ -84,6 +84,22 @@
 	}
 }
 
+// A late copy of a health reply was taken for the answer to the request that followed on
+// the connection: the caller was told 502, though the upstream answered.
+func TestLateCopyOfHealthReplyIsNoAnswer(t *testing.T) {
+	tg := newTestGateway(t)
+	u := newStub(t, "u", answerOK)
+	u.repeatsHealth = true
+	tg.configure(2*time.Second, u)
+	for i := range 10 {
+		id := fmt.Sprint("p-", i)
+		r := tg.call(http.MethodPost, "/purchase/1", id, "pack")
+		if want := "answer to " + id + " pack"; r.err != nil || r.status != http.StatusOK || r.body != want {
+			t.Errorf("status %d, body %q, error %v; want %q", r.status, r.body, r.err, want)
+		}
+	}
+}
+
 // A connection that forgot the first IDs it had carried took a late copy of their replies
 // for new ones.
 func TestConnectionKnowsAllItsRequests(t *testing.T) {
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -58,6 +58,8 @@
 	answersEarly bool
 	// closesAfterHealth makes it close the connection after each health reply.
 	closesAfterHealth bool
+	// repeatsHealth makes it write each health reply once more, a little later.
+	repeatsHealth bool
 	// ignoresHealth makes it leave health requests unanswered.
 	ignoresHealth bool
 
@@ -112,7 +114,12 @@
 			load := s.load
 			s.probes++
 			s.mu.Unlock()
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%s%sContent-Length: 0\r\n\r\n", s.id, load, s.noticeHeaders(), end)
+			reply := fmt.Sprintf("HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%s%sContent-Length: 0\r\n\r\n", s.id, load, s.noticeHeaders(), end)
+			fmt.Fprint(c, reply)
+			if s.repeatsHealth {
+				time.Sleep(3 * time.Millisecond)
+				fmt.Fprint(c, reply)
+			}
 			if s.closesAfterHealth {
 				return
 			}
