Use a connection no more once it has carried a HEAD request

What callers saw: 502, "may have run", for a purchase that was answered.

A reply to HEAD names the length of a body that doesn't follow. A late copy of it before the answer to the next request was read with that body: it took the answer's bytes.

Change: a connection that has carried a HEAD request closes after its reply, so no later request meets such a copy; a late reply before the reply to HEAD is read with its body.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -45,6 +45,8 @@
 	used bool
 	// sent holds hashes of the IDs of the requests sent on it, health checks aside.
 	sent []uint64
+	// sentHead is set once a HEAD request was sent on it.
+	sentHead bool
 	// lastReplyAt is when the last reply arrived on the connection.
 	lastReplyAt time.Time
 	// idleLimit is how long the connection may be idle.
@@ -63,15 +65,17 @@
 }
 
 // recordSent records that a request, or a health check if id is empty, is sent on c.
-func (c *conn) recordSent(id string) {
+func (c *conn) recordSent(id string, isHead bool) {
 	c.used = true
+	c.sentHead = c.sentHead || isHead
 	if id != "" {
 		c.sent = append(c.sent, xxhash.Sum64String(id))
 	}
 }
 
-// exhausted reports whether c has carried as many requests as one connection may.
-func (c *conn) exhausted() bool { return len(c.sent) >= maxRequestsPerConn }
+// exhausted reports whether c must carry no further request: it has carried as many as one
+// connection may, or one for HEAD, of whose reply a late copy has no end that can be told.
+func (c *conn) exhausted() bool { return c.sentHead || len(c.sent) >= maxRequestsPerConn }
 
 // pool holds idle connections by address. It is safe for concurrent use.
 type pool struct {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,7 +34,7 @@
 		return false, err
 	}
 	first := !c.used
-	c.recordSent(id)
+	c.recordSent(id, isHead)
 	if _, err := c.Write(out); err != nil {
 		return true, err
 	}
@@ -52,7 +52,7 @@
 		if own {
 			g.recordNotice(u, resp, id == "")
 		}
-		if err := readBody(c, isHead, resp, memory); err != nil {
+		if err := readBody(c, isHead && own, resp, memory); err != nil {
 			return true, err
 		}
 		if own {
--- a/gateway/repeatedid_test.go
+++ b/gateway/repeatedid_test.go
@@ -100,6 +100,34 @@
 	}
 }
 
+// A late copy of a reply to HEAD, which names the length of a body that doesn't follow, took
+// the next answer on the connection for that body.
+func TestLateCopyOfHeadReplyTakesNoAnswer(t *testing.T) {
+	var mu sync.Mutex
+	earlier := map[net.Conn]string{}
+	u := newStub(t, "u", func(s *stub, c net.Conn, r *http.Request, body string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Fprint(c, earlier[c])
+		if r.Method != http.MethodHead {
+			return answerOK(s, c, r, body)
+		}
+		earlier[c] = fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nContent-Length: 40\r\n\r\n", s.run(r))
+		fmt.Fprint(c, earlier[c])
+		return true
+	})
+	tg := newTestGateway(t)
+	tg.configure(2*time.Second, u)
+	for i := range 5 {
+		wantStatus(t, tg.call(http.MethodHead, "/clue/1", fmt.Sprint("h-", i), ""), http.StatusOK)
+		id := fmt.Sprint("p-", i)
+		r := tg.call(http.MethodPost, "/purchase/1", id, "pack")
+		if want := "answer to " + id + " pack"; r.err != nil || r.status != http.StatusOK || r.body != want {
+			t.Errorf("status %d, body %q, error %v; want %q", r.status, r.body, r.err, want)
+		}
+	}
+}
+
 // A connection that forgot the first IDs it had carried took a late copy of their replies
 // for new ones.
 func TestConnectionKnowsAllItsRequests(t *testing.T) {
@@ -111,7 +139,7 @@
 		if p.put(c); p.pop("u") != c {
 			t.Fatalf("not kept after %d requests", i)
 		}
-		c.recordSent(fmt.Sprint(i))
+		c.recordSent(fmt.Sprint(i), false)
 		if c.mayCarry(fmt.Sprint(i)) || c.mayCarry("0") || !c.mayCarry("next") {
 			t.Fatalf("does not know its requests after %d", i+1)
 		}
