Route a request by the path that is forwarded

Cause: routes were matched by the path as the HTTP library decodes and normalizes it; the request line is forwarded as received. The two name different resources for empty and dot segments and for escapes. In catkin-entry the class of a call (its route, its learned latency, the record of its key) went by the normalized path too.

Change: package internal/reqtarget takes host and path from the target as received; both data paths use it. What holds no valid path (none, "*", control bytes, a fragment, an incomplete escape) gets 400; before, incomplete escapes were passed on. Other places that classify requests (quarantine, keys) used the received target already or use the route.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinrouter/catkinrouter/internal/reqtarget"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
@@ -21,6 +22,9 @@
 	}
 }
 
+// reasonBadTarget is the reason of a refusal of a request that names no valid path.
+const reasonBadTarget = "bad-target"
+
 func (g *Gateway) serveRequest(ctx *fasthttp.RequestCtx) {
 	arrived := g.now()
 	snap := g.waitForSnapshot()
@@ -29,7 +33,13 @@
 		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, "no-configuration")
 		return
 	}
-	r := snap.table.Match(string(ctx.Host()), string(ctx.Path()))
+	h := &ctx.Request.Header
+	target, err := reqtarget.Parse(h.RequestURI(), h.Host())
+	if err != nil {
+		g.refuse(ctx, id, fasthttp.StatusBadRequest, reasonBadTarget)
+		return
+	}
+	r := snap.table.Match(string(target.Host), string(target.Path))
 	if r == nil {
 		g.refuse(ctx, id, fasthttp.StatusNotFound, "no-route")
 		return
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -111,7 +111,7 @@
 func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, id string, status int, reason string) {
 	g.metrics.recordRefusal(reason)
 	g.writeError(ctx, status, reason, 0)
-	if err := level.Info(g.log).Log("msg", "request refused", "request", id, "host", string(ctx.Host()), "path", string(ctx.Path()),
+	if err := level.Info(g.log).Log("msg", "request refused", "request", id, "host", string(ctx.Request.Header.Host()), "target", string(ctx.Request.Header.RequestURI()),
 		"status", status, "reason", reason); err != nil {
 		g.metrics.logFailures.Inc(1)
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -12,6 +12,7 @@
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/headers"
+	"github.com/catkinrouter/catkinrouter/internal/reqtarget"
 )
 
 // request is a caller's request in the form that is sent to upstreams. It is
@@ -49,20 +50,23 @@
 // that the Node needs in c.
 func (r *request) read(ctx *fasthttp.RequestCtx, c *entry.Call) *requestError {
 	h := &ctx.Request.Header
-	target := h.RequestURI()
-	if len(target) == 0 || target[0] != '/' {
-		return newRequestError(reasonBadTarget, "the request line holds no path")
+	target, err := reqtarget.Parse(h.RequestURI(), h.Host())
+	if err != nil {
+		return newRequestError(reasonBadTarget, err.Error())
+	}
+	if h.RequestURI()[0] != '/' {
+		return newRequestError(reasonBadTarget, "the request line holds a URI in place of a path")
 	}
 	if h.IsConnect() || h.IsTrace() {
 		return newRequestError(reasonBadMethod, "CONNECT and TRACE are not served")
 	}
-	c.Service = string(serviceOf(h.Host()))
+	c.Service = string(serviceOf(target.Host))
 	c.Method = methodOf(h.Method())
-	c.Path = string(ctx.Path())
+	c.Path = string(target.Path)
 	r.headOnly = h.IsHead()
 	r.head = append(r.head, h.Method()...)
 	r.head = append(r.head, ' ')
-	r.head = append(r.head, target...)
+	r.head = append(r.head, h.RequestURI()...)
 	r.head = append(r.head, " HTTP/1.1\r\n"...)
 	connTokens := h.Peek(fasthttp.HeaderConnection)
 	for k, v := range h.AllInOrder() {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -82,3 +83,27 @@
 		}
 	})
 }
+
+// FuzzMatch compares Match with a search for the longest prefix among all rules.
+func FuzzMatch(f *testing.F) {
+	f.Add("/a/ /a/b/ /", "/a//b/c", "Hunts.example:80")
+	f.Add("/a/ /a/b/", "/a/%62/c", "hunts.example")
+	f.Fuzz(func(t *testing.T, prefixes, path, host string) {
+		doc := &Document{}
+		want := ""
+		name, _, _ := strings.Cut(host, ":")
+		for _, p := range strings.Fields(prefixes) {
+			doc.Rules = append(doc.Rules, Rule{Name: p, Host: name, Prefix: p, Parts: []Part{{Service: "s", Weight: 1}}})
+			if len(p) > len(want) && len(p) <= len(path) && path[:len(p)] == p {
+				want = p
+			}
+		}
+		if strings.Count(host, ":") > 1 {
+			return // not the name or address of a host
+		}
+		got := NewTable(doc, rand.New(rand.NewPCG(1, 1))).Match(host, path)
+		if got == nil && want != "" || got != nil && got.Prefix != want {
+			t.Errorf("host %q, path %q: %v, want the prefix %q of %q", host, path, got, want, prefixes)
+		}
+	})
+}
