Keep a configuration in force past an odd row

Cause: the document was decoded into Go's whole numbers and strings, row by row, and the first error refused all of it. Besides, the start of a split's rotation was drawn by running it up to the sum of its weights: a weight of 10^18 would have taken the instance with it, and so would attempts of that size, which set the size of a channel.

Change: each field is read alone. Numbers may have any JSON form; those out of their bounds are taken as the bound. A route whose service can't be read refuses its requests as not run; it neither keeps the old service nor leaves its requests to a shorter prefix. A split now costs time by the number of its parts.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -22,8 +22,13 @@
 	}
 }
 
-// reasonBadTarget is the reason of a refusal of a request that names no valid path.
-const reasonBadTarget = "bad-target"
+// Reasons of refusals by a request's target.
+const (
+	// reasonBadTarget: the target names no valid path.
+	reasonBadTarget = "bad-target"
+	// reasonRouteUnreadable: it is not known where requests of the route go.
+	reasonRouteUnreadable = "route-unreadable"
+)
 
 func (g *Gateway) serveRequest(ctx *fasthttp.RequestCtx) {
 	arrived := g.now()
@@ -44,6 +49,10 @@
 		g.refuse(ctx, id, fasthttp.StatusNotFound, "no-route")
 		return
 	}
+	if r.Unreadable {
+		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, reasonRouteUnreadable)
+		return
+	}
 	c := g.newCall(ctx, snap, r, id, arrived)
 	if !g.stop.Load().admits(arrived, c.deadline-arrived, c.work()) {
 		g.respond(c, c.failureResult("stopping"))
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -40,15 +40,29 @@
 		level.Info(n.log).Log("msg", "configuration ignored", "reason", "not newer", "version", doc.Version, "in_force", n.table.Version, "source", source)
 		return
 	}
-	for _, w := range doc.Warnings {
-		level.Warn(n.log).Log("msg", "configuration warning", "version", doc.Version, "warning", w)
-	}
+	n.logProblems(doc)
 	n.table, n.activeItem = route.NewTable(doc, n.rng), it
 	gometrics.GetOrRegisterGauge("configuration_version", n.registry).Update(int64(doc.Version))
 	level.Info(n.log).Log("msg", "configuration in force", "version", doc.Version, "revision", it.Revision, "routes", len(doc.Rules),
 		"services", len(doc.Services), "source", source)
 }
 
+// maxLoggedProblems bounds the problems of one configuration in the log.
+const maxLoggedProblems = 20
+
+// logProblems logs what could not be read as written, for the operators who wrote it, and
+// sets the number of such fields.
+func (n *Node) logProblems(doc *route.Document) {
+	gometrics.GetOrRegisterGauge("configuration_problems", n.registry).Update(int64(len(doc.Problems)))
+	for _, p := range doc.Problems[:min(len(doc.Problems), maxLoggedProblems)] {
+		level.Warn(n.log).Log("msg", "configuration problem", "version", doc.Version, "table", p.Table, "row", p.Row, "name", p.Name,
+			"field", p.Field, "why", p.Why, "effect", p.Effect)
+	}
+	if more := len(doc.Problems) - maxLoggedProblems; more > 0 {
+		level.Warn(n.log).Log("msg", "more configuration problems", "version", doc.Version, "problems", more)
+	}
+}
+
 // ActiveVersion implements fleet.Listener.
 func (n *Node) ActiveVersion() uint64 {
 	n.mu.Lock()
--- a/node/oddentry_test.go
+++ b/node/oddentry_test.go
@@ -57,3 +57,24 @@
 		})
 	}
 }
+
+// One odd row kept a configuration out of force: a moved route kept its old service, and an
+// instance that started served nothing.
+func TestOddRowOfConfigurationHarmsNoOther(t *testing.T) {
+	s := newSite(t, 2)
+	a, b := newBackend(t, "i-a"), newBackend(t, "i-b")
+	a.register(s.kv, "tienda", "ready", 1)
+	b.register(s.kv, "premios", "ready", 1)
+	configure(s.kv, 1, "/", "tienda")
+	s.waitAll("/x/1", 200, "i-a")
+	s.kv.Put("op/config", fmt.Appendf(nil, `{"version":2,
+"routes":{"columns":["name","host","prefix","routeKind","timeoutMs","targetLatencyMs","priority","maxAttempts","service","trafficSplit"],
+"rows":[["all",%[1]q,"/","unsafe",2000,1000,1,2,"tienda"],["r",%[1]q,"/x/","unsafe",2000,1e3,1.5,2.0,null,[{"service":"premios","weight":0.75}]],
+["odd",%[1]q,"/z/","unsafe",2000,1000,1,2,{"name":"tienda"}], 7]},
+"services":{"columns":["name","healthPath","maxConns"],"rows":[["tienda","/health",1e999],["premios","/health",260],[7]]},"limits":{"idleTimeoutMs":"long"}}`, host))
+	s.waitAll("/x/1", 200, "i-b")
+	s.list = append(s.list, s.start(2))
+	s.waitAll("/x/1", 200, "i-b")
+	s.waitAll("/y/1", 200, "i-a")
+	s.waitAll("/z/1", 503, "route-unreadable")
+}
--- a/route/route.go
+++ b/route/route.go
@@ -6,15 +6,14 @@
 	"math/rand/v2"
 	"sort"
 	"strings"
-	"sync"
 	"time"
 )
 
 // Part is one service's share of a route's requests.
 type Part struct {
 	Service string
-	// Weight is relative to the other parts' weights.
-	Weight int
+	// Weight is relative to the other parts' weights: finite, at least 0.
+	Weight float64
 }
 
 // Rule is one route.
@@ -36,6 +35,19 @@
 	MaxAttempts int
 	// Parts holds a single service or the weighted parts of a traffic split.
 	Parts []Part
+	// Unreadable is set if the operators' row could not be read: its requests are refused,
+	// since neither an older row nor another route may serve them.
+	Unreadable bool
+}
+
+// Problem is a field of the operators' configuration that could not be read as written.
+type Problem struct {
+	Table string // "routes", "services" or "limits"
+	Row   int    // position in the table, from 0
+	Name  string // of the route or service, empty if it could not be read
+	Field string // empty if the problem is the row as a whole
+	// Why says what is wrong, Effect what is done instead.
+	Why, Effect string
 }
 
 // Service is the operators' configuration of a service.
@@ -61,8 +73,8 @@
 	Rules    []Rule
 	Services []Service
 	Limits   Limits
-	// Warnings states what could not be decoded as written, for the log.
-	Warnings []string
+	// Problems lists what could not be read as written.
+	Problems []Problem
 }
 
 // Table finds the route of a request. It is safe for concurrent use.
@@ -76,8 +88,7 @@
 // Route is a Rule in use, with the state of its traffic split.
 type Route struct {
 	Rule
-	mu      sync.Mutex
-	credits []int
+	split *split
 }
 
 // NewTable builds the Table of doc. Each traffic split starts at a random
@@ -102,13 +113,7 @@
 }
 
 func newRoute(rule Rule, rng *rand.Rand) *Route {
-	r := &Route{Rule: rule, credits: make([]int, len(rule.Parts))}
-	if total := r.totalWeight(); total > 0 && len(rule.Parts) > 1 {
-		for range rng.IntN(total) {
-			r.NextService()
-		}
-	}
-	return r
+	return &Route{Rule: rule, split: newSplit(rule.Parts, rng)}
 }
 
 // Match returns the route of the host with the longest prefix of path, or nil if
@@ -131,31 +136,6 @@
 	return s, ok
 }
 
-func (r *Route) totalWeight() int {
-	n := 0
-	for _, p := range r.Parts {
-		n += p.Weight
-	}
-	return n
-}
-
-// NextService returns the service of the next request by smooth weighted
-// round-robin: each part gains its weight in credit, and the part with the most
-// credit gets the request and pays the sum of the weights. Even a short run of
-// requests is therefore distributed close to the weights.
-func (r *Route) NextService() string {
-	if len(r.Parts) == 1 {
-		return r.Parts[0].Service
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	best := 0
-	for i, p := range r.Parts {
-		r.credits[i] += p.Weight
-		if r.credits[i] > r.credits[best] {
-			best = i
-		}
-	}
-	r.credits[best] -= r.totalWeight()
-	return r.Parts[best].Service
-}
+// NextService returns the service of the next request. Even a short run of requests is
+// distributed close to the weights.
+func (r *Route) NextService() string { return r.split.next() }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -54,7 +54,7 @@
 		var parts []Part
 		total := 0
 		for i, w := range weights {
-			parts = append(parts, Part{Service: string(rune('a' + i)), Weight: w})
+			parts = append(parts, Part{Service: string(rune('a' + i)), Weight: float64(w)})
 			total += w
 		}
 		counts := map[string]int{}
@@ -65,9 +65,9 @@
 				instanceCounts[r.NextService()]++
 			}
 			for _, p := range parts {
-				expected := float64(perInstance*p.Weight) / float64(total)
+				expected := float64(perInstance) * p.Weight / float64(total)
 				if d := math.Abs(float64(instanceCounts[p.Service]) - expected); d > float64(len(parts)) {
-					t.Fatalf("part %s of weight %d/%d got %d of %d requests", p.Service, p.Weight, total, instanceCounts[p.Service], perInstance)
+					t.Fatalf("part %s of weight %g/%d got %d of %d requests", p.Service, p.Weight, total, instanceCounts[p.Service], perInstance)
 				}
 				counts[p.Service] += instanceCounts[p.Service]
 			}
@@ -76,7 +76,7 @@
 			return
 		}
 		for _, p := range parts {
-			share, expected := float64(counts[p.Service])/float64(instances*perInstance), float64(p.Weight)/float64(total)
+			share, expected := float64(counts[p.Service])/float64(instances*perInstance), p.Weight/float64(total)
 			if math.Abs(share-expected) > 0.1 {
 				t.Fatalf("part %s has a share of %.2f, want %.2f", p.Service, share, expected)
 			}
@@ -84,6 +84,43 @@
 	})
 }
 
+// A table took time and memory by the size of its weights, and knew no fractions.
+func TestSplitOfAnyWeights(t *testing.T) {
+	for _, tt := range []struct{ weights, shares []float64 }{
+		{[]float64{0.75, 0.25}, []float64{0.75, 0.25}},
+		{[]float64{1e300, 3e300}, []float64{0.25, 0.75}},
+		{[]float64{math.MaxFloat64, math.MaxFloat64, 0}, []float64{0.5, 0.5, 0}},
+		{[]float64{5e-324, 5e-324}, []float64{0.5, 0.5}},
+		{[]float64{1e18, 1}, []float64{1, 0}},
+		{[]float64{0, 7}, []float64{0, 1}},
+		{[]float64{0.1, 0.2, 0.3, 0.4}, []float64{0.1, 0.2, 0.3, 0.4}},
+		{[]float64{90, 5, 5}, []float64{0.9, 0.05, 0.05}},
+	} {
+		var parts []Part
+		for i, w := range tt.weights {
+			parts = append(parts, Part{Service: string(rune('a' + i)), Weight: w})
+		}
+		const requests = 2000
+		r := newRoute(Rule{Parts: parts}, rng(1))
+		counts, first := map[string]float64{}, map[string]float64{}
+		for i := range requests {
+			counts[r.NextService()]++
+			first[newRoute(Rule{Parts: parts}, rng(uint64(i))).NextService()]++
+		}
+		for i, p := range parts {
+			if d := math.Abs(counts[p.Service] - requests*tt.shares[i]); d > float64(len(parts)) {
+				t.Errorf("weights %g: part %s got %g of %d requests", tt.weights, p.Service, counts[p.Service], requests)
+			}
+			if d := math.Abs(first[p.Service]/requests - tt.shares[i]); d > 0.03 {
+				t.Errorf("weights %g: part %s got the first request %g of %d times", tt.weights, p.Service, first[p.Service], requests)
+			}
+		}
+	}
+	if s := newRoute(Rule{Parts: []Part{{Service: "a"}}}, rng(1)).NextService(); s != "" {
+		t.Errorf("no weight: %q", s)
+	}
+}
+
 // FuzzMatch compares Match with a search for the longest prefix among all rules.
 func FuzzMatch(f *testing.F) {
 	f.Add("/a/ /a/b/ /", "/a//b/c", "Hunts.example:80")
