Go on when an accept fails, and bound callers' connections by the descriptors

Cause: the HTTP library returns from Serve at the first failed accept that is no timeout, on any listener, and that ends the process. Nothing bounded the callers' connections; the platform's number of descriptors was not read.

Change: package internal/connlimit. Its listener retries failed accepts with a pause of 5 ms to 1 s, counts them, and logs one line in 10 s; all servers of catkin-node, catkin-entry and catkin-agent use it (peers of catkin-node had a loop of their own). In catkin-node, callers' connections are bounded by half of the descriptors beyond a reserve of 600. From three quarters of that bound, answers close their connections; at it, the connections that have been idle longest are closed, by an expired read deadline: a request that has been read is served. While none is idle, new ones are answered 503 with Retry-After. A limit of open files below the settings' is told at start.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinrouter/catkinrouter/config"
+	"github.com/catkinrouter/catkinrouter/internal/connlimit"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
 	"github.com/catkinrouter/catkinrouter/link"
 	"github.com/catkinrouter/catkinrouter/membership"
@@ -111,9 +113,9 @@
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, workCtx := errgroup.WithContext(workCtx)
-	g.Go(func() error { return srv.Serve(oln) })
-	g.Go(func() error { metrics.ServeJSON(mln, d.metrics); return nil })
-	g.Go(func() error { return d.servePeers(workCtx, pln) })
+	g.Go(func() error { return srv.Serve(d.retrying(oln, "operator")) })
+	g.Go(func() error { metrics.ServeJSON(d.retrying(mln, "metrics"), d.metrics); return nil })
+	g.Go(func() error { return d.servePeers(workCtx, d.retrying(pln, "peers")) })
 	g.Go(func() error { defer cancel(); return d.loop(workCtx, ctx.Done()) })
 	for range peerWorkers {
 		g.Go(func() error { return consume(workCtx, d.peerCalls, d.callPeer) })
@@ -133,6 +135,11 @@
 	return g.Wait()
 }
 
+// retrying returns a listener on ln that goes on when an accept fails.
+func (d *Daemon) retrying(ln net.Listener, name string) net.Listener {
+	return connlimit.NewListener(ln, name, nil, d.log, d.metrics)
+}
+
 // loop is the event loop, which owns the Node: it passes events to the Node and
 // dispatches the resulting actions. It returns when ctx ends or the Node exits;
 // the end of stop starts a planned stop.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/internal/connlimit"
 	"github.com/catkinrouter/catkinrouter/internal/panics"
 	"github.com/catkinrouter/catkinrouter/pick"
 	"github.com/catkinrouter/catkinrouter/quarantine"
@@ -26,8 +27,10 @@
 	Limits  Limits
 	// MemoryBytes is the memory of the instance; 0 if it is not known.
 	MemoryBytes int64
-	Now         func() time.Duration
-	Seed        uint64
+	// MaxCallers bounds the open connections of callers; 0 sets no bound.
+	MaxCallers int
+	Now        func() time.Duration
+	Seed       uint64
 }
 
 // Limits are the settings that may change while a Gateway runs.
@@ -49,6 +52,7 @@
 	metrics *metricSet
 	guard   panics.Guard
 	pool    *pool
+	callers *connlimit.Limiter
 	// replyMemory bounds the memory for upstreams' replies.
 	replyMemory *replyMemory
 	evidence    *evidenceTable
@@ -100,7 +104,7 @@
 	metrics := newMetricSet(registry)
 	g := &Gateway{
 		opt: opt, proto: proto, log: logger, now: opt.Now, metrics: metrics, guard: panics.Guard{Log: logger, Count: metrics.panics},
-		pool: newPool(metrics), replyMemory: newReplyMemory(opt.MemoryBytes), evidence: newEvidenceTable(), estimates: newWorkEstimates(), queue: newWaitQueue(),
+		pool: newPool(metrics), callers: connlimit.NewLimiter("callers", opt.MaxCallers, rejection, registry), replyMemory: newReplyMemory(opt.MemoryBytes), evidence: newEvidenceTable(), estimates: newWorkEstimates(), queue: newWaitQueue(),
 		retryBudgets: newRetryBudgets(opt.Limits.RetryBudget), probeBudget: newProbeBudget(opt.Limits.ProbesPerUpstream),
 		configured: make(chan struct{}), instanceKnown: make(chan struct{}), startupWait: startupWait,
 		hooks: Hooks{
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -83,11 +83,15 @@
 		kv = append(kv, "status", res.status, "reason", res.reason)
 	}
 	c.log("request ended", kv...)
-	if g.phase.Load() != serving {
+	if g.closesConnections() {
 		c.ctx.SetConnectionClose()
 	}
 }
 
+// closesConnections reports whether callers' connections are closed after a response: in a
+// planned stop, and while there are so many that new callers may find no room.
+func (g *Gateway) closesConnections() bool { return g.phase.Load() != serving || g.callers.Crowded() }
+
 // writeUpstreamResponse copies an upstream's reply, without its hop-by-hop
 // headers, to the caller's response.
 func (g *Gateway) writeUpstreamResponse(ctx *fasthttp.RequestCtx, from *fasthttp.Response) {
@@ -115,7 +119,7 @@
 		"status", status, "reason", reason); err != nil {
 		g.metrics.logFailures.Inc(1)
 	}
-	if g.phase.Load() != serving {
+	if g.closesConnections() {
 		ctx.SetConnectionClose()
 	}
 }
@@ -127,12 +131,17 @@
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("text/plain; charset=utf-8")
 	if status == fasthttp.StatusServiceUnavailable {
-		after := max(minRetryAfter, retryAfter) + rand.N(retryAfterJitter)
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, fmt.Sprintf("%.2f", after.Seconds()))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatRetryAfter(retryAfter))
 	}
 	ctx.SetBodyString(reason + "\n")
 }
 
+// formatRetryAfter returns the value of a Retry-After header for a caller who has a chance
+// after the given time, 0 if that is not known.
+func formatRetryAfter(after time.Duration) string {
+	return fmt.Sprintf("%.2f", (max(minRetryAfter, after) + rand.N(retryAfterJitter)).Seconds())
+}
+
 // handleReadError responds to a request that could not be read.
 func (g *Gateway) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	status, reason := fasthttp.StatusBadRequest, "malformed"
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/catkinrouter/catkinrouter/internal/connlimit"
 	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 	"github.com/catkinrouter/catkinrouter/quarantine"
 )
@@ -62,16 +63,15 @@
 		Handler: g.handle, ErrorHandler: g.handleReadError, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true, LazyRequestTime: true, Logger: httpserve.DiscardLogger{},
+		ConnState: g.callers.SetState,
 	}
-	auxServer := &fasthttp.Server{
-		Handler: g.handleAuxiliary, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: httpserve.DiscardLogger{},
-	}
+	readyServer, lookupServer := g.newAuxiliaryServer(), g.newAuxiliaryServer()
 	baseCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	eg, groupCtx := errgroup.WithContext(baseCtx)
-	eg.Go(func() error { return httpserve.IgnoreClosed(dataServer.Serve(lns.Data)) })
-	eg.Go(func() error { return httpserve.IgnoreClosed(auxServer.Serve(lns.Ready)) })
-	eg.Go(func() error { return httpserve.IgnoreClosed(auxServer.Serve(lns.Lookup)) })
+	eg.Go(func() error { return g.serve(dataServer, lns.Data, "callers", g.callers) })
+	eg.Go(func() error { return g.serve(readyServer, lns.Ready, "ready", nil) })
+	eg.Go(func() error { return g.serve(lookupServer, lns.Lookup, "lookup", nil) })
 	eg.Go(func() error { return g.maintain(groupCtx) })
 	eg.Go(func() error {
 		select {
@@ -88,6 +88,27 @@
 	return err
 }
 
+// newAuxiliaryServer returns a server of lookups and readiness checks.
+func (g *Gateway) newAuxiliaryServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: g.handleAuxiliary, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: httpserve.DiscardLogger{},
+	}
+}
+
+// serve serves on ln until it is closed. It goes on when an accept fails, and holds no
+// more connections than limit, if it is not nil, allows.
+func (g *Gateway) serve(srv *fasthttp.Server, ln net.Listener, name string, limit *connlimit.Limiter) error {
+	return httpserve.IgnoreClosed(srv.Serve(connlimit.NewListener(ln, name, limit, g.log, g.metrics.registry)))
+}
+
+// rejection returns the response to a connection beyond the limit. None of its requests
+// has run.
+func rejection() []byte {
+	const reason = "too-many-connections\n"
+	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n"+
+		"Retry-After: %s\r\nContent-Length: %d\r\n\r\n%s", formatRetryAfter(0), len(reason), reason)
+}
+
 func (g *Gateway) maintain(ctx context.Context) error {
 	t := time.NewTicker(idleCheckInterval)
 	defer t.Stop()
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -243,20 +243,34 @@
 // startTestGateway returns a gateway whose planned stop may take as long as
 // stopLimit.
 func startTestGateway(t *testing.T, stopLimit time.Duration) *testGateway {
+	t.Helper()
+	return startTestGatewayWith(t, stopLimit, func(*Options) {})
+}
+
+// newTestGatewayWith returns a gateway with changed options, which knows no instance for
+// lookups.
+func newTestGatewayWith(t *testing.T, change func(*Options)) *testGateway {
+	t.Helper()
+	return startTestGatewayWith(t, testStop, change)
+}
+
+func startTestGatewayWith(t *testing.T, stopLimit time.Duration, change func(*Options)) *testGateway {
 	t.Helper()
 	began := time.Now()
 	lns, err := Listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := New(Options{
+	opt := Options{
 		DataCentre: "otavalo", Address: lns.Data.Addr().String(),
 		Limits: Limits{
 			RetryBudget:       RetryBudgetOptions{Share: 1, Allowance: 100, Window: 10 * time.Second},
 			ProbesPerUpstream: 1000, MaxLookupTTL: 5 * time.Second,
 		},
 		Now: func() time.Duration { return time.Since(began) + time.Minute }, Seed: 1,
-	}, testProtocol(), log.NewNopLogger(), gometrics.NewRegistry())
+	}
+	change(&opt)
+	g := New(opt, testProtocol(), log.NewNopLogger(), gometrics.NewRegistry())
 	ctx, stop := context.WithCancel(context.Background())
 	tg := &testGateway{t: t, g: g, addr: lns.Data.Addr().String(), auxAddr: lns.Ready.Addr().String(), stop: stop, done: make(chan error, 1)}
 	go func() { tg.done <- g.Run(ctx, lns, stopLimit) }()
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/fleet"
 	"github.com/catkinrouter/catkinrouter/gateway"
+	"github.com/catkinrouter/catkinrouter/internal/connlimit"
 	"github.com/catkinrouter/catkinrouter/internal/logs"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
 	"github.com/catkinrouter/catkinrouter/internal/panics"
@@ -86,7 +87,8 @@
 	}
 	n.guard = panics.Guard{Log: n.log, Count: gometrics.GetOrRegisterCounter("panics_total", n.registry)}
 	n.gateway = gateway.New(gateway.Options{
-		DataCentre: settings.DataCentre, Address: settings.DataAddress, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes, Now: n.now, Seed: seed,
+		DataCentre: settings.DataCentre, Address: settings.DataAddress, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes,
+		MaxCallers: maxCallers(n.descriptors()), Now: n.now, Seed: seed,
 	}, adapter.Protocol, logs.WithPart(l, "gateway"), n.registry)
 	n.gateway.SetHooks(gateway.Hooks{
 		UpstreamFailed: func(key uint64, weight float64) {
@@ -170,7 +172,8 @@
 	g.Go(func() error { return n.storeQuarantine(runCtx) })
 	g.Go(func() error { <-runCtx.Done(); return lns.metrics.Close() })
 	g.Go(func() error {
-		if err := metrics.ServeText(lns.metrics, n.registry); runCtx.Err() == nil {
+		ln := connlimit.NewListener(lns.metrics, "metrics", nil, n.log, n.registry)
+		if err := metrics.ServeText(ln, n.registry); runCtx.Err() == nil {
 			return err
 		}
 		return nil
--- a/node/settings.go
+++ b/node/settings.go
@@ -31,6 +31,9 @@
 	// FirstStart is set when the whole system starts for the first time.
 	FirstStart  bool
 	MemoryBytes int64
+	// MaxDescriptors is the number of files and sockets that the process may open; 0 if
+	// it is not known.
+	MaxDescriptors int
 	// Capacity ranks the instances: of two, the one with the higher capacity
 	// serves the other with changes.
 	Capacity uint32
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -19,6 +19,7 @@
 
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/entry"
+	"github.com/catkinrouter/catkinrouter/internal/connlimit"
 	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
 	"github.com/catkinrouter/catkinrouter/link"
@@ -80,7 +81,7 @@
 
 func (s *Server) serve(ctx context.Context, lns *listeners) error {
 	srv := s.newHTTPServer()
-	ls, err := newLinkServer(lns.link, s)
+	ls, err := newLinkServer(s.retrying(lns.link, "agent"), s)
 	if err != nil {
 		return err
 	}
@@ -88,9 +89,11 @@
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	g, failed := errgroup.WithContext(workCtx)
-	g.Go(func() error { return srv.Serve(lns.data) })
+	g.Go(func() error { return srv.Serve(s.retrying(lns.data, "callers")) })
 	g.Go(ls.serve)
-	g.Go(func() error { return httpserve.IgnoreClosed(metrics.ServeJSON(lns.metrics, s.registry)) })
+	g.Go(func() error {
+		return httpserve.IgnoreClosed(metrics.ServeJSON(s.retrying(lns.metrics, "metrics"), s.registry))
+	})
 	g.Go(func() error { return s.tick(workCtx) })
 	g.Go(func() error { return s.watchCallers(workCtx) })
 	g.Go(func() error { return s.maintain(workCtx) })
@@ -111,6 +114,11 @@
 	return g.Wait()
 }
 
+// retrying returns a listener on ln that goes on when an accept fails.
+func (s *Server) retrying(ln net.Listener, name string) net.Listener {
+	return connlimit.NewListener(ln, name, nil, s.log, s.registry)
+}
+
 // listeners are the listeners of an entry: for callers, the agent and
 // metrics.
 type listeners struct {
