Close the connection of a caller that left, in place of an empty 200

What callers saw: "200 OK" with no body, after they had closed only the sending side of their connection: an answer that no upstream gave.

Cause: the end of the caller's stream ends its call; the HTTP library then writes the response that was never filled.

Change: the connection is closed without a response. Work that is in flight and not idempotent goes on as before, and its answer is delivered. An end of stream does not say whether the caller still reads, so idempotent work is still cancelled.

--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 )
 
 // resultKind is the kind of a call's result.
@@ -77,7 +79,7 @@
 			kv = append(kv, "rate_limit", l.PerSecond)
 		}
 	case resultCallerLeft:
-		c.ctx.SetConnectionClose()
+		httpserve.CloseWithoutResponse(c.ctx)
 	default:
 		g.writeError(c.ctx, res.status, res.reason, res.retryAfter)
 		kv = append(kv, "status", res.status, "reason", res.reason)
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -98,7 +98,9 @@
 func newSite(t *testing.T, max int) *site {
 	t.Helper()
 	registry := gometrics.NewRegistry()
-	response := func() []byte { return []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n") }
+	response := func() []byte {
+		return []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	}
 	s := &site{t: t, limiter: NewLimiter("test", max, response, registry), release: make(chan struct{})}
 	ln := listen(t)
 	s.addr = ln.Addr().String()
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -4,6 +4,8 @@
 import (
 	"errors"
 	"net"
+
+	"github.com/valyala/fasthttp"
 )
 
 // DiscardLogger is a fasthttp.Logger that discards fasthttp's messages about
@@ -22,3 +24,11 @@
 	}
 	return err
 }
+
+// CloseWithoutResponse makes the server close the connection of a request without a
+// response. A caller that has closed only its sending side must not take an empty response
+// for an answer.
+func CloseWithoutResponse(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {}) // the server closes the connection once this returns
+}
--- a/proxy/cancel_test.go
+++ b/proxy/cancel_test.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -99,3 +101,20 @@
 	wg.Wait()
 	site.eventually("no call is in flight", func() bool { return site.s.d.status().InFlight == 0 })
 }
+
+// A caller that had closed only its sending side got an empty response with status 200.
+func TestHalfClosedCallerGetsNoEmptyAnswer(t *testing.T) {
+	site := newTestSite(t, noRules, startUpstream(t, func(ctx *fasthttp.RequestCtx) {
+		time.Sleep(time.Second)
+		ctx.SetBodyString("answer")
+	}))
+	c := site.dial()
+	c.send(rawGet())
+	if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c.r)
+	if len(got) > 0 && !strings.HasSuffix(string(got), "answer") {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/headers"
+	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 )
 
 // handle serves one request. It runs in the goroutine of the caller's
@@ -67,7 +68,7 @@
 		case a.answer:
 			return true
 		case a.callerGone:
-			ctx.SetConnectionClose()
+			httpserve.CloseWithoutResponse(ctx)
 			return false
 		default:
 			a = s.d.waitAction(c)
