Bound the memory of callers' requests, and keep the operators' limits

Cause: a body was read by the HTTP library before anything could refuse it, then copied for the attempts, then once more behind the headers of each attempt, into a buffer that stayed with the upstream's connection. Nothing bounded the bodies in flight; the configuration's limits were decoded and not used.

Change: bodies are read by the handler, into segments that the call and its attempts share and that are written from there, so a body is held once. They take from an allowance of 0.3 of the instance's memory, one at most 0.8 of that, a tenth is left to those of up to 64 KiB. An announced length is reserved before its bytes are read, for which a request waits up to half a second; then it is refused as not run. Two allowances, one for replies and one for requests, rather than one for both: many large requests must not fail the replies. The limits of bytes of headers (431) and bodies (413) hold from the next request on after a change. A body that ends early is not passed on; one that takes over 10 s gets 408. After a refusal the connection is read on for up to 1 s, so that the response isn't lost with the unread bytes.

A call's time now begins once its body was read, as before.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,7 +44,7 @@
 	deadline time.Duration
 
 	head    []byte
-	body    []byte
+	body    *requestBody
 	hasBody bool
 	isHead  bool
 
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -73,6 +73,17 @@
 	}
 }
 
+// write sends out and the segments of a body.
+func (c *conn) write(out []byte, body [][]byte) error {
+	if len(body) == 0 {
+		_, err := c.Write(out)
+		return err
+	}
+	bufs := append(net.Buffers{out}, body...)
+	_, err := bufs.WriteTo(c.Conn)
+	return err
+}
+
 // exhausted reports whether c must carry no further request: it has carried as many as one
 // connection may, or one for HEAD, of whose reply a late copy has no end that can be told.
 func (c *conn) exhausted() bool { return c.sentHead || len(c.sent) >= maxRequestsPerConn }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -26,7 +26,7 @@
 func (c *call) content() quarantine.Content {
 	if !c.contentKnown {
 		h := &c.ctx.Request.Header
-		c.contentDigest = quarantine.NewContent(h.Peek(fasthttp.HeaderAuthorization), h.Method(), h.Host(), h.RequestURI(), c.body)
+		c.contentDigest = quarantine.NewContentWithBody(c.body.segments, h.Peek(fasthttp.HeaderAuthorization), h.Method(), h.Host(), h.RequestURI())
 		c.contentKnown = true
 	}
 	return c.contentDigest
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -25,17 +25,17 @@
 // late replies to earlier requests, are skipped.
 const maxRepliesRead = 8
 
-// exchange writes out to c, a connection to u, and reads the reply to the request with
-// the given ID, empty for a health check, into resp, with memory for its body. It returns
+// exchange writes out and the segments of body to c, a connection to u, and reads the reply
+// to the request with the given ID, empty for a health check, into resp, with memory for its body. It returns
 // true once a byte may have been sent. A reply without an ID is taken only if nothing else
 // was asked for on the connection, which must not have carried the same ID before.
-func (g *Gateway) exchange(c *conn, u *discovery.Upstream, out []byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response, memory *reservation) (wrote bool, err error) {
+func (g *Gateway) exchange(c *conn, u *discovery.Upstream, out []byte, body [][]byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response, memory *reservation) (wrote bool, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return false, err
 	}
 	first := !c.used
 	c.recordSent(id, isHead)
-	if _, err := c.Write(out); err != nil {
+	if err := c.write(out, body); err != nil {
 		return true, err
 	}
 	for range maxRepliesRead {
@@ -191,13 +191,24 @@
 	return false
 }
 
-// appendRequest appends a complete request for one attempt.
-func (g *Gateway) appendRequest(b []byte, c *call, upstream string, timeLeft time.Duration) []byte {
+// maxInlineBody is the size of the largest body that is copied behind the headers, so that
+// both are sent by one write.
+const maxInlineBody = 16 << 10 // bytes
+
+// appendRequest appends a request for one attempt. It returns the segments of the body that
+// follow it.
+func (g *Gateway) appendRequest(b []byte, c *call, upstream string, timeLeft time.Duration) (out []byte, rest [][]byte) {
 	b = append(b, c.head...)
 	b = fmt.Appendf(b, "%s: %d\r\n%s: %s\r\n", g.proto.Deadline, timeLeft.Milliseconds(), g.proto.ExpectUpstream, upstream)
-	if len(c.body) > 0 || c.hasBody {
-		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(c.body))
+	if c.body.size > 0 || c.hasBody {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", c.body.size)
 	}
 	b = append(b, "\r\n"...)
-	return append(b, c.body...)
+	if c.body.size > maxInlineBody {
+		return b, c.body.segments
+	}
+	for _, s := range c.body.segments {
+		b = append(b, s...)
+	}
+	return b, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,11 +53,12 @@
 	guard   panics.Guard
 	pool    *pool
 	callers *connlimit.Limiter
-	// replyMemory bounds the memory for upstreams' replies.
-	replyMemory *replyMemory
-	evidence    *evidenceTable
-	estimates   *workEstimates
-	snapshot    atomic.Pointer[snapshot]
+	// replyMemory bounds the memory for upstreams' replies, requestMemory that for the
+	// bodies of callers' requests.
+	replyMemory, requestMemory *bodyMemory
+	evidence                   *evidenceTable
+	estimates                  *workEstimates
+	snapshot                   atomic.Pointer[snapshot]
 
 	retryBudgets *retryBudgets
 	probeBudget  *probeBudget
@@ -104,7 +105,8 @@
 	metrics := newMetricSet(registry)
 	g := &Gateway{
 		opt: opt, proto: proto, log: logger, now: opt.Now, metrics: metrics, guard: panics.Guard{Log: logger, Count: metrics.panics},
-		pool: newPool(metrics), callers: connlimit.NewLimiter("callers", opt.MaxCallers, rejection, registry), replyMemory: newReplyMemory(opt.MemoryBytes), evidence: newEvidenceTable(), estimates: newWorkEstimates(), queue: newWaitQueue(),
+		pool: newPool(metrics), callers: connlimit.NewLimiter("callers", opt.MaxCallers, rejection, registry), replyMemory: newReplyMemory(opt.MemoryBytes),
+		requestMemory: newRequestMemory(opt.MemoryBytes), evidence: newEvidenceTable(), estimates: newWorkEstimates(), queue: newWaitQueue(),
 		retryBudgets: newRetryBudgets(opt.Limits.RetryBudget), probeBudget: newProbeBudget(opt.Limits.ProbesPerUpstream),
 		configured: make(chan struct{}), instanceKnown: make(chan struct{}), startupWait: startupWait,
 		hooks: Hooks{
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"strconv"
 	"time"
 
@@ -31,7 +30,6 @@
 )
 
 func (g *Gateway) serveRequest(ctx *fasthttp.RequestCtx) {
-	arrived := g.now()
 	snap := g.waitForSnapshot()
 	id := string(ctx.Request.Header.Peek(g.proto.RequestID))
 	if snap == nil {
@@ -53,8 +51,18 @@
 		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, reasonRouteUnreadable)
 		return
 	}
-	c := g.newCall(ctx, snap, r, id, arrived)
-	if !g.stop.Load().admits(arrived, c.deadline-arrived, c.work()) {
+	if limit := snap.table.Limits.MaxHeaderBytes; limit > 0 && len(h.RawHeaders())+len(h.RequestURI()) > limit {
+		g.refuse(ctx, id, fasthttp.StatusRequestHeaderFieldsTooLarge, reasonHeadersTooLarge)
+		return
+	}
+	body, refusal := g.readBody(ctx, snap.table.Limits.MaxBodyBytes)
+	if refusal != nil {
+		g.refuseBody(ctx, id, refusal)
+		return
+	}
+	defer body.release()
+	c := g.newCall(ctx, snap, r, id, g.now(), body)
+	if !g.stop.Load().admits(c.arrived, c.deadline-c.arrived, c.work()) {
 		g.respond(c, c.failureResult("stopping"))
 		return
 	}
@@ -89,7 +97,7 @@
 
 // newCall creates a call from a request and its route. The call's timeout is
 // the route's, or the caller's deadline if that is shorter.
-func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, snap *snapshot, r *route.Route, id string, arrived time.Duration) *call {
+func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, snap *snapshot, r *route.Route, id string, arrived time.Duration, body *requestBody) *call {
 	name := r.NextService()
 	svc, _ := snap.table.Service(name)
 	svc.Name = name
@@ -102,7 +110,7 @@
 		arrived: arrived, deadline: arrived + timeout,
 		// Copied, because an attempt can outlive the request, whose buffers
 		// are then reused.
-		head: g.requestHead(ctx), body: bytes.Clone(ctx.Request.Body()),
+		head: g.requestHead(ctx), body: body,
 		hasBody: ctx.Request.Header.ContentLength() != 0 && !ctx.IsGet() && !ctx.IsHead(), isHead: ctx.IsHead(),
 		tried: map[string]bool{}, finished: make(chan *try, maxUnsent+r.MaxAttempts+1),
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -78,7 +78,7 @@
 	memory := g.replyMemory.begin(maxHealthBody)
 	defer memory.Close()
 	g.metrics.probes.Inc(1)
-	if _, err := g.exchange(c, u, out, "", false, deadline, resp, memory); err != nil {
+	if _, err := g.exchange(c, u, out, nil, "", false, deadline, resp, memory); err != nil {
 		return false, err
 	}
 	if id := string(resp.Header.Peek(g.proto.UpstreamID)); id != u.ID {
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -144,15 +144,21 @@
 	return fmt.Sprintf("%.2f", (max(minRetryAfter, after) + rand.N(retryAfterJitter)).Seconds())
 }
 
+// reasonHeadersTooLarge is the reason of a refusal of a request with a header above the
+// limit.
+const reasonHeadersTooLarge = "headers-too-large"
+
 // handleReadError responds to a request that could not be read.
 func (g *Gateway) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	status, reason := fasthttp.StatusBadRequest, "malformed"
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
-		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, "headers-too-large"
+		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, reasonHeadersTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status, reason = fasthttp.StatusRequestEntityTooLarge, "body-too-large"
+		status, reason = refusedTooLarge.status, refusedTooLarge.reason
+	case isTimeout(err):
+		status, reason = refusedTimeout.status, refusedTimeout.reason
 	}
 	g.refuse(ctx, "", status, reason)
 	ctx.SetConnectionClose()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -18,7 +18,8 @@
 const (
 	// maxHeader is above the header sizes that operators allow callers.
 	maxHeader = 20 << 10 // bytes
-	maxBody   = 64 << 20 // bytes
+	// maxAuxiliaryBody limits the body of a lookup or readiness check, which is not used.
+	maxAuxiliaryBody = 4 << 10 // bytes
 	// writeTimeout limits the time that a caller takes to read its response.
 	writeTimeout = 30 * time.Second
 	// readTimeout limits the time to read a request, idleTimeout the wait for
@@ -60,7 +61,8 @@
 // closes the listeners.
 func (g *Gateway) Run(ctx context.Context, lns *Listeners, stopLimit time.Duration) error {
 	dataServer := &fasthttp.Server{
-		Handler: g.handle, ErrorHandler: g.handleReadError, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody,
+		Handler: g.handle, ErrorHandler: g.handleReadError, ReadBufferSize: maxHeader,
+		StreamRequestBody: true, MaxRequestBodySize: prefetchedBody,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true, LazyRequestTime: true, Logger: httpserve.DiscardLogger{},
 		ConnState: g.callers.SetState,
@@ -91,7 +93,7 @@
 // newAuxiliaryServer returns a server of lookups and readiness checks.
 func (g *Gateway) newAuxiliaryServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: g.handleAuxiliary, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: httpserve.DiscardLogger{},
+		Handler: g.handleAuxiliary, MaxRequestBodySize: maxAuxiliaryBody, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: httpserve.DiscardLogger{},
 	}
 }
 
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -93,7 +93,9 @@
 	if reason != "" {
 		c.log("additional attempt started", "why", reason, "upstream", t.upstream.ID, "cost", ch.cost, "known", ch.known)
 	}
+	c.body.hold()
 	go func() {
+		defer c.body.release()
 		if err := c.g.guard.Run("attempt", func() { c.g.send(c, t) }); err != nil {
 			t.wrote, t.err, t.complete = true, err, false // it may have been sent
 			t.cancel()
@@ -136,9 +138,10 @@
 		return
 	}
 	t.connNumber = cn.number
-	cn.writeBuf = g.appendRequest(cn.writeBuf[:0], c, t.upstream.ID, timeLeft)
+	var body [][]byte
+	cn.writeBuf, body = g.appendRequest(cn.writeBuf[:0], c, t.upstream.ID, timeLeft)
 	sent := g.now()
-	t.wrote, t.err = g.exchange(cn, t.upstream, cn.writeBuf, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp, t.memory)
+	t.wrote, t.err = g.exchange(cn, t.upstream, cn.writeBuf, body, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp, t.memory)
 	t.took = g.now() - sent
 	if t.err == nil {
 		g.recordRateLimit(t.upstream, t.resp)
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -1,9 +1,10 @@
 package connlimit
 
 import (
-	"container/list"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -35,16 +36,20 @@
 	closedIdle, rejected gometrics.Counter
 	rejections           chan struct{}
 
+	count atomic.Int64 // of open, less ending
+
 	mu   sync.Mutex
-	open map[net.Conn]*list.Element // with its place in idle, nil for one in use
-	idle *list.List                 // of idleConn, in order of idleSince
+	open map[net.Conn]*connState
+	// ending is the number of open connections that have expired.
+	ending int
 }
 
-// idleConn is a connection without a request.
-type idleConn struct {
-	net.Conn
+// connState is the state of an open connection.
+type connState struct {
+	fasthttp.ConnState
 	since time.Time
-	isNew bool // it has had none at all
+	// expired is set once the wait for a request was ended.
+	expired bool
 }
 
 // NewLimiter returns a Limiter for at most max connections; 0 sets no bound. A rejected one
@@ -52,7 +57,7 @@
 // and connections_rejected_total.NAME.
 func NewLimiter(name string, max int, response func() []byte, registry gometrics.Registry) *Limiter {
 	return &Limiter{
-		max: max, response: response, open: map[net.Conn]*list.Element{}, idle: list.New(),
+		max: max, response: response, open: map[net.Conn]*connState{},
 		closedIdle: gometrics.GetOrRegisterCounter("connections_idle_closed_total."+name, registry),
 		rejected:   gometrics.GetOrRegisterCounter("connections_rejected_total."+name, registry),
 		rejections: make(chan struct{}, maxRejections),
@@ -63,25 +68,26 @@
 func (l *Limiter) SetState(c net.Conn, state fasthttp.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.open[c]; e != nil {
-		l.idle.Remove(e)
+	st := l.open[c]
+	if st == nil {
+		st = &connState{}
+		l.open[c] = st
+	}
+	if st.expired {
+		l.ending--
 	}
-	switch state {
-	case fasthttp.StateNew, fasthttp.StateIdle:
-		l.open[c] = l.idle.PushBack(idleConn{c, time.Now(), state == fasthttp.StateNew})
-	case fasthttp.StateActive:
-		l.open[c] = nil
-	default:
+	*st = connState{ConnState: state, since: time.Now()}
+	if state == fasthttp.StateClosed || state == fasthttp.StateHijacked {
 		delete(l.open, c)
 	}
+	l.updateCount()
 }
 
-// Open returns the number of open connections.
-func (l *Limiter) Open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.open)
-}
+// updateCount sets the number of connections that stay open. The caller holds the lock.
+func (l *Limiter) updateCount() { l.count.Store(int64(len(l.open) - l.ending)) }
+
+// Open returns the number of open connections, without those that are being closed.
+func (l *Limiter) Open() int { return int(l.count.Load()) }
 
 // crowdedShare is the share of the bound from which connections are better not kept.
 const crowdedShare = 0.75
@@ -116,23 +122,36 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for e := l.idle.Front(); e != nil && closed < n; {
-		c := e.Value.(idleConn)
-		this := e
-		e = e.Next()
-		if c.isNew && time.Since(c.since) < newGrace {
-			continue
-		}
-		l.idle.Remove(this)
-		l.open[c.Conn] = nil
+	for _, c := range l.longestIdle(n) {
+		l.open[c].expired = true
+		l.ending++
 		if c.SetReadDeadline(time.Unix(1, 0)) == nil {
 			closed++
 		}
 	}
+	l.updateCount()
 	l.closedIdle.Inc(int64(closed))
 	return closed
 }
 
+// longestIdle returns up to n connections that wait for a request, those that have waited
+// longest first. The caller holds the lock.
+func (l *Limiter) longestIdle(n int) []net.Conn {
+	var idle []net.Conn
+	for c, st := range l.open {
+		waits := st.ConnState == fasthttp.StateIdle || st.ConnState == fasthttp.StateNew && time.Since(st.since) >= newGrace
+		if waits && !st.expired {
+			idle = append(idle, c)
+		}
+	}
+	since := func(a, b net.Conn) int { return l.open[a].since.Compare(l.open[b].since) }
+	if n == 1 && len(idle) > 0 {
+		return []net.Conn{slices.MinFunc(idle, since)}
+	}
+	slices.SortFunc(idle, since)
+	return idle[:min(n, len(idle))]
+}
+
 // reject sends a response in place of serving c and closes it. It reads what has arrived of
 // the request: a close with unread bytes would discard the response.
 func reject(c net.Conn, response []byte) {
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"hash"
 )
 
 // Content identifies what a request asks for, whichever of its attempts it is
@@ -18,15 +19,36 @@
 // NewContent returns the Content of a request that consists of the given fields.
 func NewContent(fields ...[]byte) Content {
 	h := sha256.New()
-	var size [8]byte
 	for _, f := range fields {
-		binary.BigEndian.PutUint64(size[:], uint64(len(f)))
-		h.Write(size[:])
-		h.Write(f)
+		hashField(h, f)
+	}
+	return Content(h.Sum(nil)[:len(Content{})])
+}
+
+// NewContentWithBody is NewContent with a last field that is given in segments.
+func NewContentWithBody(segments [][]byte, fields ...[]byte) Content {
+	h := sha256.New()
+	for _, f := range fields {
+		hashField(h, f)
 	}
+	hashField(h, segments...)
 	return Content(h.Sum(nil)[:len(Content{})])
 }
 
+// hashField adds the length and the bytes of a field, given in segments.
+func hashField(h hash.Hash, segments ...[]byte) {
+	total := 0
+	for _, s := range segments {
+		total += len(s)
+	}
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(total))
+	h.Write(size[:])
+	for _, s := range segments {
+		h.Write(s)
+	}
+}
+
 // String returns the Content in hexadecimal.
 func (c Content) String() string { return hex.EncodeToString(c[:]) }
 
