Make the simulated fleet a function of its seed

TestSimulatedFleet/471, known to fail, failed in 3 of 36 runs and could not be played again: where the fleet's code walks through a map of members or data centres, the order of what it sends differed from run to run.

Change: those walks that send, count versions or choose go by sorted keys. The digest of all that a simulation sends is the same in four runs (TestSimulationIsAFunctionOfItsSeed). By hand, -fleet.size, -fleet.seeds and -fleet.first play many seeds.

--- a/fleet/roles.go
+++ b/fleet/roles.go
@@ -55,7 +55,8 @@
 	}
 	before := t.roles.leaders
 	t.roles = roles{leaders: make(map[string][]string, len(byDataCentre))}
-	for dc, list := range byDataCentre {
+	for _, dc := range sortedKeys(byDataCentre) {
+		list := byDataCentre[dc]
 		t.roles.leaders[dc] = addressesOf(list)
 		for _, m := range list {
 			if !slices.Contains(before[dc], m.Address) {
@@ -167,8 +168,9 @@
 		addFirst(t.Hubs(now))
 	}
 	if t.HubRank(now) >= 0 {
-		for _, leaders := range t.rolesAt(now).leaders {
-			addFirst(leaders[:1])
+		leadersOf := t.rolesAt(now).leaders
+		for _, dc := range sortedKeys(leadersOf) {
+			addFirst(leadersOf[dc][:1])
 		}
 	}
 	return out
--- a/fleet/simulatedfleet_test.go
+++ b/fleet/simulatedfleet_test.go
@@ -1,11 +1,29 @@
 package fleet
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
 )
 
+// Flags of TestSimulatedFleets, which runs by hand.
+var (
+	fleetSize  = flag.Int("fleet.size", 0, "the instances of each fleet of TestSimulatedFleets")
+	fleetSeeds = flag.Uint64("fleet.seeds", 200, "the seeds of TestSimulatedFleets")
+	fleetFirst = flag.Uint64("fleet.first", 0, "the first seed of TestSimulatedFleets")
+)
+
+// Fleets of -fleet.size instances keep the bounds of TestSimulatedFleet for many seeds.
+func TestSimulatedFleets(t *testing.T) {
+	for seed := *fleetFirst; *fleetSize > 0 && seed < *fleetFirst+*fleetSeeds; seed++ {
+		t.Run(fmt.Sprint(*fleetSize, "-", seed), func(t *testing.T) {
+			t.Parallel()
+			runSimulation(t, newSimulation(*fleetSize, seed), 200)
+		})
+	}
+}
+
 const (
 	// maxChangeDelay is the time in which a change must be in force everywhere.
 	maxChangeDelay = 3 * time.Second
@@ -205,3 +223,17 @@
 		}
 	}
 }
+
+// A failure of the simulation could not be played again: it depended on the order of Go's
+// maps.
+func TestSimulationIsAFunctionOfItsSeed(t *testing.T) {
+	traces := map[uint64]int{}
+	for range 4 {
+		s := newSimulation(60, 7)
+		runSimulation(t, s, 60)
+		traces[s.trace.Sum64()]++
+	}
+	if len(traces) > 1 {
+		t.Errorf("four runs with one seed had %d different traces", len(traces))
+	}
+}
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash"
+	"hash/fnv"
 	"math/rand/v2"
 	"time"
 
@@ -34,7 +36,7 @@
 )
 
 // simulation runs the fleets of many instances in simulated time, over links and
-// processors of limited capacity. It is deterministic but for Go's map order.
+// processors of limited capacity. It is a function of its seed.
 type simulation struct {
 	simclock.Clock
 	rng       *rand.Rand
@@ -46,6 +48,8 @@
 	watches  []func()
 	calls    float64 // store calls at their price
 	storeOut bool
+	// trace is a digest of all that was sent.
+	trace hash.Hash64
 }
 
 // simInstance is one instance with a share of a core and a link.
@@ -77,7 +81,7 @@
 
 // newSimulation creates instances in five data centres, three large ones in each.
 func newSimulation(count int, seed uint64) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, uint64(count))), byAddress: map[string]*simInstance{}, revision: 1}
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, uint64(count))), byAddress: map[string]*simInstance{}, revision: 1, trace: fnv.New64()}
 	for i := range count {
 		dc := i % 5
 		in := &simInstance{s: s, cores: 0.16, mbps: 20}
@@ -142,6 +146,7 @@
 // transmit sends bytes over the instance's link and calls arrive at the end.
 func (in *simInstance) transmit(bytes int, arrive func()) {
 	in.bytesSent += bytes
+	fmt.Fprintln(in.s.trace, in.s.Now, in.info.Address, bytes)
 	in.linkFree = max(in.linkFree, in.s.Now) + time.Duration(float64(bytes*8)/in.mbps)*time.Microsecond
 	in.s.At(in.linkFree+linkLatency, arrive)
 }
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -82,7 +82,8 @@
 	if t.HubRank(now) < 0 || now-t.hubSince < memberTimeout {
 		return
 	}
-	for dc, s := range t.summaries {
+	for _, dc := range sortedKeys(t.summaries) {
+		s := t.summaries[dc]
 		if s.Live > 0 && dc != t.members[t.self].DataCentre && len(t.rolesAt(now).leaders[dc]) == 0 {
 			t.storeSummary(Summary{DataCentre: dc, Sequence: s.Sequence + 1, Issuer: t.self})
 		}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -280,7 +281,11 @@
 	}
 	leader := t.leaderSince > 0 && now-t.leaderSince >= memberTimeout
 	hub := t.HubRank(now) >= 0 && now-t.hubSince >= memberTimeout
-	for a, m := range t.members {
+	if !leader && !hub {
+		return
+	}
+	for _, a := range sortedKeys(t.members) {
+		m := t.members[a]
 		if a == t.self || !m.infoKnown || m.Silent || now-max(m.lastHeard, m.addedAt) < memberTimeout {
 			continue
 		}
@@ -293,14 +298,22 @@
 
 // removeExpired removes members that are no longer of use.
 func (t *Table) removeExpired(now time.Duration) {
+	var expired []string
 	for a, m := range t.members {
 		if a != t.self && t.expired(now, m) {
-			delete(t.members, a)
-			t.rolesValid = false
+			expired = append(expired, a)
 		}
 	}
+	for _, a := range expired {
+		delete(t.members, a)
+		t.rolesValid = false
+	}
 }
 
+// sortedKeys returns the keys of m in order. It stands where the order of an iteration has an
+// effect, so that the same events have the same effects.
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 // expired reports whether a member has been unreachable for forgetTimeout, or is
 // an instance of another data centre that no longer sends heartbeats and is not a
 // leader there.
--- a/fleet/warnings.go
+++ b/fleet/warnings.go
@@ -35,9 +35,10 @@
 func (f *Fleet) broadcast(direct, forwarded []byte) {
 	now := f.opt.Now()
 	own := f.opt.Self.DataCentre
-	for dc, leaders := range f.table.rolesAt(now).leaders {
+	leadersOf := f.table.rolesAt(now).leaders
+	for _, dc := range sortedKeys(leadersOf) {
 		if dc != own {
-			f.send(leaders[0], forwarded)
+			f.send(leadersOf[dc][0], forwarded)
 		}
 	}
 	if leaders := f.table.Leaders(now); f.table.sizeOf(own) > maxDirectWarnings && len(leaders) > 0 && leaders[0] != f.opt.Self.Address {
@@ -65,8 +66,8 @@
 // sendToDataCentre sends a datagram to the other live members of this data
 // centre but one.
 func (f *Fleet) sendToDataCentre(p []byte, except string) {
-	for a, m := range f.table.members {
-		if a != f.opt.Self.Address && a != except && !m.Silent && f.table.sameDataCentre(a) {
+	for _, a := range sortedKeys(f.table.members) {
+		if a != f.opt.Self.Address && a != except && !f.table.members[a].Silent && f.table.sameDataCentre(a) {
 			f.send(a, p)
 		}
 	}
