--- a/internal/soak/faultproxy_test.go
+++ b/internal/soak/faultproxy_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -26,12 +28,14 @@
 
 // faultProxy forwards TCP connections to a target and applies the current fault.
 type faultProxy struct {
-	ln     net.Listener
-	target string
+	ln net.Listener
 
-	mu    sync.Mutex
-	fault connFault
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	target string
+	fault  connFault
+	conns  map[net.Conn]bool
+	// repeats is set if replies of the target are sent a second time, late.
+	repeats bool
 }
 
 // newFaultProxy starts a proxy on addr that is closed when the test ends.
@@ -71,6 +75,30 @@
 	}
 }
 
+// setTarget makes new connections lead to another target, and closes the others.
+func (p *faultProxy) setTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+	for c := range p.conns {
+		c.Close()
+	}
+	clear(p.conns)
+}
+
+// setRepeats sets whether replies of the target are sent a second time.
+func (p *faultProxy) setRepeats(repeats bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.repeats = repeats
+}
+
+func (p *faultProxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 func (p *faultProxy) currentFault() connFault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -96,7 +124,7 @@
 	if p.currentFault() == faultReset {
 		return
 	}
-	out, err := net.Dial("tcp4", p.target)
+	out, err := net.Dial("tcp4", p.currentTarget())
 	if err != nil {
 		return
 	}
@@ -130,9 +158,27 @@
 			if _, err := to.Write(b[:n]); err != nil {
 				return
 			}
+			if !toTarget {
+				p.repeat(to, b[:n])
+			}
 		}
 		if err != nil {
 			return
 		}
 	}
 }
+
+// maxRepeatDelay is the longest time after which a reply is sent a second time.
+const maxRepeatDelay = 120 * time.Millisecond
+
+// repeat sends a reply, if p is one, a second time after a while.
+func (p *faultProxy) repeat(to io.Writer, reply []byte) {
+	p.mu.Lock()
+	repeats := p.repeats
+	p.mu.Unlock()
+	if !repeats || !bytes.HasPrefix(reply, []byte("HTTP/1.1 ")) || rand.IntN(4) > 0 {
+		return
+	}
+	second := bytes.Clone(reply)
+	time.AfterFunc(rand.N(maxRepeatDelay), func() { _, _ = to.Write(second) }) // it may be closed by then
+}
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -33,6 +33,8 @@
 	// servedBy is the configuration version of the upstream that ran each
 	// request.
 	servedBy map[string]int
+	// bodySizes holds the sizes of large bodies by request, in bytes.
+	bodySizes map[string]int
 	// sentTo is the instance incarnation to which each request was sent, and when.
 	sentTo     map[string]sending
 	violations []string
@@ -46,7 +48,7 @@
 
 // newLedger returns an empty ledger.
 func newLedger() *ledger {
-	return &ledger{runs: map[string]int{}, reportedNotRun: map[string]string{}, servedBy: map[string]int{}, sentTo: map[string]sending{}}
+	return &ledger{runs: map[string]int{}, reportedNotRun: map[string]string{}, servedBy: map[string]int{}, bodySizes: map[string]int{}, sentTo: map[string]sending{}}
 }
 
 func (l *ledger) addViolation(format string, args ...any) {
@@ -66,8 +68,9 @@
 	mu   sync.Mutex
 	born int64
 	seq  int
-	// state is the one last registered.
+	// state is the one last registered, empty once another upstream has the address.
 	state string
+	addr  string // without the proxy
 	// notices is what the upstream says of itself in its replies.
 	notices notices
 }
@@ -78,11 +81,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &upstream{id: id, version: version, ledger: l, born: time.Now().UnixMilli()}
+	u := &upstream{id: id, version: version, ledger: l, born: time.Now().UnixMilli(), addr: ln.Addr().String()}
 	srv := &http.Server{Handler: http.HandlerFunc(u.serve)}
 	go srv.Serve(ln)
 	t.Cleanup(func() { srv.Close() })
-	u.proxy = newFaultProxy(t, "127.0.0.1:0", ln.Addr().String())
+	u.proxy = newFaultProxy(t, "127.0.0.1:0", u.addr)
 	return u
 }
 
@@ -93,6 +96,10 @@
 		w.Header().Set("X-Catkinrouter-Instance-Id", u.id)
 		return
 	}
+	size, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		return
+	}
 	id := r.Header.Get("X-Catkinrouter-Attempt-Id")
 	w.Header().Set("X-Catkinrouter-Attempt-Id", id)
 	if u.refuseForPause(w, id) {
@@ -105,6 +112,9 @@
 	u.ledger.mu.Lock()
 	u.ledger.runs[id]++
 	u.ledger.servedBy[id] = u.version
+	if want, large := u.ledger.bodySizes[id]; large && int64(want) != size {
+		u.ledger.violations = append(u.ledger.violations, fmt.Sprintf("request %s came with %d bytes of %d", id, size, want))
+	}
 	u.ledger.mu.Unlock()
 	time.Sleep(5 * time.Millisecond)
 	w.Header().Set("X-Catkinrouter-Server-Stamp", u.id)
@@ -127,17 +137,20 @@
 	u.mu.Lock()
 	state := u.state
 	u.mu.Unlock()
-	u.register(kv, state)
+	if state != "" {
+		u.register(kv, state)
+	}
 }
 
 // configure writes a configuration version to the store. Its routes lead to the
 // service with the same number.
 func configure(kv *standin.KV, version int) {
-	kv.Put("op/config", fmt.Appendf(nil, `{"version":%d,
-"routes":{"columns":["name","host","prefix","routeKind","timeoutMs","targetLatencyMs","priority","maxAttempts","service"],
-"rows":[["buy",%q,"/buy/","unsafe",1500,800,1,2,"s%d"],["read",%q,"/read/","safe",1500,800,2,3,"s%d"]]},
-"services":{"columns":["name","healthPath","maxConns"],"rows":[["s%d","/health",260]]},"limits":{}}`,
-		version, host, version, host, version, version))
+	kv.Put("op/config", fmt.Appendf(nil, `{"version":%[1]d,
+"routes":{"columns":["name","host","prefix","routeKind","timeoutMs","targetLatencyMs","priority","maxAttempts","service","trafficSplit"],
+"rows":[["buy",%[2]q,"/buy/","unsafe",1500,800,1,2,"s%[1]d"],["read",%[2]q,"/read/","safe",1.5e3,800,1.5,3.0,null,[{"service":"s%[1]d","weight":0.75}]],
+["odd",%[2]q,"/odd/","unsafe",1500,800,1,2,{"name":"s%[1]d"}],%[1]d]},
+"services":{"columns":["name","healthPath","maxConns"],"rows":[["s%[1]d","/health",260],[%[1]d]]},"limits":{"idleTimeoutMs":"long"}}`,
+		version, host))
 }
 
 // instance is a catkin-node instance on its own loopback address, restarted when
@@ -272,8 +285,8 @@
 	leaving string
 }
 
-// call sends one request on a new connection.
-func (in *instance) call(path, id string) response {
+// call sends one request with a body of the given size on a new connection.
+func (in *instance) call(path, id string, size int) response {
 	c, err := net.DialTimeout("tcp4", net.JoinHostPort(in.ip, fmt.Sprint(frontPort)), time.Second)
 	if err != nil {
 		return response{}
@@ -282,7 +295,8 @@
 	if err := c.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
 		return response{}
 	}
-	fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Catkinrouter-Attempt-Id: %s\r\nX-Catkinrouter-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n", path, id, host, id)
+	fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Catkinrouter-Attempt-Id: %s\r\nX-Catkinrouter-Deadline-Ms: 2000\r\nContent-Length: %d\r\n\r\n", path, id, host, id, size)
+	_, _ = io.CopyN(c, zeros{}, int64(size)) // a refusal may come before the end
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return response{}
@@ -299,6 +313,14 @@
 	return out
 }
 
+// zeros is a reader of zeros without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
 // serveKV serves kv on a loopback port and returns the address.
 func serveKV(t *testing.T, kv *standin.KV) string {
 	t.Helper()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,6 +68,9 @@
 	backup     standin.Backup
 	// noticeRNG decides what upstreams say of themselves.
 	noticeRNG *rand.Rand
+	// oddRNG decides about odd entries, repeated replies, addresses used again and
+	// large bodies.
+	oddRNG *rand.Rand
 
 	mu            sync.Mutex
 	upstreams     []*upstream
@@ -84,6 +87,7 @@
 	}
 	s.restoreRNG = rand.New(rand.NewPCG(seed, 1000))
 	s.noticeRNG = rand.New(rand.NewPCG(seed, 1001))
+	s.oddRNG = rand.New(rand.NewPCG(seed, 1002))
 	kv := serveKV(t, s.kv)
 	s.changeConfiguration()
 	s.backup = s.kv.Backup()
@@ -107,6 +111,7 @@
 		s.injectFault()
 		s.restoreStore()
 		s.injectNotice()
+		s.injectOddity()
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond)
 	}
 	s.clearFaults()
@@ -225,6 +230,7 @@
 	}
 	for _, u := range s.upstreams {
 		u.proxy.setFault(faultNone)
+		u.proxy.setRepeats(false)
 	}
 }
 
@@ -241,11 +247,11 @@
 		if rng.IntN(3) == 0 {
 			kind = "read"
 		}
-		s.request(in, kind, fmt.Sprintf("%s-%d-%d", kind, n, i))
+		s.request(in, kind, fmt.Sprintf("%s-%d-%d", kind, n, i), 0)
 	}
 }
 
-func (s *soak) request(in *instance, kind, id string) {
+func (s *soak) request(in *instance, kind, id string, size int) {
 	key := fmt.Sprintf("%s incarnation %d", in.ip, in.currentIncarnation())
 	s.mu.Lock()
 	minVersion := s.newestServed[key]
@@ -253,7 +259,7 @@
 	s.ledger.mu.Lock()
 	s.ledger.sentTo[id] = sending{key, time.Now()}
 	s.ledger.mu.Unlock()
-	resp := in.call("/"+kind+"/", id)
+	resp := in.call("/"+kind+"/", id, size)
 	s.recordResponse(key, resp)
 	switch {
 	case resp.status == 200:
@@ -288,7 +294,7 @@
 func (s *soak) checkLedger() {
 	for i, in := range s.instances {
 		id := fmt.Sprint("last-", i)
-		resp := in.call("/buy/", id)
+		resp := in.call("/buy/", id, 0)
 		if want := fmt.Sprintf("%s by version %d", id, s.version); resp.status != 200 || resp.body != want {
 			s.ledger.addViolation("%s answered status %d body %q after all faults ended, want status 200 body %q", in.ip, resp.status, resp.body, want)
 		}
