Refuse bodies that memory does not hold as not run, and without a delay

A body within the operators' limit, but above what one may take of the instance's memory, got 413, which says that it can never be sent; another instance may hold it: now 503, with when to come back. And the refusal of a body bore no length, so its caller had it only when the connection closed, a second later.

TestBodyBeyondTheMemoryMayComeBack and the time in TestRequestLimitsOfTheConfiguration fail before (413; refused after 1 s). The tests' bodies are built once: under the race detector most of their time went into that.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -25,10 +25,10 @@
 // late replies to earlier requests, are skipped.
 const maxRepliesRead = 8
 
-// exchange writes out and the segments of body to c, a connection to u, and reads the reply
-// to the request with the given ID, empty for a health check, into resp, with memory for its body. It returns
-// true once a byte may have been sent. A reply without an ID is taken only if nothing else
-// was asked for on the connection, which must not have carried the same ID before.
+// exchange writes out and the segments of body to c, a connection to u that has not carried
+// the request's ID before, and reads the reply into resp, with memory for its body. The ID is
+// empty for a health check. It returns true once a byte may have been sent. A reply without
+// an ID is taken only if nothing else was asked for on the connection.
 func (g *Gateway) exchange(c *conn, u *discovery.Upstream, out []byte, body [][]byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response, memory *reservation) (wrote bool, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return false, err
--- a/gateway/requestbody.go
+++ b/gateway/requestbody.go
@@ -31,6 +31,7 @@
 type requestBody struct {
 	segments [][]byte
 	size     int
+	limit    int // of the operators
 	memory   reservation
 	holders  atomic.Int32
 	first    [1][]byte // of segments: most bodies have one
@@ -66,7 +67,7 @@
 	if limit <= 0 {
 		limit = maxBody
 	}
-	b := &requestBody{memory: *g.requestMemory.begin(int64(limit))}
+	b := &requestBody{limit: limit, memory: *g.requestMemory.begin(int64(limit))}
 	b.segments = b.first[:0]
 	b.hold()
 	stream := ctx.RequestBodyStream()
@@ -108,7 +109,7 @@
 		}
 		switch {
 		case b.size > limit:
-			return refusedTooLarge
+			return b.tooLarge(b.size)
 		case err == nil:
 		case length < 0 && isWholeBody(src, err):
 			return nil
@@ -143,13 +144,22 @@
 		case err == nil:
 			return nil
 		case errors.Is(err, errBodyTooLarge):
-			return refusedTooLarge
+			return b.tooLarge(int(n))
 		case !time.Now().Before(end):
 			return refusedNoMemory
 		}
 	}
 }
 
+// tooLarge returns the refusal of a body of n bytes, which the memory for one does not hold.
+// One within the operators' limit may fit another instance.
+func (b *requestBody) tooLarge(n int) *bodyRefusal {
+	if n > b.limit {
+		return refusedTooLarge
+	}
+	return refusedNoMemory
+}
+
 // Bounds of the time and bytes for which a connection is read on after a refusal.
 const (
 	lingerTime  = time.Second
@@ -161,8 +171,9 @@
 func (g *Gateway) refuseBody(ctx *fasthttp.RequestCtx, id string, r *bodyRefusal) {
 	g.refuse(ctx, id, r.status, r.reason)
 	ctx.SetConnectionClose()
-	response := ctx.Response.Header.Header()
-	response = append(append([]byte(nil), response...), ctx.Response.Body()...)
+	ctx.Response.Header.SetContentLength(len(ctx.Response.Body()))
+	response := append([]byte(nil), ctx.Response.Header.Header()...)
+	response = append(response, ctx.Response.Body()...)
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) {
 		if c.SetDeadline(time.Now().Add(lingerTime)) != nil {
--- a/gateway/requestbody_test.go
+++ b/gateway/requestbody_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -85,14 +86,20 @@
 	tg.g.SetRoutes(route.NewTable(doc, tg.g.rng), map[string][]*discovery.Upstream{testService: list})
 }
 
-// pattern is a body of which no part equals another one.
-func pattern(size int) string {
-	var b strings.Builder
-	for i := 0; b.Len() < size; i++ {
-		fmt.Fprintf(&b, "%d,", i)
+// maxPattern is the size of the largest body of these tests.
+const maxPattern = 8<<20 + 1
+
+// longPattern is a text of which no part equals another one.
+var longPattern = sync.OnceValue(func() string {
+	b := make([]byte, 0, maxPattern+16)
+	for i := int64(0); len(b) < maxPattern; i++ {
+		b = append(strconv.AppendInt(b, i, 10), ',')
 	}
-	return b.String()[:size]
-}
+	return string(b)
+})
+
+// pattern is a body of the given size.
+func pattern(size int) string { return longPattern()[:size] }
 
 // post sends a purchase, in chunks if chunk is above 0.
 func (tg *testGateway) post(id, body string, chunk int) reply {
@@ -179,7 +186,12 @@
 		{5 << 20, 70_000, 413},
 	} {
 		id := fmt.Sprintf("l-%d-%d", tt.size, tt.chunk)
-		r := tg.post(id, pattern(tt.size), tt.chunk)
+		body := pattern(tt.size)
+		began := time.Now()
+		r := tg.post(id, body, tt.chunk)
+		if took := time.Since(began); tt.status != 200 && took > lingerTime/2 {
+			t.Errorf("%s: refused after %v", id, took)
+		}
 		if r.err != nil || r.status != tt.status || (u.body(id) != "") != (tt.status == 200) {
 			t.Errorf("%s: status %d, body %q, error %v; want %d", id, r.status, r.body, r.err, tt.status)
 		}
@@ -190,6 +202,23 @@
 	wantStatus(t, tg.call("POST", "/purchase/"+strings.Repeat("x", 2000), "h-2", "x"), http.StatusOK)
 }
 
+// A body within the operators' limit that the instance's memory does not hold was refused for
+// good.
+func TestBodyBeyondTheMemoryMayComeBack(t *testing.T) {
+	u := newSink(t, "u")
+	tg := newTestGatewayWith(t, func(o *Options) { o.MemoryBytes = 10 << 20 })
+	tg.setFleet(tg)
+	tg.configureSinks(route.Limits{MaxBodyBytes: 8 << 20}, u)
+	for size, status := range map[int]int{1 << 20: 200, 5 << 20: 503, 8<<20 + 1: 413} {
+		for _, chunk := range []int{0, 100_000} {
+			r := tg.post(fmt.Sprint("m-", size, chunk), pattern(size), chunk)
+			if r.err != nil || r.status != status && (chunk == 0 || r.status != 503 || status != 413) || (r.header.Get("Retry-After") != "") != (r.status == 503) {
+				t.Errorf("%d bytes, chunks of %d: status %d, error %v; want %d", size, chunk, r.status, r.err, status)
+			}
+		}
+	}
+}
+
 // A body that ended early must not be passed on.
 func TestTruncatedRequestIsNotPassedOn(t *testing.T) {
 	u := newSink(t, "u")
