Soak: a request comes to a pausing upstream when its head does

The check of pauses counted a request when its body had been read, which takes a while for the large ones.

--- a/internal/soak/notices_test.go
+++ b/internal/soak/notices_test.go
@@ -67,9 +67,9 @@
 	}
 }
 
-// refuseForPause checks that the request was allowed to come, and refuses it if the
-// upstream is to ask for a pause. The instance that sent it follows from its ID.
-func (u *upstream) refuseForPause(w http.ResponseWriter, id string) bool {
+// refuseForPause checks that the request was allowed to come when it arrived, and refuses it
+// if the upstream is to ask for a pause. The instance that sent it follows from its ID.
+func (u *upstream) refuseForPause(w http.ResponseWriter, id string, arrived time.Time) bool {
 	u.ledger.mu.Lock()
 	sent := u.ledger.sentTo[id]
 	u.ledger.mu.Unlock()
@@ -80,9 +80,9 @@
 	if told, known := n.toldLeaving[sent.key]; known && sent.at.After(told) {
 		u.ledger.addViolation("request %s came to the leaving upstream %s by %s, which had passed that on %v before the caller sent it", id, u.id, sent.key, sent.at.Sub(told))
 	}
-	if p := n.told[sent.key]; p != nil && now.After(p.from.Add(crossingTime)) && now.Before(p.until) {
+	if p := n.told[sent.key]; p != nil && arrived.After(p.from.Add(crossingTime)) && arrived.Before(p.until) {
 		if p.crossed++; p.crossed == maxCrossing+1 {
-			u.ledger.addViolation("%d requests came to upstream %s by %s, which was told of a pause of %v, the last %v after that", p.crossed, u.id, sent.key, p.until.Sub(p.from), now.Sub(p.from))
+			u.ledger.addViolation("%d requests came to upstream %s by %s, which was told of a pause of %v, the last %v after that", p.crossed, u.id, sent.key, p.until.Sub(p.from), arrived.Sub(p.from))
 		}
 	}
 	if n.pause == 0 {
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -96,13 +96,14 @@
 		w.Header().Set("X-Catkinrouter-Instance-Id", u.id)
 		return
 	}
+	arrived := time.Now() // a large body takes its time
 	size, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return
 	}
 	id := r.Header.Get("X-Catkinrouter-Attempt-Id")
 	w.Header().Set("X-Catkinrouter-Attempt-Id", id)
-	if u.refuseForPause(w, id) {
+	if u.refuseForPause(w, id, arrived) {
 		return
 	}
 	if r.Header.Get("X-Catkinrouter-Expect-Instance") != u.id {
