--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os/exec"
 	"path/filepath"
 	"sync"
@@ -47,6 +48,7 @@
 	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/catkin-node").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	checkNetIsFree(t)
 	seedList := append([]uint64{}, regressionSeeds...)
 	for i := range *seeds {
 		seedList = append(seedList, *firstSeed+uint64(i))
@@ -56,6 +58,19 @@
 	}
 }
 
+// checkNetIsFree fails the test if the addresses of the instances are in use: another run, or
+// processes that one left which was killed, would answer in their place.
+func checkNetIsFree(t *testing.T) {
+	t.Helper()
+	for i := range *nodes {
+		ln, err := net.Listen("tcp4", fmt.Sprintf("127.0.%d.%d:%d", *subnet, i+1, frontPort))
+		if err != nil {
+			t.Fatalf("%v: end the other run and its processes, or set another -soak.net", err)
+		}
+		ln.Close()
+	}
+}
+
 // soak is the state of the run for one seed.
 type soak struct {
 	t         *testing.T
