Soak: an upstream with a new ID turns away what is for the old one first

Traced by logging for which ID each request was: the stand-in that came back at an address looked at pauses before the expected ID. It asked for a pause in answer to requests for the ID before it (told to an instance "for i-8", by i-9), and counted such requests in its own pauses, where an upstream answers 421.

--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -103,13 +103,13 @@
 	}
 	id := r.Header.Get("X-Catkinrouter-Attempt-Id")
 	w.Header().Set("X-Catkinrouter-Attempt-Id", id)
-	if u.refuseForPause(w, id, arrived) {
-		return
-	}
 	if r.Header.Get("X-Catkinrouter-Expect-Instance") != u.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if u.refuseForPause(w, id, arrived) {
+		return
+	}
 	u.ledger.mu.Lock()
 	u.ledger.runs[id]++
 	u.ledger.servedBy[id] = u.version
