Sync with the peers that bring changes apart from the others

Cause: a small seed is asked by all others at once. It asks the other seeds, which are as busy and do not answer within the stall timeout of 0.6 s; these two syncs hold both workers, and the sync with the leader of its own data centre waits behind them. Any two peers that answer heartbeats but no sync have the same effect at any time.

Ruled out: more workers (the directory may name up to 64 leaders, so as many slow peers would do the same); classing syncs by whether they fetch the copy (the first sync with the leader fetches its Info only, and it is the one that waited).

Change: syncs with the peers that bring this instance the store's changes, or that the directory names as leaders of its data centre, have a queue and workers of their own.

TestSilentPeersHoldUpNoChange fails without it ("1 instances lack a change after 300ms").

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -112,6 +112,7 @@
 		wait = restartWait + time.Duration(f.opt.Jitter()*float64(restartJitter))
 	}
 	f.reader.directoryRead(now, wait)
+	f.namedLeaders = addresses
 	f.table.AddSeeds(now, addresses)
 	select {
 	case f.tickNow <- struct{}{}:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -146,21 +146,16 @@
 	crashReports, crashForwards    crashLimiter
 
 	// send sends a datagram; it does nothing before Run.
-	send      func(to string, p []byte)
-	peers     *peerClients
-	wake      chan struct{}
-	tickNow   chan struct{}
-	syncQueue chan string
+	send    func(to string, p []byte)
+	peers   *peerClients
+	wake    chan struct{}
+	tickNow chan struct{}
+	syncs   syncQueues
+	// namedLeaders holds the leaders of this data centre that the directory named
+	// at the start.
+	namedLeaders []string
 }
 
-// syncQueueSize bounds the queued syncs. One that does not fit is dropped and
-// queued again on the peer's next heartbeat.
-const syncQueueSize = 16
-
-// syncWorkers is the number of concurrent syncs, so that a peer that does not
-// answer does not hold up a sync with another one.
-const syncWorkers = 2
-
 // New returns a Fleet that knows only this instance and the seed addresses.
 func New(opt Options, source Source, listener Listener) *Fleet {
 	if opt.MaxCopyAge == 0 {
@@ -180,7 +175,7 @@
 		crashReports:   newCrashLimiter(maxCrashReportsPerSecond), crashForwards: newCrashLimiter(maxCrashForwardsPerSecond),
 		send:           func(string, []byte) {},
 		memberVersions: map[string]uint64{}, syncing: map[string]time.Duration{}, live: 1,
-		suspended: opt.Suspended(), peers: newPeerClients(), wake: make(chan struct{}, 1), tickNow: make(chan struct{}, 1), syncQueue: make(chan string, syncQueueSize),
+		suspended: opt.Suspended(), peers: newPeerClients(), wake: make(chan struct{}, 1), tickNow: make(chan struct{}, 1), syncs: newSyncQueues(),
 	}
 	f.reader.start(opt.FirstStart, slices.Contains(opt.Seeds, opt.Self.Address), opt.DirectoryKey != "", opt.Jitter())
 	return f
@@ -197,8 +192,10 @@
 	g.Go(func() error { return f.receive(sockets.udp) })
 	g.Go(func() error { return f.heartbeatLoop(ctx) })
 	g.Go(func() error { return f.readLoop(ctx) })
-	for range syncWorkers {
-		g.Go(func() error { return f.syncLoop(ctx) })
+	for _, queue := range f.syncs {
+		for range syncWorkers {
+			g.Go(func() error { return f.syncLoop(ctx, queue) })
+		}
 	}
 	g.Go(func() error {
 		<-ctx.Done()
--- a/fleet/simulatedfleet_test.go
+++ b/fleet/simulatedfleet_test.go
@@ -224,6 +224,27 @@
 	}
 }
 
+// Two peers that do not answer held both sync workers, and the sync with the leader that
+// brings a change waited behind them.
+func TestSilentPeersHoldUpNoChange(t *testing.T) {
+	const limit = stallTimeout / 2
+	s := newSimulation(30, 1)
+	s.startAll(60)
+	in, silent := s.instances[29], s.instances[25:29] // in other data centres
+	for _, peer := range silent {
+		peer.frozen = s.Now + 5*time.Second
+	}
+	in.f.mu.Lock()
+	for _, peer := range silent {
+		in.f.enqueueSync(in.f.opt.Now(), peer.info.Address)
+	}
+	in.f.mu.Unlock()
+	in.startWork()
+	if took := s.waitFor(s.put("upstream-0", "changed"), limit); took >= limit {
+		t.Errorf("%d instances lack a change after %v", s.lagging(s.revision), took)
+	}
+}
+
 // A failure of the simulation could not be played again: it depended on the order of Go's
 // maps.
 func TestSimulationIsAFunctionOfItsSeed(t *testing.T) {
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -70,7 +70,7 @@
 	linkFree  time.Duration
 	cpuUsed   time.Duration
 	bytesSent int
-	syncs     int
+	syncs     [len(syncQueues{})]int // in flight, by their queue
 	// crashReports counts the received crash reports by their requests.
 	crashReports map[[16]byte]int
 	reading      bool
@@ -106,7 +106,7 @@
 
 func (in *simInstance) start(first bool) {
 	in.run++
-	in.up, in.started, in.syncs, in.reading = true, in.s.Now, 0, false
+	in.up, in.started, in.syncs, in.reading = true, in.s.Now, [len(syncQueues{})]int{}, false
 	in.cpuFree = in.s.Now
 	in.info.Incarnation++
 	in.view = View{}
@@ -171,14 +171,8 @@
 
 // startWork begins the syncs and reads that the last event made due.
 func (in *simInstance) startWork() {
-	for in.syncs < syncWorkers {
-		select {
-		case from := <-in.f.syncQueue:
-			in.sync(from)
-			continue
-		default:
-		}
-		break
+	for i := range in.f.syncs {
+		in.startSyncs(i)
 	}
 	select {
 	case <-in.f.wake:
@@ -192,12 +186,24 @@
 	}
 }
 
+// startSyncs begins the syncs of a queue while workers are free.
+func (in *simInstance) startSyncs(queue int) {
+	for in.syncs[queue] < syncWorkers {
+		select {
+		case from := <-in.f.syncs[queue]:
+			in.sync(queue, from)
+		default:
+			return
+		}
+	}
+}
+
 var errSimulated = errors.New("simulated failure")
 
-// sync performs one sync with a peer.
-func (in *simInstance) sync(from string) {
+// sync performs one sync of a queue with a peer.
+func (in *simInstance) sync(queue int, from string) {
 	run, began, args := in.run, in.f.opt.Now(), in.f.syncArgs(from)
-	in.syncs++
+	in.syncs[queue]++
 	ended := false
 	end := func(cost time.Duration, reply *SyncReply, err error) {
 		if ended || in.run != run {
@@ -205,7 +211,7 @@
 		}
 		ended = true
 		in.exec(run, cost, func() {
-			in.syncs--
+			in.syncs[queue]--
 			in.f.handleSyncReply(from, &args, began, reply, err)
 		})
 	}
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -2,11 +2,39 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 )
 
+const (
+	// syncWorkers is the number of concurrent syncs of a queue, so that a peer that
+	// does not answer does not hold up a sync with another one.
+	syncWorkers = 2
+	// syncQueueSize bounds the queued syncs. One that does not fit is dropped and
+	// queued again on the peer's next heartbeat.
+	syncQueueSize = 16
+)
+
+// syncQueues holds the peers of queued syncs. Each queue has workers of its own, so that
+// a change of the store does not wait behind peers that cannot bring it.
+type syncQueues [2]chan string
+
+// Indices of syncQueues.
+const (
+	// carrierSyncs are with the peers that bring this instance the store's changes.
+	carrierSyncs = iota
+	otherSyncs
+)
+
+func newSyncQueues() (q syncQueues) {
+	for i := range q {
+		q[i] = make(chan string, syncQueueSize)
+	}
+	return q
+}
+
 // syncHedgeDelay is how long a sync may be in flight before the same change is
 // also fetched from another peer.
 const syncHedgeDelay = 250 * time.Millisecond
@@ -17,13 +45,26 @@
 	if _, busy := f.syncing[from]; busy {
 		return
 	}
+	queue := f.syncs[otherSyncs]
+	if f.isCarrier(now, from) {
+		queue = f.syncs[carrierSyncs]
+	}
 	select {
-	case f.syncQueue <- from:
+	case queue <- from:
 		f.syncing[from] = now
 	default: // the queue is full: the next heartbeat queues the sync again
 	}
 }
 
+// isCarrier reports whether the peer is one of those that bring this instance the store's
+// changes, or is expected to be one of them after the start.
+func (f *Fleet) isCarrier(now time.Duration, address string) bool {
+	if !f.table.hasInfo(address) {
+		return slices.Contains(f.namedLeaders, address)
+	}
+	return slices.Contains(f.table.carriers(now), address)
+}
+
 // fetching reports whether a sync with a peer that may bring a newer copy was
 // begun lately.
 func (f *Fleet) fetching(now time.Duration) bool {
@@ -35,13 +76,13 @@
 	return false
 }
 
-// syncLoop performs queued syncs until ctx ends.
-func (f *Fleet) syncLoop(ctx context.Context) error {
+// syncLoop performs the syncs of a queue until ctx ends.
+func (f *Fleet) syncLoop(ctx context.Context, queue <-chan string) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case from := <-f.syncQueue:
+		case from := <-queue:
 			if err := f.opt.Guard.Run("sync", func() { f.syncFrom(ctx, from) }); err != nil {
 				f.syncEnded(from)
 			}
