Take a data centre's summary from one source

Cause: while an instance starts and knows few others, it takes itself for the first leader of its data centre and issues a summary of it. The true first leader issues one with the same number. The address of the issuer decided between the two, and the wrong one could win at instances that had met its issuer. The true leader never learns of it, so it has no reason to issue a higher number.

Ruled out: a lost sync (the instances held the current version of their leader's list, and the leader the right summary); higher numbers for leaders that have been so for a while (an instance that was cut off for longer has the same effect).

Change: an instance takes the summary of a data centre from one source, whatever its number: a hub from the first leader there, a leader from the first hub, the others from their first leader. Numbers only decide while there is no source.

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -231,7 +231,8 @@
 
 // updateListSources requests the whole list from each new source. What this
 // instance learned from the previous source may be wrong, such as members that
-// it took for silent, and the new source may not have changed it since.
+// it took for silent, and the new source may not have changed it since. The same
+// holds for a source of summaries that were ignored before it was one.
 func (f *Fleet) updateListSources(now time.Duration) {
 	next := f.table.listSources(now)
 	for _, a := range next {
@@ -239,5 +240,8 @@
 			delete(f.memberVersions, a)
 		}
 	}
+	for _, a := range f.table.takeIgnoredSources(now) {
+		delete(f.memberVersions, a)
+	}
 	f.listSources = next
 }
--- a/fleet/roles.go
+++ b/fleet/roles.go
@@ -156,11 +156,8 @@
 func (t *Table) listSources(now time.Duration) []string {
 	var out []string
 	addFirst := func(list []string) {
-		for _, a := range list {
-			if a != t.self {
-				out = append(out, a)
-				return
-			}
+		if a := firstOther(list, t.self); a != "" {
+			out = append(out, a)
 		}
 	}
 	addFirst(t.Leaders(now))
--- a/fleet/simulatedfleet_test.go
+++ b/fleet/simulatedfleet_test.go
@@ -48,7 +48,11 @@
 // the same two, these were overloaded from some 100 instances on: syncs timed out
 // and began anew, hubs changed, and all others read the store.
 func TestSimulatedFleet(t *testing.T) {
-	for seed := range uint64(10) {
+	seeds := []uint64{
+		0, 1, 2, 3, 4, 5, 6, 7, 8, 9,
+		47, 158, 161, // summaries of instances that took themselves for first leaders
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("30-", seed), func(t *testing.T) { runSimulation(t, newSimulation(30, seed), 60) })
 	}
 	t.Run("471", func(t *testing.T) { runSimulation(t, newSimulation(471, 1), 200) })
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -31,6 +31,9 @@
 type summaryEntry struct {
 	Summary
 	changedVersion uint64
+	// ignored holds the peers that sent a different summary while they were not the
+	// source of it.
+	ignored map[string]bool
 }
 
 // newer reports whether s replaces o.
@@ -40,10 +43,20 @@
 
 func (s Summary) equal(o Summary) bool { return s.Live == o.Live && slices.Equal(s.Usable, o.Usable) }
 
+// same reports whether s and o are the same summary of the same issuer.
+func (s Summary) same(o Summary) bool {
+	return s.Sequence == o.Sequence && s.Issuer == o.Issuer && s.equal(o)
+}
+
 // storeSummary replaces the summary of a data centre.
 func (t *Table) storeSummary(s Summary) {
 	t.version++
-	t.summaries[s.DataCentre] = &summaryEntry{Summary: s, changedVersion: t.version}
+	e := t.summaries[s.DataCentre]
+	if e == nil {
+		e = &summaryEntry{ignored: map[string]bool{}}
+		t.summaries[s.DataCentre] = e
+	}
+	e.Summary, e.changedVersion = s, t.version
 }
 
 // ownSummary describes this instance's data centre from the member list.
@@ -90,13 +103,68 @@
 	}
 }
 
-// MergeSummaries keeps the newer one of each summary in list and the known one.
-func (t *Table) MergeSummaries(list []Summary) {
+// MergeSummaries takes summaries received from the peer at the given address. Each data
+// centre has one source; only as long as none is known, the newest summary wins. An
+// instance that took itself for a first leader may have issued one that looks newer than
+// the true leader's, who never learns of it.
+func (t *Table) MergeSummaries(now time.Duration, from string, list []Summary) {
 	for _, s := range list {
-		if old := t.summaries[s.DataCentre]; old == nil || s.newer(old.Summary) {
+		old := t.summaries[s.DataCentre]
+		source := t.summarySource(now, s.DataCentre)
+		switch {
+		case old == nil:
 			t.storeSummary(s)
+		case s.same(old.Summary):
+		case source == from && source != "", source == "" && s.newer(old.Summary):
+			t.storeSummary(s)
+		default:
+			old.ignored[from] = true
+		}
+	}
+}
+
+// summarySource returns the address from which this instance takes the summary of a data
+// centre: a hub the first leader there, a leader the first other hub, another instance its
+// first leader. It is one of listSources, or "" if there is none, or this instance for the
+// summary that it issues.
+func (t *Table) summarySource(now time.Duration, dataCentre string) string {
+	leaders := t.rolesAt(now).leaders
+	own := t.members[t.self].DataCentre
+	switch {
+	case dataCentre == own:
+		return first(leaders[own])
+	case t.HubRank(now) >= 0:
+		return first(leaders[dataCentre])
+	case t.IsLeader(now):
+		return firstOther(t.Hubs(now), t.self)
+	}
+	return firstOther(leaders[own], t.self)
+}
+
+// takeIgnoredSources returns the sources of summaries that sent a different one before they
+// were the source, and forgets that they did.
+func (t *Table) takeIgnoredSources(now time.Duration) (out []string) {
+	for _, dc := range sortedKeys(t.summaries) {
+		source, e := t.summarySource(now, dc), t.summaries[dc]
+		if e.ignored[source] {
+			delete(e.ignored, source)
+			out = append(out, source)
+		}
+	}
+	return out
+}
+
+// first returns the first address of a list, or "".
+func first(list []string) string { return firstOther(list, "") }
+
+// firstOther returns the first address of a list that is not self, or "".
+func firstOther(list []string, self string) string {
+	for _, a := range list {
+		if a != self {
+			return a
 		}
 	}
+	return ""
 }
 
 // summariesSince returns the summaries that changed after a version.
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -131,7 +131,7 @@
 	now := f.opt.Now()
 	f.table.UpdateMember(now, reply.Info, reply.State)
 	f.table.MergeMembers(now, reply.Members, reply.Info.DataCentre)
-	f.table.MergeSummaries(reply.Summaries)
+	f.table.MergeSummaries(now, from, reply.Summaries)
 	if f.memberVersions[from] == args.Members { // else the whole list is due by now
 		f.memberVersions[from] = reply.Version
 	}
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -63,7 +63,7 @@
 	for i := 10; i < 30; i++ {
 		table.UpdateMember(now, infoIn("otavalo", i, 100), State{Ready: true})
 	}
-	table.MergeSummaries([]Summary{{DataCentre: "otavalo", Sequence: 1, Live: 20, Usable: []string{"10.0.0.10:2", "10.0.0.11:2"}}})
+	table.MergeSummaries(time.Second, "", []Summary{{DataCentre: "otavalo", Sequence: 1, Live: 20, Usable: []string{"10.0.0.10:2", "10.0.0.11:2"}}})
 	for end := now + 2*foreignTimeout; now < end; now += HeartbeatInterval {
 		table.ReceiveHeartbeat(now, info(2).Address, 1, State{Ready: true})
 		for i := 10; i < 10+leaderCount; i++ {
@@ -84,34 +84,82 @@
 func TestNewestSummaryWins(t *testing.T) {
 	table := tableWith(time.Second, 1)
 	next, old := Summary{DataCentre: "otavalo", Sequence: 7, Live: 3}, Summary{DataCentre: "otavalo", Sequence: 6, Live: 9}
-	table.MergeSummaries([]Summary{next})
-	table.MergeSummaries([]Summary{old})
+	table.MergeSummaries(time.Second, "", []Summary{next})
+	table.MergeSummaries(time.Second, "", []Summary{old})
 	if s := table.summaries["otavalo"]; s.Live != 3 {
 		t.Errorf("an older summary replaced a newer one: %+v", s)
 	}
 	for _, first := range []int{0, 1} {
 		both := []Summary{{DataCentre: "yeka", Sequence: 5, Issuer: "10.0.0.2:1", Live: 4}, {DataCentre: "yeka", Sequence: 5, Issuer: "10.0.0.3:1", Live: 6}}
 		other := tableWith(time.Second, 1)
-		other.MergeSummaries(both[first : first+1])
-		other.MergeSummaries(both)
+		other.MergeSummaries(time.Second, "", both[first:first+1])
+		other.MergeSummaries(time.Second, "", both)
 		if s := other.summaries["yeka"]; s.Live != 6 {
 			t.Errorf("of two summaries with the same number, the one of %s is kept if it comes first", s.Issuer)
 		}
 	}
-	table.MergeSummaries([]Summary{{DataCentre: "ibarra", Sequence: 40, Live: 9}})
+	table.MergeSummaries(time.Second, "", []Summary{{DataCentre: "ibarra", Sequence: 40, Live: 9}})
 	table.Tick(2 * time.Second)
 	if s := table.summaries["ibarra"]; s.Sequence <= 40 || s.Live != 1 {
 		t.Errorf("the first leader's summary %+v does not replace that of its predecessor", s)
 	}
 }
 
+// The summary of an instance that took itself for the first leader for a moment must not
+// outlive the true leader's, which has the same number.
+func TestSummaryOfWrongLeaderIsReplaced(t *testing.T) {
+	now := time.Second
+	wrong := Summary{DataCentre: "otavalo", Sequence: 2, Issuer: "10.0.0.29:1", Live: 2}
+	right := Summary{DataCentre: "otavalo", Sequence: 2, Issuer: "10.0.0.20:1", Live: 6}
+	member := tableWith(now, 9, 1, 2)
+	hub := tableWith(now, 1, 2)
+	hub.UpdateMember(now, infoIn("otavalo", 20, 0), State{Ready: true})
+	leader := tableWith(now, 24, 25)
+	leader.UpdateMember(now, infoIn("yeka", 18, 0), State{Ready: true})
+	leader.UpdateMember(now, infoIn("yeka", 19, 0), State{Ready: true})
+	for _, c := range []struct {
+		table  *Table
+		source string
+	}{
+		{member, "10.0.0.1:1"}, {hub, "10.0.0.20:1"}, {leader, "10.0.0.18:1"},
+	} {
+		c.table.MergeSummaries(now, "10.0.0.77:1", []Summary{wrong})
+		c.table.MergeSummaries(now, c.source, []Summary{right})
+		c.table.MergeSummaries(now, "10.0.0.77:1", []Summary{wrong})
+		if got := c.table.summaries["otavalo"].Live; got != right.Live {
+			t.Errorf("%s holds the summary with %d live instances, want %d", c.table.self, got, right.Live)
+		}
+	}
+}
+
+// A summary that was ignored must be requested again once its sender is the source.
+func TestIgnoredSummaryIsRequestedFromItsSource(t *testing.T) {
+	now := time.Second
+	table := tableWith(now, 9)
+	table.UpdateMember(now, infoIn("otavalo", 20, 0), State{Ready: true}) // a hub takes it from there
+	table.MergeSummaries(now, "10.0.0.20:1", []Summary{{DataCentre: "otavalo", Sequence: 1, Issuer: "10.0.0.20:1", Live: 1}})
+	table.MergeSummaries(now, "10.0.0.1:1", []Summary{{DataCentre: "otavalo", Sequence: 2, Issuer: "10.0.0.20:1", Live: 6}})
+	if got := table.takeIgnoredSources(now); len(got) > 0 {
+		t.Errorf("%v are no sources yet", got)
+	}
+	for _, leader := range []int{1, 2} { // now it is an ordinary instance
+		table.UpdateMember(now, info(leader), State{Ready: true})
+	}
+	if got := table.takeIgnoredSources(now); len(got) != 1 || got[0] != "10.0.0.1:1" {
+		t.Errorf("requested again from %v, want the first leader", got)
+	}
+	if got := table.takeIgnoredSources(now); len(got) > 0 {
+		t.Errorf("requested twice from %v", got)
+	}
+}
+
 // A hub must report a data centre as empty once all its leaders are silent, so
 // that lookups no longer return its addresses.
 func TestUnreachableDataCentreIsReportedEmpty(t *testing.T) {
 	now := time.Second
 	table := tableWith(now, 1)
 	table.UpdateMember(now, infoIn("otavalo", 20, 0), State{Ready: true})
-	table.MergeSummaries([]Summary{{DataCentre: "otavalo", Sequence: 1, Live: 9, Usable: []string{"10.0.0.20:2"}}})
+	table.MergeSummaries(time.Second, "", []Summary{{DataCentre: "otavalo", Sequence: 1, Live: 9, Usable: []string{"10.0.0.20:2"}}})
 	for end := now + 3*memberTimeout; now < end; now += HeartbeatInterval {
 		table.Tick(now)
 	}
