Fetch a change from a leader beside a fetch from another instance

Cause, from a trace of its syncs: it fetched the change from an ordinary instance of its data centre that was as busy and did not answer. For 250 ms that kept it from fetching from another peer; the heartbeat of its leader came in that time, and the next one 400 ms later was too late.

Change: a fetch in flight holds up one from a carrier only if it is from a carrier too. TestSilentPeersHoldUpNoChange, with an ordinary instance of the data centre among the silent ones, failed before ("1 instances lack a change after 300ms").

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -209,7 +209,7 @@
 	if newer && f.behindSince == 0 {
 		f.behindSince = now
 	}
-	fetch := newer && f.shouldFetchFrom(now, from) && !f.fetching(now)
+	fetch := newer && f.shouldFetchFrom(now, from) && !f.fetching(now, from)
 	membersChanged := b.Members > f.memberVersions[from] && slices.Contains(f.listSources, from)
 	if fetch || membersChanged || isReply && (!known || b.Flags&flagInfoMissing != 0) {
 		f.enqueueSync(now, from)
--- a/fleet/simulatedfleet_test.go
+++ b/fleet/simulatedfleet_test.go
@@ -228,13 +228,13 @@
 	}
 }
 
-// Two peers that do not answer held both sync workers, and the sync with the leader that
-// brings a change waited behind them.
+// Peers that do not answer held all sync workers, and the sync with the leader that brings a
+// change waited behind them, also behind one with an ordinary instance of the data centre.
 func TestSilentPeersHoldUpNoChange(t *testing.T) {
 	const limit = stallTimeout / 2
 	s := newSimulation(30, 1)
 	s.startAll(60)
-	in, silent := s.instances[29], s.instances[25:29] // in other data centres
+	in, silent := s.instances[29], s.instances[24:29]
 	for _, peer := range silent {
 		peer.frozen = s.Now + 5*time.Second
 	}
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -65,11 +65,12 @@
 	return slices.Contains(f.table.carriers(now), address)
 }
 
-// fetching reports whether a sync with a peer that may bring a newer copy was
-// begun lately.
-func (f *Fleet) fetching(now time.Duration) bool {
+// fetching reports whether a sync that may bring what the peer has was begun lately. One
+// with an ordinary instance holds up none with a carrier.
+func (f *Fleet) fetching(now time.Duration, peer string) bool {
+	carrier := f.isCarrier(now, peer)
 	for from, at := range f.syncing {
-		if now-at < syncHedgeDelay && f.shouldFetchFrom(now, from) {
+		if now-at < syncHedgeDelay && f.shouldFetchFrom(now, from) && (!carrier || f.isCarrier(now, from)) {
 			return true
 		}
 	}
