Let a new leader read its old copy at once

Cause, from a trace of the reads: the leaders froze just after a read of the store, before their heartbeats told of it, so the copies of all others grew old 0.4 s earlier after the freeze than otherwise. The instances next in rank were not leaders yet at that moment. They drew a random wait like all others, and kept to it after they had become leaders 0.1 s later; half of the fleet read the store meanwhile.

Change: an instance for which no wait applies any more reads at once.

--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -152,8 +152,9 @@
 	case r.age(now) < r.maxAge:
 		r.staleReadAt = 0
 		return callNone, r.maxAge - r.age(now)
-	case r.staleReadAt == 0:
-		r.staleReadAt = now + r.staleWait(s, jitter)
+	}
+	if wait := r.staleWait(s, jitter); r.staleReadAt == 0 || wait == 0 {
+		r.staleReadAt = now + wait
 	}
 	if now < r.staleReadAt {
 		return callNone, r.staleReadAt - now
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -329,6 +329,21 @@
 	}
 }
 
+// An instance that became a leader while it waited with its old copy went on waiting, and the
+// others read the store before it could bring them a newer one.
+func TestNewLeaderEndsItsWait(t *testing.T) {
+	r := reader{maxAge: defaultMaxCopyAge}
+	r.confirm(0)
+	s := readState{rank: -1, hasCopy: true, live: 471}
+	if got, _ := r.due(defaultMaxCopyAge, s, 0.5); got != callNone {
+		t.Fatalf("call %d, want a wait for peers", got)
+	}
+	s.leader = true
+	if got, wait := r.due(defaultMaxCopyAge+time.Millisecond, s, 0.5); got != callWatch {
+		t.Errorf("call %d, wait %v: a leader does not wait", got, wait)
+	}
+}
+
 // While the store answers, the copy of an instance that is not a hub must not
 // become as old as the time in which a change must be in force, even if no peer
 // confirms it.
