Enforce the configuration's header and idle timeouts

Seen: `headerTimeoutMs` and `idleTimeoutMs` of the operators' limits had no effect: fixed timeouts of 10 s and 30 s stood in their place.

Cause: the HTTP server's timeouts are read without synchronisation while it runs, so they could only be set once. The connection limiter knows each connection and its state, so it now sets the read deadlines: at the change of state, and again for idle connections when the timeouts change. The time for a body starts at the end of the header, as before 10 s; it was 10 s for header and body together.

Ruled out: wrapping callers' connections to rewrite the server's deadlines (it would have to guess which of the server's waits a deadline is for).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,6 +116,7 @@
 		quarantine: lockedQuarantine{table: quarantine.New()},
 		rng:        rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
+	g.callers.SetTimeouts(defaultTimeouts)
 	g.SetLimits(opt.Limits)
 	return g
 }
@@ -131,6 +132,7 @@
 	if g.snapshot.Swap(snap) == nil {
 		close(g.configured)
 	}
+	g.callers.SetTimeouts(callerTimeouts(t.Limits))
 	g.evidence.retain(upstreams)
 	g.probeBudget.setCounts(len(snap.byKey), 0)
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -12,22 +12,51 @@
 	"github.com/catkinrouter/catkinrouter/internal/connlimit"
 	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 	"github.com/catkinrouter/catkinrouter/quarantine"
+	"github.com/catkinrouter/catkinrouter/route"
 )
 
 // Limits of callers' connections.
 const (
-	// maxHeader is above the header sizes that operators allow callers.
-	maxHeader = 20 << 10 // bytes
+	// headerBuffer holds the header of a request.
+	headerBuffer = 20 << 10 // bytes
+	// MaxHeaderBytes is the largest limit of header bytes that operators may set; the rest
+	// of the buffer is for the method and the line ends.
+	MaxHeaderBytes = headerBuffer - 128
 	// maxAuxiliaryBody limits the body of a lookup or readiness check, which is not used.
 	maxAuxiliaryBody = 4 << 10 // bytes
 	// writeTimeout limits the time that a caller takes to read its response.
 	writeTimeout = 30 * time.Second
-	// readTimeout limits the time to read a request, idleTimeout the wait for
-	// the next one. Both are above the values that operators set.
-	readTimeout = 10 * time.Second
-	idleTimeout = 30 * time.Second
+	// bodyTimeout limits the time from the end of a request's header to that of its body.
+	bodyTimeout = 10 * time.Second
+	// auxiliaryTimeout limits the time to read a lookup or readiness check, and the wait
+	// for the next one.
+	auxiliaryTimeout = 10 * time.Second
 )
 
+// minCallerTimeout is the shortest timeout that takes effect: under it, a caller could hardly
+// use its connection.
+const minCallerTimeout = 100 * time.Millisecond
+
+// defaultTimeouts are in force until the operators set theirs.
+var defaultTimeouts = connlimit.Timeouts{Idle: 30 * time.Second, Header: 10 * time.Second}
+
+// callerTimeouts returns the timeouts of callers' connections under the operators' limits.
+func callerTimeouts(l route.Limits) connlimit.Timeouts {
+	t := defaultTimeouts
+	if l.IdleTimeout > 0 {
+		t.Idle = max(minCallerTimeout, l.IdleTimeout)
+	}
+	if l.HeaderTimeout > 0 {
+		t.Header = max(minCallerTimeout, l.HeaderTimeout)
+	}
+	return t
+}
+
+// setBodyTimeout is called with the header of each request.
+func setBodyTimeout(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout}
+}
+
 // Listeners are the bound listeners of a Gateway.
 type Listeners struct{ Data, Ready, Lookup net.Listener }
 
@@ -61,9 +90,9 @@
 // closes the listeners.
 func (g *Gateway) Run(ctx context.Context, lns *Listeners, stopLimit time.Duration) error {
 	dataServer := &fasthttp.Server{
-		Handler: g.handle, ErrorHandler: g.handleReadError, ReadBufferSize: maxHeader,
+		Handler: g.handle, ErrorHandler: g.handleReadError, ReadBufferSize: headerBuffer,
 		StreamRequestBody: true, MaxRequestBodySize: prefetchedBody,
-		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
+		HeaderReceived: setBodyTimeout, WriteTimeout: writeTimeout, NoDefaultDate: true, NoDefaultServerHeader: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true, LazyRequestTime: true, Logger: httpserve.DiscardLogger{},
 		ConnState: g.callers.SetState,
 	}
@@ -93,7 +122,7 @@
 // newAuxiliaryServer returns a server of lookups and readiness checks.
 func (g *Gateway) newAuxiliaryServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: g.handleAuxiliary, MaxRequestBodySize: maxAuxiliaryBody, ReadTimeout: readTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: httpserve.DiscardLogger{},
+		Handler: g.handleAuxiliary, MaxRequestBodySize: maxAuxiliaryBody, ReadTimeout: auxiliaryTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: httpserve.DiscardLogger{},
 	}
 }
 
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -219,6 +220,81 @@
 	}
 }
 
+// state returns what has become of c after a while: "open", or what it received until its end.
+func state(t *testing.T, c net.Conn, wait time.Duration) string {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return "open"
+	}
+	return string(got)
+}
+
+// The operators' timeouts held for no caller: fixed ones stood in their place.
+func TestTimeouts(t *testing.T) {
+	const short, long = 50 * time.Millisecond, time.Minute
+	for _, c := range []struct {
+		name     string
+		timeouts Timeouts
+		sent     string // after one whole request
+		want     string // the beginning of what is received
+	}{
+		{"an idle connection is closed without a word", Timeouts{Idle: short, Header: long}, "", ""},
+		{"an idle connection stays open", Timeouts{Idle: long, Header: short}, "", "open"},
+		{"a slow header ends", Timeouts{Idle: long, Header: short}, "GET / HTTP/1.1\r\nHost:", "HTTP/1.1 4"},
+		{"a slow header goes on", Timeouts{Idle: short, Header: long}, "GET / HTTP/1.1\r\nHost:", "open"},
+	} {
+		s := newSite(t, 0)
+		s.limiter.SetTimeouts(c.timeouts)
+		conn := s.dial()
+		if got := call(conn, "/"); got != 200 {
+			t.Fatalf("%s: status %d", c.name, got)
+		}
+		if _, err := io.WriteString(conn, c.sent); err != nil {
+			t.Fatal(err)
+		}
+		wait := 10 * short
+		if c.want != "open" {
+			wait = 5 * time.Second
+		}
+		if got := state(t, conn, wait); got != c.want && (c.want == "" || !strings.HasPrefix(got, c.want)) {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// A new idle timeout must hold for connections that are idle already.
+func TestNewIdleTimeoutHoldsForIdleConnections(t *testing.T) {
+	s := newSite(t, 0)
+	s.limiter.SetTimeouts(Timeouts{Idle: time.Minute})
+	shorter := s.dial()
+	if got := call(shorter, "/"); got != 200 {
+		t.Fatalf("status %d", got)
+	}
+	time.Sleep(stateDelay)
+	s.limiter.SetTimeouts(Timeouts{Idle: 50 * time.Millisecond})
+	if got := state(t, shorter, 5*time.Second); got != "" {
+		t.Errorf("with a shorter timeout: %q", got)
+	}
+	s.limiter.SetTimeouts(Timeouts{Idle: 300 * time.Millisecond})
+	longer := s.dial()
+	if got := call(longer, "/"); got != 200 {
+		t.Fatalf("status %d", got)
+	}
+	time.Sleep(stateDelay)
+	s.limiter.SetTimeouts(Timeouts{Idle: time.Minute})
+	if got := state(t, longer, 600*time.Millisecond); got != "open" {
+		t.Errorf("with a longer timeout: %q", got)
+	}
+	if got := call(longer, "/"); got != 200 {
+		t.Errorf("status %d", got)
+	}
+}
+
 // A server that is told of no end of a connection would reject all at some time.
 func TestEndedConnectionsAreForgotten(t *testing.T) {
 	s := newSite(t, 20)
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -26,9 +26,26 @@
 	rejectionBuffer = 16 << 10 // bytes
 )
 
+// Timeouts bound how long a connection waits for a request; 0 sets no bound.
+type Timeouts struct {
+	// Idle is the time until the first byte of a request.
+	Idle time.Duration
+	// Header is the time from that byte to the end of the request's header.
+	Header time.Duration
+}
+
+// of returns the timeout of a connection in the given state.
+func (t Timeouts) of(state fasthttp.ConnState) time.Duration {
+	if state == fasthttp.StateActive {
+		return t.Header
+	}
+	return t.Idle
+}
+
 // Limiter bounds the open connections of an HTTP server. At the bound, the connections
 // that have been idle longest are closed for new ones; while none is idle, new ones are
-// rejected. It is safe for concurrent use.
+// rejected. It also sets their read deadlines, so the server must have neither a
+// ReadTimeout nor an IdleTimeout. It is safe for concurrent use.
 type Limiter struct {
 	max      int
 	response func() []byte
@@ -38,8 +55,9 @@
 
 	count atomic.Int64 // of open, less ending
 
-	mu   sync.Mutex
-	open map[net.Conn]*connState
+	mu       sync.Mutex
+	timeouts Timeouts
+	open     map[net.Conn]*connState
 	// ending is the number of open connections that have expired.
 	ending int
 }
@@ -52,6 +70,11 @@
 	expired bool
 }
 
+// waits reports whether the connection waits for a request.
+func (st *connState) waits() bool {
+	return st.ConnState == fasthttp.StateIdle || st.ConnState == fasthttp.StateNew
+}
+
 // NewLimiter returns a Limiter for at most max connections; 0 sets no bound. A rejected one
 // gets the bytes that response returns. It counts in connections_idle_closed_total.NAME
 // and connections_rejected_total.NAME.
@@ -79,10 +102,38 @@
 	*st = connState{ConnState: state, since: time.Now()}
 	if state == fasthttp.StateClosed || state == fasthttp.StateHijacked {
 		delete(l.open, c)
+	} else {
+		l.setDeadline(c, st)
 	}
 	l.updateCount()
 }
 
+// SetTimeouts sets the timeouts. They also hold for connections that are idle now.
+func (l *Limiter) SetTimeouts(t Timeouts) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timeouts == t {
+		return
+	}
+	l.timeouts = t
+	for c, st := range l.open {
+		if st.waits() && !st.expired {
+			l.setDeadline(c, st)
+		}
+	}
+}
+
+// setDeadline sets the read deadline of a connection by its state. The caller holds the
+// lock, so that it does not replace the deadline of a later state.
+func (l *Limiter) setDeadline(c net.Conn, st *connState) {
+	var deadline time.Time
+	if d := l.timeouts.of(st.ConnState); d > 0 {
+		deadline = st.since.Add(d)
+	}
+	// An error means that the connection is closed, which the server sees itself.
+	_ = c.SetReadDeadline(deadline)
+}
+
 // updateCount sets the number of connections that stay open. The caller holds the lock.
 func (l *Limiter) updateCount() { l.count.Store(int64(len(l.open) - l.ending)) }
 
@@ -139,8 +190,8 @@
 func (l *Limiter) longestIdle(n int) []net.Conn {
 	var idle []net.Conn
 	for c, st := range l.open {
-		waits := st.ConnState == fasthttp.StateIdle || st.ConnState == fasthttp.StateNew && time.Since(st.since) >= newGrace
-		if waits && !st.expired {
+		isFresh := st.ConnState == fasthttp.StateNew && time.Since(st.since) < newGrace
+		if st.waits() && !isFresh && !st.expired {
 			idle = append(idle, c)
 		}
 	}
