Bound callers' connections of an entry, and let its timeouts be set

Seen: catkin-entry held any number of callers' connections, with 48 KB and up to 64 KB of a body each, until it ran out of descriptors or memory; its timeouts were fixed.

Cause: the bound and the timeouts came to catkin-node only.

Change: the same connection limiter and memory budget, from the limit of open files and the machine's memory unless `max_callers` and `memory` are set; `header_timeout` and `idle_timeout`. A rejected request is `not-run` only if the part that was read shows that it has no key: with one, an earlier try may have run. The reading of the descriptors' limit moves to package connlimit, where both use it.

Not done: a budget for the replies that an entry reads whole (hedges; up to 64 MB each).

--- a/gateway/crowd_test.go
+++ b/gateway/crowd_test.go
@@ -75,8 +75,8 @@
 // of them and large requests together took the process over its memory.
 func TestIdleConnectionsTakeTheMemorySetAsideForThem(t *testing.T) {
 	const (
-		idle    = 500
-		limit   = memoryFactor * idle * connectionBytes
+		idle  = 500
+		limit = memoryFactor * idle * connectionBytes
 	)
 	u := newSink(t, "u")
 	tg := newTestGateway(t)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -137,7 +137,7 @@
 
 // rejection returns the response to a connection beyond the limit. None of its requests
 // has run.
-func rejection() []byte {
+func rejection([]byte) []byte {
 	const reason = "too-many-connections\n"
 	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n"+
 		"Retry-After: %s\r\nContent-Length: %d\r\n\r\n%s", formatRetryAfter(0), len(reason), reason)
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -99,7 +99,7 @@
 func newSite(t *testing.T, max int) *site {
 	t.Helper()
 	registry := gometrics.NewRegistry()
-	response := func() []byte {
+	response := func([]byte) []byte {
 		return []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 	}
 	s := &site{t: t, limiter: NewLimiter(Options{Name: "test", Max: max, Response: response}, registry), release: make(chan struct{})}
--- a/node/descriptors.go
+++ b/internal/connlimit/descriptors.go
@@ -1,8 +1,9 @@
-package node
+package connlimit
 
 import (
 	"syscall"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 )
 
@@ -17,9 +18,9 @@
 	minCallers = 16
 )
 
-// maxCallers returns how many connections of callers an instance with so many descriptors
+// MaxCallers returns how many connections of callers a process with so many descriptors
 // may hold, so that some are left for all else; 0 if the number is not known.
-func maxCallers(descriptors int) int {
+func MaxCallers(descriptors int) int {
 	if descriptors <= 0 {
 		return 0
 	}
@@ -27,20 +28,19 @@
 	return max(minCallers, left/descriptorsPerCall)
 }
 
-// descriptors returns the number of descriptors that the process may open: that of the
-// settings, or the operating system's limit if that is lower.
-func (n *Node) descriptors() int {
-	set := n.settings.MaxDescriptors
+// Descriptors returns the number of descriptors that the process may open: that of the
+// settings, 0 if they have none, or the operating system's limit if that is lower.
+func Descriptors(set int, l log.Logger) int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		level.Warn(n.log).Log("msg", "limit of descriptors not read", "err", err)
+		level.Warn(l).Log("msg", "limit of descriptors not read", "err", err)
 		return set
 	}
 	if set > 0 && limit.Cur >= uint64(set) {
 		return set
 	}
 	if set > 0 {
-		level.Warn(n.log).Log("msg", "fewer descriptors than the settings say", "settings", set, "limit", limit.Cur,
+		level.Warn(l).Log("msg", "fewer descriptors than the settings say", "settings", set, "limit", limit.Cur,
 			"remedy", "raise the limit of open files (ulimit -n)")
 	}
 	return int(min(limit.Cur, 1<<30))
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -35,8 +35,8 @@
 	Name string
 	// Max is the most open connections; 0 sets no bound.
 	Max int
-	// Response returns what a rejected connection gets.
-	Response func() []byte
+	// Response returns what a rejected connection gets, of which the given bytes were read.
+	Response func(request []byte) []byte
 	// ConnectionBytes is the memory that a connection takes from Memory, which may be nil.
 	ConnectionBytes int64
 	Memory          *membudget.Budget
@@ -188,7 +188,7 @@
 	l.rejections <- struct{}{}
 	go func() {
 		defer func() { <-l.rejections }()
-		reject(c, l.opt.Response())
+		reject(c, l.opt.Response)
 	}()
 	return false
 }
@@ -234,16 +234,17 @@
 
 // reject sends a response in place of serving c and closes it. It reads what has arrived of
 // the request: a close with unread bytes would discard the response.
-func reject(c net.Conn, response []byte) {
+func reject(c net.Conn, response func(request []byte) []byte) {
 	defer c.Close()
 	if c.SetDeadline(time.Now().Add(rejectionTimeout)) != nil {
 		return
 	}
 	buf := make([]byte, rejectionBuffer)
-	if _, err := c.Read(buf); err != nil {
+	n, err := c.Read(buf)
+	if err != nil {
 		return
 	}
-	if _, err := c.Write(response); err != nil {
+	if _, err := c.Write(response(buf[:n])); err != nil {
 		return
 	}
 	if t, ok := c.(*net.TCPConn); ok && t.CloseWrite() == nil {
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -13,6 +13,10 @@
 	"github.com/catkinrouter/catkinrouter/entry"
 )
 
+// bodyTimeout bounds the time from the end of a request's headers in which the first part
+// of its body arrives.
+const bodyTimeout = 30 * time.Second
+
 // streamThreshold is the size above which bodies are streamed, in bytes.
 // Smaller ones are held in memory as a whole, so that they can be sent again.
 const streamThreshold = 64 << 10
@@ -62,9 +66,9 @@
 // without waiting for more of the body.
 func (s *Server) headerReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if n := h.ContentLength(); n > 0 && n > s.maxBody(string(serviceOf(h.Host()))) {
-		return fasthttp.RequestConfig{MaxRequestBodySize: 1}
+		return fasthttp.RequestConfig{MaxRequestBodySize: 1, ReadTimeout: bodyTimeout}
 	}
-	return fasthttp.RequestConfig{}
+	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout}
 }
 
 // setEmptyBody adds "Content-Length: 0" to a POST or PUT request.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -19,7 +19,7 @@
 	} else {
 		s.forward(ctx)
 	}
-	if s.currentPhase() >= closing {
+	if s.currentPhase() >= closing || s.callers.Crowded() {
 		ctx.SetConnectionClose()
 	}
 }
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -30,6 +30,7 @@
 	reasonBodyTruncated   attempt.Reason = "body-cut"
 	reasonRequestTimeout  attempt.Reason = "request-timeout"
 	reasonStopping        attempt.Reason = "stopping"
+	reasonTooManyCallers  attempt.Reason = "too-many-connections"
 )
 
 // Refusal is the body of an answer that does not come from an upstream.
@@ -87,6 +88,7 @@
 	reasonBodyTruncated:   {fasthttp.StatusBadRequest, "send the whole body"},
 	reasonRequestTimeout:  {fasthttp.StatusRequestTimeout, "send the whole request sooner"},
 	reasonStopping:        {fasthttp.StatusServiceUnavailable, "ask another entry for addresses"},
+	reasonTooManyCallers:  {fasthttp.StatusServiceUnavailable, "come back later, or ask another entry for addresses"},
 }
 
 // nodeStatuses holds the Node's reasons with a status other than the default
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -35,6 +35,7 @@
 	registry gometrics.Registry
 	m        *counters
 	pool     *pool
+	callers  *connlimit.Limiter
 	d        *dispatcher
 	prober   *prober
 
@@ -56,7 +57,7 @@
 	incarnation := rand.Uint64()
 	r := gometrics.NewRegistry()
 	m := newCounters(r)
-	s := &Server{cfg: cfg, log: l, started: time.Now(), registry: r, m: m, pool: newPool(m)}
+	s := &Server{cfg: cfg, log: l, started: time.Now(), registry: r, m: m, pool: newPool(m), callers: newCallerLimiter(&cfg, l, r)}
 	s.times = stopTimes{staleLookups: locate.StaleLookupLimit, margin: stopMargin, grace: closeGrace, limit: cfg.StopTimeout.D()}
 	s.d = &dispatcher{
 		now: s.now, background: s.runBackground, calls: map[uint64]*call{}, rng: rand.New(rand.NewPCG(incarnation, 2)),
@@ -89,7 +90,9 @@
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	g, failed := errgroup.WithContext(workCtx)
-	g.Go(func() error { return srv.Serve(s.retrying(lns.data, "callers")) })
+	g.Go(func() error {
+		return srv.Serve(connlimit.NewListener(lns.data, "callers", s.callers, s.log, s.registry))
+	})
 	g.Go(ls.serve)
 	g.Go(func() error {
 		return httpserve.IgnoreClosed(metrics.ServeJSON(s.retrying(lns.metrics, "metrics"), s.registry))
@@ -157,22 +160,13 @@
 	return &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleReadError,
 		ReadBufferSize: s.cfg.MaxHeader, StreamRequestBody: true, MaxRequestBodySize: streamThreshold,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ExpectHandler: s.expectContinue, HeaderReceived: s.headerReceived,
+		ExpectHandler: s.expectContinue, HeaderReceived: s.headerReceived, ConnState: s.callers.SetState,
 		NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, LazyRequestTime: true,
 		CloseOnShutdown: true, Logger: httpserve.DiscardLogger{},
 	}
 }
 
-const (
-	// readTimeout bounds the time in which a request's headers and the first
-	// part of its body arrive.
-	readTimeout = 30 * time.Second
-	// idleTimeout is how long a caller's connection may stay idle between
-	// requests.
-	idleTimeout = 90 * time.Second
-)
-
 func (s *Server) now() time.Duration { return time.Since(s.started) }
 
 func (s *Server) tick(ctx context.Context) error {
--- a/proxy/settings.go
+++ b/proxy/settings.go
@@ -27,6 +27,16 @@
 	// MaxBody limits every request's body, in bytes, in addition to the
 	// limits of the services; 67108864 by default.
 	MaxBody int `json:"max_body"`
+	// HeaderTimeout limits the time from the first byte of a request to the end of its
+	// headers, 30s by default; IdleTimeout the wait for that byte, 90s by default.
+	HeaderTimeout config.Duration `json:"header_timeout"`
+	IdleTimeout   config.Duration `json:"idle_timeout"`
+	// MaxCallers limits the open connections of callers; by default it follows from the
+	// process's limit of open files.
+	MaxCallers int `json:"max_callers"`
+	// Memory is the memory of the process in bytes, of which callers' connections take a
+	// part at most; half of the machine's by default.
+	Memory int64 `json:"memory"`
 	// StopTimeout limits the duration of a planned stop; 60s by default.
 	StopTimeout config.Duration `json:"stop_timeout"`
 }
@@ -36,6 +46,9 @@
 	DefaultMaxHeader   = 8 << 10  // bytes
 	DefaultMaxBody     = 64 << 20 // bytes
 	DefaultStopTimeout = 60 * time.Second
+	// The time in which a request's headers arrive, and between two requests.
+	DefaultHeaderTimeout = 30 * time.Second
+	DefaultIdleTimeout   = 90 * time.Second
 )
 
 // Check sets defaults and returns every error, joined.
@@ -46,8 +59,13 @@
 	if s.MaxBody == 0 {
 		s.MaxBody = DefaultMaxBody
 	}
-	if s.StopTimeout == 0 {
-		s.StopTimeout = config.Duration(DefaultStopTimeout)
+	for _, d := range []struct {
+		value  *config.Duration
+		preset time.Duration
+	}{{&s.StopTimeout, DefaultStopTimeout}, {&s.HeaderTimeout, DefaultHeaderTimeout}, {&s.IdleTimeout, DefaultIdleTimeout}} {
+		if *d.value == 0 {
+			*d.value = config.Duration(d.preset)
+		}
 	}
 	return errors.Join(
 		checkBounds(s),
@@ -68,8 +86,19 @@
 	if s.MaxBody < 0 {
 		errs = append(errs, fmt.Errorf("key \"max_body\": %d is below 0: set the limit in bytes, or leave it out", s.MaxBody))
 	}
-	if s.StopTimeout < 0 {
-		errs = append(errs, fmt.Errorf("key \"stop_timeout\": %v is below 0: write it like \"60s\", or leave it out", s.StopTimeout.D()))
+	for _, d := range []struct {
+		key   string
+		value config.Duration
+	}{{"stop_timeout", s.StopTimeout}, {"header_timeout", s.HeaderTimeout}, {"idle_timeout", s.IdleTimeout}} {
+		if d.value < 0 {
+			errs = append(errs, fmt.Errorf("key %q: %v is below 0: write it like \"60s\", or leave it out", d.key, d.value.D()))
+		}
+	}
+	if s.MaxCallers < 0 {
+		errs = append(errs, fmt.Errorf("key \"max_callers\": %d is below 0: set the number of connections, or leave it out", s.MaxCallers))
+	}
+	if s.Memory < 0 {
+		errs = append(errs, fmt.Errorf("key \"memory\": %d is below 0: set the memory of the process in bytes, or leave it out", s.Memory))
 	}
 	return errors.Join(errs...)
 }
--- a/proxy/testsite_test.go
+++ b/proxy/testsite_test.go
@@ -45,9 +45,16 @@
 
 // newTestSite starts a Server with one service that has the given upstreams.
 func newTestSite(t testing.TB, rules config.Rules, upstreams ...string) *testSite {
+	t.Helper()
+	return newTestSiteWith(t, rules, Settings{}, upstreams...)
+}
+
+// newTestSiteWith starts a Server with some settings of the test.
+func newTestSiteWith(t testing.TB, rules config.Rules, cfg Settings, upstreams ...string) *testSite {
 	t.Helper()
 	lns := &listeners{data: listenTest(t), link: listenTest(t), metrics: listenTest(t)}
-	cfg := Settings{ID: "instance-1", DataCentre: "quito-centro", Address: lns.data.Addr().String(), LinkAddress: lns.link.Addr().String(), MetricsAddress: lns.metrics.Addr().String()}
+	cfg.ID, cfg.DataCentre = "instance-1", "quito-centro"
+	cfg.Address, cfg.LinkAddress, cfg.MetricsAddress = lns.data.Addr().String(), lns.link.Addr().String(), lns.metrics.Addr().String()
 	if err := cfg.Check(); err != nil {
 		t.Fatal(err)
 	}
