Show the problems of a configuration with catkinctl

Seen: an operator who had written an odd row learnt of it only from instances' logs or metrics.

Change: `catkinctl status -store IP:PORT` reads the configuration from the platform's store, as `catkinctl quarantine` reads its list, with the decoder of the instances, and prints each field that can't be read as written with what is done instead. TestStatusShowsProblemsOfTheConfiguration. The list of commands that an unknown one is told lacked quarantine.

--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -196,9 +196,14 @@
 }
 
 func (c *command) status(args []string) error {
-	if err := c.parseNoArgs(c.flags("status"), args); err != nil {
+	fs := c.flags("status")
+	address := storeFlag(fs)
+	if err := c.parseNoArgs(fs, args); err != nil {
 		return err
 	}
+	if *address != "" {
+		return c.storeStatus(*address)
+	}
 	var s operator.Status
 	if err := c.call(operator.StatusPath, nil, &s); err != nil {
 		return err
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -46,7 +46,10 @@
                         plan -f reads
   history               show the newest commits
   diff FROM [TO]        show what changed between two revisions
-  status                show instances, upstreams, shares and counters
+  status [-store IP:PORT]
+                        show instances, upstreams, shares and counters; on a
+                        platform, with -store: the configuration and what of it
+                        the instances can't read as written
   explain REQUEST [FILE...]
                         print the log lines of one request in order of time,
                         from instances' logs or standard input
@@ -115,7 +118,7 @@
 	case name == "":
 		return usageError("no command: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain, quarantine; -h shows more")
 	case f == nil:
-		return usageError(fmt.Sprintf("unknown command %q: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain", name))
+		return usageError(fmt.Sprintf("unknown command %q: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain, quarantine", name))
 	}
 	return f(args[1:])
 }
--- a/ctl/quarantine.go
+++ b/ctl/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -17,17 +16,18 @@
 // upstreams, or lifts the quarantine of one.
 func (c *command) quarantine(args []string) error {
 	fs := c.flags("quarantine")
-	address := fs.String("store", "", "address of the platform's store, IP and port")
+	address := storeFlag(fs)
 	rest, err := c.parse(fs, args)
 	if err != nil {
 		return err
 	}
-	if _, err := netip.ParseAddrPort(*address); err != nil {
-		return usageError(fmt.Sprintf("-store %q is not an IP address and port: write it like 127.0.0.1:8541", *address))
+	client, err := newStore(*address)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	l := quarantineList{store: platform.NewStore(*address), key: platform.Keys().Quarantine}
+	l := quarantineList{store: client, key: platform.Keys().Quarantine}
 	if err := l.read(ctx); err != nil {
 		return err
 	}
