--- a/ctl/storestatus_test.go
+++ b/ctl/storestatus_test.go
@@ -23,10 +23,10 @@
 	if _, errs := run(ExitFault, "status", "-store", address); !strings.Contains(errs, "write a configuration") {
 		t.Errorf("without a configuration: %q", errs)
 	}
-	kv.Put(platform.Keys().Configuration, []byte(`{"version":7,"routes":{"columns":["name","host","prefix","service","timeoutMs"],"rows":[["r1","h1","/a/","s1",500],["r2","h1","/b/","s1","soon"]]},
+	kv.Put(platform.Keys().Configuration, []byte(`{"version":7,"routes":{"columns":["name","host","prefix","service","routeKind","timeoutMs","priority"],"rows":[["r1","h1","/a/","s1","safe",500,1],["r2","h1","/b/","s1","safe",500,"high"]]},
 		"services":{"columns":["name"],"rows":[["s1"]]},"limits":{"maxHeaderBytes":1e9}}`))
 	out, _ := run(ExitOK, "status", "-store", address)
-	for _, want := range []string{"version 7", "2 routes, 1 services, 2 problems", "r2", "timeoutMs", "maxHeaderBytes", "taken as"} {
+	for _, want := range []string{"version 7", "2 routes, 1 services, 2 problems", "r2", "priority", "maxHeaderBytes", "taken as"} {
 		if !strings.Contains(out, want) {
 			t.Errorf("status lacks %q:\n%s", want, out)
 		}
