Count a failed read of the store after a peer's confirmation

Cause, from a trace of the reads: a hub's read failed right after the store went away. Then the other hub, whose last read had ended some milliseconds later, confirmed the copy. Whether the store is lacking was judged by the first failure since the last success, which is older than that confirmation, so none of the failures that followed counted. Neither hub told the others that the store is away, and 441 of them read it within 0.2 s once their copies were old.

Change: the last failure counts, as long as nothing has confirmed the copy since. TestFailureAfterConfirmationCounts failed before. TestFailedReadEndsWithConfirmation, the fault for which the comparison was made, passes as it is.

--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -66,6 +66,8 @@
 	// failingSince is when the first read failed after the last successful
 	// one; 0 for none.
 	failingSince time.Duration
+	// failedAt is when the last read failed; 0 if it succeeded.
+	failedAt time.Duration
 	// blindSince is when the instance declared itself blind; 0 if it is not.
 	blindSince time.Duration
 	// retryAt is the earliest time of the next read.
@@ -196,16 +198,17 @@
 }
 
 // failing reports whether this instance's last read failed and nothing has confirmed
-// the copy since it began to fail.
-func (r *reader) failing() bool { return r.failingSince > 0 && r.failingSince >= r.confirmedAt }
+// the copy since.
+func (r *reader) failing() bool { return r.failedAt > 0 && r.failedAt >= r.confirmedAt }
 
 // callDone records the result of a store call of this instance. A failed call is
 // retried after hubRetry or memberRetry, plus jitter (0 to 1) times as much.
 func (r *reader) callDone(now time.Duration, rank int, ok bool, jitter float64) {
 	if ok {
-		r.failingSince, r.blindSince, r.retryAt = 0, 0, 0
+		r.failingSince, r.failedAt, r.blindSince, r.retryAt = 0, 0, 0, 0
 		return
 	}
+	r.failedAt = now
 	if r.failingSince == 0 {
 		r.failingSince = now
 	}
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -392,6 +392,22 @@
 	}
 }
 
+// A read that failed just before peers confirmed the copy hid all later failures: in an outage
+// of the store no instance was told that it is away, and nearly all of a fleet read it.
+func TestFailureAfterConfirmationCounts(t *testing.T) {
+	var r reader
+	r.confirm(time.Second)
+	r.callDone(1100*time.Millisecond, 0, false, 0)
+	r.confirm(1200 * time.Millisecond) // by a peer whose last read ended later
+	if r.failing() {
+		t.Error("the confirmation does not end the failure before it")
+	}
+	r.callDone(1700*time.Millisecond, 0, false, 0)
+	if !r.failing() {
+		t.Error("the failure after the confirmation does not count")
+	}
+}
+
 func TestReaderBlind(t *testing.T) {
 	var r reader
 	r.confirm(time.Second)
