Accept peers' connections by the common listener

The peers' listener had its own loop for failed accepts, with a fixed pause, a log line for each failure and no counter, while all others use package connlimit. It now uses that too: growing pauses, one line a period, accept_errors_total{kind="peers"}. The time for a body is set only for requests that have one.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	gometrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
@@ -103,6 +104,8 @@
 	Log    log.Logger
 	// Guard runs what peers' messages and the store's answers cause.
 	Guard panics.Guard
+	// Metrics counts the peer connections that could not be accepted.
+	Metrics gometrics.Registry
 	// OnStoreCall is called with the outcome of each call to the store.
 	OnStoreCall func(outcome string)
 }
@@ -161,6 +164,9 @@
 	if opt.MaxCopyAge == 0 {
 		opt.MaxCopyAge = defaultMaxCopyAge
 	}
+	if opt.Metrics == nil {
+		opt.Metrics = gometrics.NewRegistry()
+	}
 	if opt.Jitter == nil {
 		opt.Jitter = rand.Float64
 	}
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/rpc"
 	"time"
 
-	"github.com/go-kit/log/level"
-
+	"github.com/catkinrouter/catkinrouter/internal/connlimit"
+	"github.com/catkinrouter/catkinrouter/internal/httpserve"
 	"github.com/catkinrouter/catkinrouter/mirror"
 	"github.com/catkinrouter/catkinrouter/store"
 )
@@ -88,25 +87,17 @@
 	return f.setDelta(reply, f.copy.Since(args.Revision))
 }
 
-// acceptRetryDelay is the pause after a failed accept.
-const acceptRetryDelay = 50 * time.Millisecond
-
 // serve accepts peer connections until ln is closed.
 func (f *Fleet) serve(ctx context.Context, ln net.Listener) error {
 	s := rpc.NewServer()
 	if err := s.Register(&Peer{f}); err != nil {
 		return err
 	}
+	ln = connlimit.NewListener(ln, "peers", nil, f.opt.Log, f.opt.Metrics)
 	for {
 		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
 		if err != nil {
-			// Such as too few file descriptors: the other connections go on.
-			level.Warn(f.opt.Log).Log("msg", "peer connection not accepted", "err", err)
-			time.Sleep(acceptRetryDelay)
-			continue
+			return httpserve.IgnoreClosed(err)
 		}
 		go func() {
 			defer context.AfterFunc(ctx, func() { conn.Close() })()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -55,8 +55,12 @@
 	return t
 }
 
-// setBodyTimeout is called with the header of each request.
-func setBodyTimeout(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+// setBodyTimeout is called with the header of each request. It sets the time for the body, if
+// there is one.
+func setBodyTimeout(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if h.ContentLength() == 0 {
+		return fasthttp.RequestConfig{}
+	}
 	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout}
 }
 
