Drain one upstream before the other registers in the test of odd entries

TestOddEntryHarmsNoOther failed once ("status 200, i-a": a request at the upstream that is draining). Traced with times: 2 of 216 runs of its cases beside each other fail, with calls 85 and 191 ms after the draining entry was written. The instances gather changes for 200 ms, so an instance may know of the second upstream and not yet that the first one is draining; the test took its first answer from the second one as the sign for both. A draining upstream may get requests for 2 s.

The test now writes the draining entry first: whoever knows of the second upstream knows of it too, as an older change. What it checks afterwards is the same: 20 requests to each instance, of which none may reach the first upstream or the odd one. 18 runs of all cases, six beside each other: passed.

--- a/node/oddentry_test.go
+++ b/node/oddentry_test.go
@@ -39,8 +39,8 @@
 				text = fmt.Sprintf(text, odd.addr)
 			}
 			s.kv.Put("servers/"+name, []byte(text))
-			b.register(s.kv, "tienda", "ready", 1)
 			a.register(s.kv, "tienda", "draining", 2)
+			b.register(s.kv, "tienda", "ready", 1) // who knows of it knows that the other is draining
 			s.waitAll("/x/1", 200, "i-b")
 			s.list = append(s.list, s.start(2)) // one that reads the entry at its start
 			s.waitAll("/x/1", 200, "i-b")
