Take no load report with numbers out of all proportion

Cause: the sum of running and waiting overflows; numbers of a report had no bound.

Change: a report with a number above 1,000,000 does not count, as one that can't be parsed; the backoff after a full report is 10 s at most. The same bound for the report that catkin-entry reads, where a large number of slots did the same.

--- a/pick/evidence.go
+++ b/pick/evidence.go
@@ -53,6 +53,8 @@
 	// noAnswerBackoff applies after a probe without an answer, which most
 	// likely waits for a slot itself.
 	noAnswerBackoff = 50 * time.Millisecond
+	// MaxProbeBackoff bounds the backoff: no report takes an upstream out for longer.
+	MaxProbeBackoff = 10 * time.Second
 )
 
 // RecordReport records a load report and sets the probe backoff. If room is
@@ -63,7 +65,8 @@
 	e.backoffUntil = 0
 	if !room {
 		n := max(1, r.ahead(0)-r.Slots+1)
-		e.backoffUntil = now + time.Duration(fullBackoffFactor*float64(n)/float64(max(1, r.Slots))*float64(serviceTime))
+		wait := fullBackoffFactor * float64(n) / float64(max(1, r.Slots)) * float64(serviceTime)
+		e.backoffUntil = now + time.Duration(min(wait, float64(MaxProbeBackoff)))
 	}
 	if slow {
 		e.backoffUntil = max(e.backoffUntil, now+slowBackoff)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -245,6 +245,9 @@
 	return 0
 }
 
+// maxLoadNumber is the largest number in a load report that counts.
+const maxLoadNumber = 1_000_000
+
 // parseLoad parses a load report such as "3/6", the requests in progress and
 // the slots. It returns nil if s is malformed.
 func parseLoad(s string) *balance.Load {
@@ -254,7 +257,7 @@
 	}
 	working, err1 := strconv.Atoi(a)
 	slots, err2 := strconv.Atoi(b)
-	if err1 != nil || err2 != nil || working < 0 || slots < 1 {
+	if err1 != nil || err2 != nil || working < 0 || slots < 1 || max(working, slots) > maxLoadNumber {
 		return nil
 	}
 	return &balance.Load{Outstanding: working, Slots: slots}
--- a/proxy/exchange_test.go
+++ b/proxy/exchange_test.go
@@ -7,9 +7,11 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/attempt"
+	"github.com/catkinrouter/catkinrouter/balance"
 	"github.com/catkinrouter/catkinrouter/config"
 	"github.com/catkinrouter/catkinrouter/headers"
 
@@ -241,3 +243,16 @@
 		}
 	}
 }
+
+// A load report with numbers out of all proportion must not count.
+func TestParseLoad(t *testing.T) {
+	for text, want := range map[string]*balance.Load{
+		"3/6": {Outstanding: 3, Slots: 6}, "0/1": {Slots: 1},
+		"9223372036854775807/6": nil, "1/9223372036854775807": nil, "1000001/6": nil,
+		"": nil, "3": nil, "-1/6": nil, "1/0": nil, "a/b": nil, "1/6/7": nil,
+	} {
+		if diff := cmp.Diff(want, parseLoad(text)); diff != "" {
+			t.Errorf("%q: %s", text, diff)
+		}
+	}
+}
