Let a deadline beyond all measure be none

Seen (by reading the places that take numbers from outside): a request whose deadline header says 9,223,372,036,855 ms or more got 504 at once; callers who mean "no deadline" may send such a number.

Cause: the conversion to nanoseconds overflows to a negative time.

Change: only a deadline shorter than the route's timeout counts, which is compared in milliseconds. TestEndlessDeadlineIsNone failed before. Other numbers from outside, checked by reading: Keep-Alive (an overflow only closes the connection sooner), Retry-After, epochs, rates and entries of upstreams have bounds.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -102,8 +102,9 @@
 	svc, _ := snap.table.Service(name)
 	svc.Name = name
 	timeout := r.Timeout
-	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(g.proto.Deadline))); err == nil && ms > 0 {
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(g.proto.Deadline)), 10, 64)
+	if err == nil && ms > 0 && ms <= timeout.Milliseconds() {
+		timeout = time.Duration(ms) * time.Millisecond
 	}
 	c := &call{
 		g: g, ctx: ctx, id: id, version: snap.table.Version, route: r, service: svc,
--- a/gateway/outcome_test.go
+++ b/gateway/outcome_test.go
@@ -286,3 +286,24 @@
 		t.Error("the request was sent with too little time left")
 	}
 }
+
+// A deadline beyond all measure, as a caller without one may send, overflowed, and the request
+// timed out at once.
+func TestEndlessDeadlineIsNone(t *testing.T) {
+	u := newStub(t, "u", answerOK)
+	tg := newTestGateway(t)
+	tg.configure(5*time.Second, u)
+	for _, ms := range []string{"9223372036854775807", "9223372036855", "99999999999999999999", "86400000"} {
+		c, err := net.Dial("tcp4", tg.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprintf(c, "GET /clue/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: d-%s\r\nDeadline-Ms: %s\r\n\r\n", testHost, ms, ms)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%s ms: response %v, error %v", ms, resp, err)
+		}
+	}
+}
