--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -380,3 +380,32 @@
 		}
 	}
 }
+
+// An instance that had just learnt who its leader is waited for the leader's next heartbeat
+// before it fetched the copy that the last one had told of.
+func TestCopyIsFetchedOnceTheLeaderIsKnown(t *testing.T) {
+	leader := info(1)
+	f := New(Options{
+		Self: info(9), Seeds: []string{leader.Address}, Now: func() time.Duration { return time.Second }, Log: log.NewNopLogger(), OnStoreCall: func(string) {},
+	}, nil, &recordingListener{values: map[string]string{}})
+	f.namedLeaders = []string{leader.Address}
+	for i := range 2 { // so that this instance is no leader itself
+		f.table.UpdateMember(time.Second, info(2+i), State{Ready: true})
+	}
+	f.handleHeartbeat(leader.Address, heartbeat{Format: heartbeatFormat, Flags: flagReply, Incarnation: leader.Incarnation, Revision: 10})
+	for _, membersOnly := range []bool{true, false} {
+		select {
+		case <-f.syncs[carrierSyncs]:
+		default:
+			t.Fatalf("no sync queued, want one with members only %v", membersOnly)
+		}
+		args := f.syncArgs(leader.Address)
+		if args.MembersOnly != membersOnly {
+			t.Fatalf("members only %v, want %v", args.MembersOnly, membersOnly)
+		}
+		f.handleSyncReply(leader.Address, &args, time.Second, &SyncReply{Info: leader, State: State{Ready: true}, Version: 1}, nil)
+	}
+	if n := len(f.syncs[carrierSyncs]); n > 0 {
+		t.Errorf("%d further syncs queued", n)
+	}
+}
