--- a/proxy/callers_test.go
+++ b/proxy/callers_test.go
@@ -26,6 +26,8 @@
 		running.Add(1)
 		<-release
 	}))
+	free := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(free) // else a failed test waits for its upstream
 	var served []*caller
 	for range most {
 		c := site.dial()
@@ -48,7 +50,7 @@
 			t.Errorf("%s: status %d, %s, body %+v", tc.name, resp.StatusCode(), &resp.Header, body)
 		}
 	}
-	close(release)
+	free()
 	for _, c := range served {
 		if resp := c.read(); resp.StatusCode() != 200 {
 			t.Errorf("a served caller got status %d", resp.StatusCode())
