Take no reply whose status line HTTP does not allow

What callers saw: an upstream in trouble answered with status 000, signed, and the caller got its bytes as a success with status 200. Found besides: a reply with status 099 was skipped as an interim one and what stood in its body became the answer; statuses 600 and 999, versions 2.0 and 1.9, control bytes in the reason phrase and a blank line before the status line passed as well.

Cause: what counts as a reply was left to the HTTP library, which takes any three digits as a status and keeps none apart from status 0: it reports 200 for it. So the fault is not one of gateway, but of all who read replies. Shown by a stand-in that sends 25 such replies (internal/httpreply/replytest).

Change: package internal/httpreply checks the status line byte by byte before the library reads the head: version 1.0 or 1.1, one space, a status of 100 to 599, a phrase without control bytes. Gateway and proxy read heads by it; the clients of the library read from a connection that checks them. A request that isn't idempotent then ends as unknown (502), an idempotent one goes to another upstream.

Why it works: nothing reaches the library before it is checked, also in pieces, behind interim replies and on a connection in use again (tests of the package). Bytes that can't begin a reply fail at once, where before they waited for the end of a line until the deadline.

Ruled out: a check of the parsed header, since the library does not tell status 0 from 200.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinrouter/catkinrouter/internal/httpreply"
 	"github.com/catkinrouter/catkinrouter/operator"
 )
 
@@ -57,7 +58,10 @@
 	req.SetRequestURI("http://" + c.agent + path)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(b)
-	client := fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	client := fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		Dial:                      func(a string) (net.Conn, error) { return httpreply.Dial(a, callTimeout) },
+	}
 	defer client.CloseIdleConnections()
 	if err := client.DoTimeout(req, resp, callTimeout); err != nil {
 		var op *net.OpError
--- /dev/null
+++ b/ctl/malformedreply_test.go
@@ -0,0 +1,24 @@
+package ctl_test
+
+import (
+	"testing"
+
+	"github.com/catkinrouter/catkinrouter/ctl"
+	"github.com/catkinrouter/catkinrouter/internal/httpreply/replytest"
+)
+
+// An answer with a status line that HTTP does not allow, such as status 000, counted as the
+// agent's confirmation.
+func TestMalformedStatusLineConfirmsNothing(t *testing.T) { testMalformed(t, replytest.StatusLines) }
+
+// testMalformed checks that no malformed answer counts as an agent's.
+func testMalformed(t *testing.T, cases []replytest.Case) {
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			a := &agent{t: t, addr: replytest.Answer(t, c)}
+			if code, out, errs := a.run("confirm", "p1"); code != ctl.ExitIndefinite {
+				t.Errorf("exit code %d, output %q, errors %q; want %d", code, out, errs, ctl.ExitIndefinite)
+			}
+		})
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/internal/httpreply"
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
 )
 
@@ -105,7 +106,7 @@
 // connection.
 func readHead(c *conn, resp *fasthttp.Response) error {
 	resp.Reset()
-	if err := resp.Header.Read(c.r); err != nil {
+	if err := httpreply.ReadHead(c.r, &resp.Header); err != nil {
 		return unexpectedEOF(err)
 	}
 	if resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
--- /dev/null
+++ b/gateway/malformedreply_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/internal/httpreply/replytest"
+)
+
+// malformed answers with the bytes of a case, signed and with the request's ID.
+func malformed(c replytest.Case) behaviour {
+	return func(s *stub, cn net.Conn, r *http.Request, _ string) bool {
+		_, err := io.WriteString(cn, c.Raw("Request-Id: "+s.run(r), "Signature: s"))
+		return err == nil && !c.Closes
+	}
+}
+
+// An upstream answered with a status line that HTTP does not allow, such as status 000, and
+// the caller got it as an answer.
+func TestMalformedStatusLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.StatusLines) }
+
+// testMalformed checks that no malformed reply reaches a caller, that requests that are not
+// idempotent end as unknown, and that idempotent ones are answered by another upstream.
+func testMalformed(t *testing.T, cases []replytest.Case) {
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			bad, good := newStub(t, "bad", malformed(c)), newStub(t, "good", answerOK)
+			tg := newTestGateway(t)
+			tg.configure(time.Second, bad)
+			r, id := tg.purchaseUntilRun(bad)
+			if r.err != nil || r.status != http.StatusBadGateway || r.header.Get("Signature") != "" {
+				t.Errorf("purchase: status %d, body %q, header %v, error %v; want 502", r.status, r.body, r.header, r.err)
+			}
+			if n := bad.runCount(id); n != 1 {
+				t.Errorf("the purchase ran %d times", n)
+			}
+			tg.configure(time.Second, bad, good)
+			for _, id := range []string{"clue-1", "clue-2", "clue-3"} {
+				if r := tg.call("GET", "/clue/1", id, ""); r.err != nil || r.status != http.StatusOK || r.body != "answer to "+id+" " {
+					t.Errorf("%s: status %d, body %q, error %v; want the other upstream's answer", id, r.status, r.body, r.err)
+				}
+			}
+		})
+	}
+}
+
+// A reply that HTTP does not allow counted as a health reply.
+func TestMalformedHealthReply(t *testing.T) {
+	for _, c := range replytest.StatusLines {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			tg := newTestGateway(t)
+			u := &discovery.Upstream{ID: "u", Service: testService, Address: replytest.Answer(t, c, "Upstream-Id: u", "Load: 0,0,6")}
+			if res := tg.g.probe(u, "/health", time.Now().Add(lateProbeTimeout)); res.err == nil {
+				t.Errorf("taken as a reply: %+v", res.report)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/httpreply/replytest/replytest.go
@@ -0,0 +1,101 @@
+// Package replytest holds malformed replies for the tests of all who read replies.
+package replytest
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+)
+
+// Case is a reply that HTTP/1.1 does not allow.
+type Case struct {
+	Name string
+	// raw holds headersMark where the headers stand that the reader expects.
+	raw string
+	// Closes is set if the connection closes after the reply.
+	Closes bool
+}
+
+const headersMark = "{headers}"
+
+// Body is the body of the replies, as far as it can be told.
+const Body = `{"revision":7}`
+
+// rest is what follows the status line in most cases.
+const rest = headersMark + "Content-Length: 14\r\n\r\n" + Body
+
+// wellFormed is a reply that is allowed.
+const wellFormed = "HTTP/1.1 200 OK\r\n" + rest
+
+// Raw returns the reply's bytes with the given header lines.
+func (c Case) Raw(lines ...string) string {
+	headers := ""
+	for _, l := range lines {
+		headers += l + "\r\n"
+	}
+	return strings.ReplaceAll(c.raw, headersMark, headers)
+}
+
+// StatusLines are replies whose status line is not allowed.
+var StatusLines = []Case{
+	{Name: "status 000", raw: "HTTP/1.1 000 OK\r\n" + rest},
+	{Name: "status 000 without a phrase", raw: "HTTP/1.1 000\r\n" + rest},
+	{Name: "status 000 in HTTP/1.0", raw: "HTTP/1.0 000 OK\r\n" + rest},
+	{Name: "status 000 and a reply", raw: "HTTP/1.1 000 OK\r\n\r\n" + wellFormed},
+	{Name: "status 001", raw: "HTTP/1.1 001 OK\r\n" + rest},
+	{Name: "status 099 and a reply", raw: "HTTP/1.1 099 OK\r\n\r\n" + wellFormed},
+	{Name: "status 600", raw: "HTTP/1.1 600 OK\r\n" + rest},
+	{Name: "status 999", raw: "HTTP/1.1 999 OK\r\n" + rest},
+	{Name: "status of two digits", raw: "HTTP/1.1 20 OK\r\n" + rest},
+	{Name: "status of four digits", raw: "HTTP/1.1 2000 OK\r\n" + rest},
+	{Name: "negative status", raw: "HTTP/1.1 -20 OK\r\n" + rest},
+	{Name: "status with a letter", raw: "HTTP/1.1 20O OK\r\n" + rest},
+	{Name: "no status", raw: "HTTP/1.1\r\n" + rest},
+	{Name: "two spaces before the status", raw: "HTTP/1.1  200 OK\r\n" + rest},
+	{Name: "tab before the status", raw: "HTTP/1.1\t200 OK\r\n" + rest},
+	{Name: "tab after the status", raw: "HTTP/1.1 200\tOK\r\n" + rest},
+	{Name: "version 2.0", raw: "HTTP/2.0 200 OK\r\n" + rest},
+	{Name: "version 1.9", raw: "HTTP/1.9 200 OK\r\n" + rest},
+	{Name: "version 1.10", raw: "HTTP/1.10 200 OK\r\n" + rest},
+	{Name: "version in lower case", raw: "http/1.1 200 OK\r\n" + rest},
+	{Name: "control byte in the phrase", raw: "HTTP/1.1 200 O\x00K\r\n" + rest},
+	{Name: "carriage return in the phrase", raw: "HTTP/1.1 200 OK\rX-Note: a\r\n" + rest},
+	{Name: "blank line before the status line", raw: "\r\n" + wellFormed},
+	{Name: "space before the status line", raw: " " + wellFormed},
+	{Name: "bytes without an end of a line", raw: "\x00\x01\x02 no reply"},
+}
+
+// Answer starts a server that answers each read of a connection with a case's bytes, and
+// returns its address.
+func Answer(t testing.TB, c Case, lines ...string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go answer(nc, c, c.Raw(lines...))
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func answer(nc net.Conn, c Case, raw string) {
+	defer nc.Close()
+	request := make([]byte, 64<<10)
+	for {
+		if _, err := nc.Read(request); err != nil {
+			return
+		}
+		if _, err := io.WriteString(nc, raw); err != nil || c.Closes {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/load/malformedreply_test.go
@@ -0,0 +1,29 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"github.com/catkinrouter/catkinrouter/headers"
+	"github.com/catkinrouter/catkinrouter/internal/httpreply/replytest"
+)
+
+// A response with a status line that HTTP does not allow, such as status 000, counted as an
+// answer.
+func TestMalformedStatusLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.StatusLines) }
+
+// testMalformed checks that no malformed response counts as an answer.
+func testMalformed(t *testing.T, cases []replytest.Case) {
+	r := NewRunner(&Scenario{Callers: 1})
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			address := replytest.Answer(t, c, headers.Outcome+": answered")
+			var out callResult
+			r.callers(Variant{}, nil)[0].try(&CallMix{Service: "tienda", Path: "/", Method: "GET"}, "call-1", 100*time.Millisecond, address, &out)
+			if out.outcome != "" || out.reason != "connection" {
+				t.Errorf("outcome %q, reason %q; want no response", out.outcome, out.reason)
+			}
+		})
+	}
+}
--- a/load/run.go
+++ b/load/run.go
@@ -5,11 +5,13 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinrouter/catkinrouter/internal/httpreply"
 	"github.com/catkinrouter/catkinrouter/standin"
 )
 
@@ -88,10 +90,16 @@
 	return fetchCounts(r.scenario.Control)
 }
 
+// dialTimeout limits the time in which a caller connects.
+const dialTimeout = 3 * time.Second
+
 // callers returns the callers of a run. They share one client, which never
 // retries by itself: only the caller counts and repeats tries.
 func (r *Runner) callers(v Variant, ups []standin.UpstreamCounts) []*caller {
-	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxConnsPerHost: maxConns}
+	client := &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxConnsPerHost: maxConns,
+		Dial: func(a string) (net.Conn, error) { return httpreply.Dial(a, dialTimeout) },
+	}
 	entries := r.scenario.Entries
 	if len(v.Entries) > 0 {
 		entries = v.Entries
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/catkinrouter/catkinrouter/balance"
 	"github.com/catkinrouter/catkinrouter/entry"
 	"github.com/catkinrouter/catkinrouter/headers"
+	"github.com/catkinrouter/catkinrouter/internal/httpreply"
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
 	"github.com/catkinrouter/catkinrouter/notice"
 )
@@ -183,7 +184,7 @@
 // of replies to earlier requests.
 func readHeader(c *conn, resp *fasthttp.Response) error {
 	for range maxSkipped {
-		if err := resp.Header.Read(c.r); err != nil {
+		if err := httpreply.ReadHead(c.r, &resp.Header); err != nil {
 			return err
 		}
 		switch code := resp.StatusCode(); {
--- /dev/null
+++ b/proxy/malformedreply_test.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/attempt"
+	"github.com/catkinrouter/catkinrouter/entry"
+	"github.com/catkinrouter/catkinrouter/headers"
+	"github.com/catkinrouter/catkinrouter/internal/httpreply/replytest"
+)
+
+// An upstream answered with a status line that HTTP does not allow, such as status 000, and
+// the caller got it as an answer.
+func TestMalformedStatusLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.StatusLines) }
+
+// testMalformed checks that no malformed reply reaches a caller, and that the call ends as
+// unknown.
+func testMalformed(t *testing.T, cases []replytest.Case) {
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			var runs atomic.Int32
+			site := newTestSite(t, noRules, startRawUpstream(t, func(int, *fasthttp.Request) (string, bool) {
+				runs.Add(1)
+				return c.Raw(), true
+			}))
+			resp := site.roundTrip(rawRequest("POST /buy", "", "Content-Length: 0"))
+			if header(resp, headers.Outcome) != "unknown" || header(resp, headers.Reason) != string(attempt.ReasonUnkeyedLost) {
+				t.Error(resp.String())
+			}
+			if runs.Load() != 1 {
+				t.Errorf("ran %d times", runs.Load())
+			}
+		})
+	}
+}
+
+// A reply that HTTP does not allow counted as the reply to a probe.
+func TestMalformedReplyToProbe(t *testing.T) {
+	for _, c := range replytest.StatusLines {
+		t.Run(c.Name, func(t *testing.T) {
+			cn := newConn(dialTest(t, replytest.Answer(t, c, headers.Load+": 0/6")), "")
+			var resp fasthttp.Response
+			if err := cn.get(&entry.Step{Service: testService}, &resp, testTimeout/10); err == nil {
+				t.Errorf("taken as a reply: %s", resp.String())
+			}
+		})
+	}
+}
+
+func dialTest(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
--- a/store/list.go
+++ b/store/list.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/internal/httpreply"
 )
 
 // ListPath is the URL path of the platform's list of instances.
@@ -35,6 +38,7 @@
 func NewListClient(address string) *ListClient {
 	return &ListClient{url: "http://" + address + ListPath, http: &fasthttp.Client{
 		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxListBytes,
+		Dial: func(a string) (net.Conn, error) { return httpreply.Dial(a, listTimeout) },
 	}}
 }
 
