Take no reply with a header whose name HTTP does not allow

What callers saw: an upstream in trouble answered with a blank in the name of a header. The caller got it as a success: with that line ("X Note: a"), or with a body that was not the upstream's ("Transfer Encoding: chunked" and a closed connection: the bytes of the chunks as the body).

Cause: the same as of the status lines: the HTTP library takes names with spaces, strips those before the colon, and reads the body by what is left. Shown by 20 such replies of the stand-in (replytest.FieldNames).

Handled before, and kept as tests: the cases with a control byte in the name (tab, NUL, escape, vertical tab, DEL, carriage return, line feed), and those with no name or no colon, ended as unknown (502) already.

Change: internal/httpreply checks each line of the head: a name of token bytes (RFC 9110, 5.6.2) and a colon behind it. A space before the colon is refused as well: RFC 9112 (5.1) lets a proxy remove it, but then the caller gets another head than the upstream's, framed by a header that other readers of the same bytes don't see.

Why it works: each name that the library is given has passed the check, in interim replies too.

--- a/ctl/malformedreply_test.go
+++ b/ctl/malformedreply_test.go
@@ -11,6 +11,9 @@
 // agent's confirmation.
 func TestMalformedStatusLineConfirmsNothing(t *testing.T) { testMalformed(t, replytest.StatusLines) }
 
+// An answer with a blank in the name of a header counted as the agent's confirmation.
+func TestMalformedFieldNameConfirmsNothing(t *testing.T) { testMalformed(t, replytest.FieldNames) }
+
 // testMalformed checks that no malformed answer counts as an agent's.
 func testMalformed(t *testing.T, cases []replytest.Case) {
 	for _, c := range cases {
--- a/gateway/malformedreply_test.go
+++ b/gateway/malformedreply_test.go
@@ -23,6 +23,10 @@
 // the caller got it as an answer.
 func TestMalformedStatusLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.StatusLines) }
 
+// An upstream answered with a blank in the name of a header, and the caller got it as an
+// answer: with that line, or with another body than the upstream's.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) { testMalformed(t, replytest.FieldNames) }
+
 // testMalformed checks that no malformed reply reaches a caller, that requests that are not
 // idempotent end as unknown, and that idempotent ones are answered by another upstream.
 func testMalformed(t *testing.T, cases []replytest.Case) {
@@ -51,7 +55,7 @@
 
 // A reply that HTTP does not allow counted as a health reply.
 func TestMalformedHealthReply(t *testing.T) {
-	for _, c := range replytest.StatusLines {
+	for _, c := range replytest.All() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			tg := newTestGateway(t)
--- a/internal/httpreply/head.go
+++ b/internal/httpreply/head.go
@@ -63,6 +63,8 @@
 			err = c.checkStatusLine(line)
 		case len(line) == 0:
 			return true, nil
+		default:
+			err = checkField(line)
 		}
 		if err != nil {
 			return false, err
@@ -106,6 +108,34 @@
 	return nil
 }
 
+// checkField checks a header line. The library checks the value.
+func checkField(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isToken(name) {
+		return malformed("no valid name of a header", line)
+	}
+	return nil
+}
+
+// isToken reports whether b can be the name of a header.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !tokenBytes[c] {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// tokenBytes holds the bytes of which names of headers are made.
+var tokenBytes = func() (set [256]bool) {
+	const token = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for _, c := range []byte(token) {
+		set[c] = true
+	}
+	return set
+}()
+
 // isText reports whether b holds no control byte except tabs.
 func isText(b []byte) bool {
 	for _, c := range b {
--- a/internal/httpreply/replytest/replytest.go
+++ b/internal/httpreply/replytest/replytest.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -66,6 +67,41 @@
 	{Name: "bytes without an end of a line", raw: "\x00\x01\x02 no reply"},
 }
 
+// FieldNames are replies with a header whose name is not allowed.
+var FieldNames = []Case{
+	{Name: "space in a name", raw: withLine("X Note: a")},
+	{Name: "space before the colon", raw: withLine("X-Note : a")},
+	{Name: "space in Content-Length", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content Length: 3\r\n\r\n" + Body, Closes: true},
+	{Name: "space behind Content-Length", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content-Length : 14\r\n\r\n" + Body},
+	{Name: "space in Transfer-Encoding", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Transfer Encoding: chunked\r\n\r\n" + chunks, Closes: true},
+	{Name: "space behind Transfer-Encoding", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Transfer-Encoding : chunked\r\n\r\n" + chunks},
+	{Name: "tab in a name", raw: withLine("X\tNote: a")},
+	{Name: "tab before the colon", raw: withLine("X-Note\t: a")},
+	{Name: "NUL in a name", raw: withLine("X\x00Note: a")},
+	{Name: "escape in a name", raw: withLine("X\x1bNote: a")},
+	{Name: "vertical tab before a name", raw: withLine("\x0bX-Note: a")},
+	{Name: "DEL in a name", raw: withLine("X\x7fNote: a")},
+	{Name: "carriage return in a name", raw: withLine("X\rNote: a")},
+	{Name: "line feed in a name", raw: withLine("X\nNote: a")},
+	{Name: "slash in a name", raw: withLine("X/Note: a")},
+	{Name: "quotes in a name", raw: withLine("\"X-Note\": a")},
+	{Name: "byte above ASCII in a name", raw: withLine("X-\xd1ote: a")},
+	{Name: "empty name", raw: withLine(": a")},
+	{Name: "no colon", raw: withLine("X-Note")},
+	{Name: "space in a name of an interim reply", raw: "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n" + wellFormed},
+}
+
+// chunks is Body in one chunk.
+const chunks = "e\r\n" + Body + "\r\n0\r\n\r\n"
+
+// withLine returns a reply with a line before the last of its head.
+func withLine(line string) string {
+	return "HTTP/1.1 200 OK\r\n" + headersMark + line + "\r\nContent-Length: 14\r\n\r\n" + Body
+}
+
+// All returns all cases.
+func All() []Case { return slices.Concat(StatusLines, FieldNames) }
+
 // Answer starts a server that answers each read of a connection with a case's bytes, and
 // returns its address.
 func Answer(t testing.TB, c Case, lines ...string) string {
--- a/load/malformedreply_test.go
+++ b/load/malformedreply_test.go
@@ -12,6 +12,9 @@
 // answer.
 func TestMalformedStatusLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.StatusLines) }
 
+// A response with a blank in the name of a header counted as an answer.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) { testMalformed(t, replytest.FieldNames) }
+
 // testMalformed checks that no malformed response counts as an answer.
 func testMalformed(t *testing.T, cases []replytest.Case) {
 	r := NewRunner(&Scenario{Callers: 1})
--- a/proxy/malformedreply_test.go
+++ b/proxy/malformedreply_test.go
@@ -17,6 +17,10 @@
 // the caller got it as an answer.
 func TestMalformedStatusLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.StatusLines) }
 
+// An upstream answered with a blank in the name of a header, and the caller got it as an
+// answer: with that line, or with another body than the upstream's.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) { testMalformed(t, replytest.FieldNames) }
+
 // testMalformed checks that no malformed reply reaches a caller, and that the call ends as
 // unknown.
 func testMalformed(t *testing.T, cases []replytest.Case) {
@@ -40,7 +44,7 @@
 
 // A reply that HTTP does not allow counted as the reply to a probe.
 func TestMalformedReplyToProbe(t *testing.T) {
-	for _, c := range replytest.StatusLines {
+	for _, c := range replytest.All() {
 		t.Run(c.Name, func(t *testing.T) {
 			cn := newConn(dialTest(t, replytest.Answer(t, c, headers.Load+": 0/6")), "")
 			var resp fasthttp.Response
--- a/store/malformedreply_test.go
+++ b/store/malformedreply_test.go
@@ -11,6 +11,9 @@
 // list of instances.
 func TestMalformedStatusLineIsNoList(t *testing.T) { testMalformed(t, replytest.StatusLines) }
 
+// An answer with a blank in the name of a header counted as the list of instances.
+func TestMalformedFieldNameIsNoList(t *testing.T) { testMalformed(t, replytest.FieldNames) }
+
 // testMalformed checks that no malformed answer counts as a list.
 func testMalformed(t *testing.T, cases []replytest.Case) {
 	for _, c := range cases {
