Take no reply with a line that a line feed alone ends

What callers saw: an upstream in trouble ended lines of a reply's head by a line feed alone, and the caller got it as a success. Where the blank line did ("\r\n\n" before the body), the caller got a body with bytes behind it that two readers of the same reply frame differently.

Cause: the same as of the status lines and names: the HTTP library takes such lines, as long as the head ends in two whole line ends somewhere. RFC 9112 (2.2) allows a reader to take them, but only within a reply that is well-formed otherwise; a reply whose lines end as others' do not is one of those that end elsewhere for others too.

Shown by 15 such replies (replytest.Lines).

Control bytes in values the library refuses; internal/httpreply now does too, so that its error names the line.

Change: a line must end by a carriage return and a line feed.

--- a/ctl/malformedreply_test.go
+++ b/ctl/malformedreply_test.go
@@ -14,6 +14,9 @@
 // An answer with a blank in the name of a header counted as the agent's confirmation.
 func TestMalformedFieldNameConfirmsNothing(t *testing.T) { testMalformed(t, replytest.FieldNames) }
 
+// An answer with a folded line counted as the agent's confirmation.
+func TestMalformedLineConfirmsNothing(t *testing.T) { testMalformed(t, replytest.Lines) }
+
 // testMalformed checks that no malformed answer counts as an agent's.
 func testMalformed(t *testing.T, cases []replytest.Case) {
 	for _, c := range cases {
--- a/gateway/malformedreply_test.go
+++ b/gateway/malformedreply_test.go
@@ -27,6 +27,10 @@
 // answer: with that line, or with another body than the upstream's.
 func TestMalformedFieldNameIsNoAnswer(t *testing.T) { testMalformed(t, replytest.FieldNames) }
 
+// An upstream answered with a folded line, or with a line that a line feed alone ended, and
+// the caller got it as an answer: with another signature, or another body than its own.
+func TestMalformedLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Lines) }
+
 // testMalformed checks that no malformed reply reaches a caller, that requests that are not
 // idempotent end as unknown, and that idempotent ones are answered by another upstream.
 func testMalformed(t *testing.T, cases []replytest.Case) {
--- a/internal/httpreply/head.go
+++ b/internal/httpreply/head.go
@@ -57,8 +57,10 @@
 			return false, c.checkStart(line)
 		}
 		c.checked = len(head) - len(rest)
-		line = bytes.TrimSuffix(line, []byte("\r"))
+		line, ok = bytes.CutSuffix(line, []byte("\r"))
 		switch {
+		case !ok:
+			err = malformed("no carriage return before the line feed", line)
 		case c.status == 0:
 			err = c.checkStatusLine(line)
 		case len(line) == 0:
@@ -108,12 +110,15 @@
 	return nil
 }
 
-// checkField checks a header line. The library checks the value.
+// checkField checks a header line.
 func checkField(line []byte) error {
-	name, _, ok := bytes.Cut(line, []byte(":"))
+	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !isToken(name) {
 		return malformed("no valid name of a header", line)
 	}
+	if !isText(value) {
+		return malformed("a control byte", line)
+	}
 	return nil
 }
 
--- a/internal/httpreply/replytest/replytest.go
+++ b/internal/httpreply/replytest/replytest.go
@@ -91,6 +91,25 @@
 	{Name: "space in a name of an interim reply", raw: "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n" + wellFormed},
 }
 
+// Lines are replies whose head has lines that are folded, or that don't end as lines do.
+var Lines = []Case{
+	{Name: "folded header", raw: withLine("X-Note: a\r\n b")},
+	{Name: "folded by a tab", raw: withLine("X-Note: a\r\n\tb")},
+	{Name: "folded signature", raw: withLine(" X-Note: a")},
+	{Name: "folded signature, by a tab", raw: withLine("\tX-Note: a")},
+	{Name: "folded length", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "X-Note: a\r\n Content-Length: 3\r\n\r\n" + Body, Closes: true},
+	{Name: "folded status line", raw: "HTTP/1.1 200 OK\r\n X-Note: a\r\n" + rest},
+	{Name: "folded line of nothing", raw: withLine("X-Note: a\r\n ")},
+	{Name: "line feed ends the status line", raw: "HTTP/1.1 200 OK\n" + rest},
+	{Name: "line feed ends a header", raw: withLine("X-Note: a\nX-More: b")},
+	{Name: "line feed ends the length", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content-Length: 14\nX-Note: a\r\n\r\n" + Body},
+	{Name: "line feeds end all lines", raw: strings.ReplaceAll(wellFormed, "\r\n", "\n")},
+	{Name: "line feed ends the head", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content-Length: 18\r\n\n" + Body + "\r\n\r\n"},
+	{Name: "carriage return in a value", raw: withLine("X-Note: a\rX-More: b")},
+	{Name: "NUL in a value", raw: withLine("X-Note: a\x00")},
+	{Name: "two carriage returns end a header", raw: withLine("X-Note: a\r")},
+}
+
 // chunks is Body in one chunk.
 const chunks = "e\r\n" + Body + "\r\n0\r\n\r\n"
 
@@ -100,7 +119,7 @@
 }
 
 // All returns all cases.
-func All() []Case { return slices.Concat(StatusLines, FieldNames) }
+func All() []Case { return slices.Concat(StatusLines, FieldNames, Lines) }
 
 // Answer starts a server that answers each read of a connection with a case's bytes, and
 // returns its address.
--- a/load/malformedreply_test.go
+++ b/load/malformedreply_test.go
@@ -15,6 +15,9 @@
 // A response with a blank in the name of a header counted as an answer.
 func TestMalformedFieldNameIsNoAnswer(t *testing.T) { testMalformed(t, replytest.FieldNames) }
 
+// A response with a folded line counted as an answer.
+func TestMalformedLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Lines) }
+
 // testMalformed checks that no malformed response counts as an answer.
 func testMalformed(t *testing.T, cases []replytest.Case) {
 	r := NewRunner(&Scenario{Callers: 1})
--- a/proxy/malformedreply_test.go
+++ b/proxy/malformedreply_test.go
@@ -21,6 +21,10 @@
 // answer: with that line, or with another body than the upstream's.
 func TestMalformedFieldNameIsNoAnswer(t *testing.T) { testMalformed(t, replytest.FieldNames) }
 
+// An upstream answered with a folded line, or with a line that a line feed alone ended, and
+// the caller got it as an answer.
+func TestMalformedLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Lines) }
+
 // testMalformed checks that no malformed reply reaches a caller, and that the call ends as
 // unknown.
 func testMalformed(t *testing.T, cases []replytest.Case) {
--- a/store/malformedreply_test.go
+++ b/store/malformedreply_test.go
@@ -14,6 +14,9 @@
 // An answer with a blank in the name of a header counted as the list of instances.
 func TestMalformedFieldNameIsNoList(t *testing.T) { testMalformed(t, replytest.FieldNames) }
 
+// An answer with a folded line counted as the list of instances.
+func TestMalformedLineIsNoList(t *testing.T) { testMalformed(t, replytest.Lines) }
+
 // testMalformed checks that no malformed answer counts as a list.
 func testMalformed(t *testing.T, cases []replytest.Case) {
 	for _, c := range cases {
