Take no reply of HTTP/1.0 with a body in chunks

What callers saw: an upstream answered by HTTP/1.0 with "Transfer-Encoding: chunked", which that version does not know. The caller got the bytes of the chunks, sizes and all, as a whole body with status 200.

Cause: the HTTP library leaves the header out for versions other than 1.1 and reads the body by its length or to the end of the connection. RFC 9112 (6.1): such a message is to be taken as one whose framing is faulty. Found by the stand-in's replies of this class: 2 of 2 failed as answers and as health replies in gateway, 1 of 2 as answer and as reply to a probe in proxy (the other one has no length there, which it refuses), 2 of 2 in three of the library's clients.

Change: the check of heads refuses the header in an HTTP/1.0 reply.

Handled before, and kept as tests: 18 other replies with lengths and chunks that can't be told (signs, lists, two lengths, sizes beyond all numbers, line feeds alone, more bytes than a chunk's size). A length beside chunks stays allowed in HTTP/1.1: there the chunks decide for all readers (RFC 9112, 6.3).

--- a/ctl/malformedreply_test.go
+++ b/ctl/malformedreply_test.go
@@ -17,6 +17,12 @@
 // An answer with a folded line counted as the agent's confirmation.
 func TestMalformedLineConfirmsNothing(t *testing.T) { testMalformed(t, replytest.Lines) }
 
+// An answer by HTTP/1.0 with chunks, or another body whose end can't be told, must not count as
+// an agent's.
+func TestMalformedBodyConfirmsNothing(t *testing.T) {
+	testMalformed(t, append(replytest.OldFramings, replytest.Bodies...))
+}
+
 // testMalformed checks that no malformed answer counts as an agent's.
 func testMalformed(t *testing.T, cases []replytest.Case) {
 	for _, c := range cases {
--- a/gateway/malformedreply_test.go
+++ b/gateway/malformedreply_test.go
@@ -31,6 +31,13 @@
 // the caller got it as an answer: with another signature, or another body than its own.
 func TestMalformedLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Lines) }
 
+// An upstream answered by HTTP/1.0 with a body in chunks, which that version does not know, and
+// the bytes of the chunks reached the caller as the body.
+func TestChunksOfHTTP10AreNoAnswer(t *testing.T) { testMalformed(t, replytest.OldFramings) }
+
+// A body whose end can't be told, by its length or its chunks, must not reach a caller.
+func TestMalformedBodyIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Bodies) }
+
 // testMalformed checks that no malformed reply reaches a caller, that requests that are not
 // idempotent end as unknown, and that idempotent ones are answered by another upstream.
 func testMalformed(t *testing.T, cases []replytest.Case) {
@@ -59,7 +66,7 @@
 
 // A reply that HTTP does not allow counted as a health reply.
 func TestMalformedHealthReply(t *testing.T) {
-	for _, c := range replytest.All() {
+	for _, c := range replytest.Heads() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			tg := newTestGateway(t)
--- a/internal/httpreply/head.go
+++ b/internal/httpreply/head.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 )
 
 // MalformedError reports bytes that are no reply.
@@ -46,6 +47,8 @@
 	checked int
 	// status is the reply's status, 0 before its status line.
 	status int
+	// isHTTP10 is set if the reply's version is HTTP/1.0.
+	isHTTP10 bool
 }
 
 // check checks the lines that head holds as a whole. Head begins with the reply and grows
@@ -66,7 +69,7 @@
 		case len(line) == 0:
 			return true, nil
 		default:
-			err = checkField(line)
+			err = c.checkField(line)
 		}
 		if err != nil {
 			return false, err
@@ -106,12 +109,16 @@
 	if phrase := line[statusLineLength:]; len(phrase) > 0 && phrase[0] != ' ' || !isText(phrase) {
 		return malformed("an invalid reason phrase", line)
 	}
-	c.status = status
+	c.status, c.isHTTP10 = status, line[versionLength-1] == '0'
 	return nil
 }
 
+// transferEncoding is a header that HTTP/1.0 does not know: readers don't agree on the end of
+// a body with it.
+const transferEncoding = "Transfer-Encoding"
+
 // checkField checks a header line.
-func checkField(line []byte) error {
+func (c *headCheck) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !isToken(name) {
 		return malformed("no valid name of a header", line)
@@ -119,6 +126,9 @@
 	if !isText(value) {
 		return malformed("a control byte", line)
 	}
+	if c.isHTTP10 && strings.EqualFold(string(name), transferEncoding) {
+		return malformed("a transfer encoding of an HTTP/1.0 reply", line)
+	}
 	return nil
 }
 
--- a/internal/httpreply/httpreply_test.go
+++ b/internal/httpreply/httpreply_test.go
@@ -48,7 +48,7 @@
 
 // Bytes that are no reply must be told from one that has not arrived as a whole.
 func TestReadHeadOfMalformedReplies(t *testing.T) {
-	for _, c := range replytest.All() {
+	for _, c := range replytest.Heads() {
 		for name, src := range map[string]io.Reader{"at once": strings.NewReader(c.Raw()), "byte by byte": iotest.OneByteReader(strings.NewReader(c.Raw()))} {
 			var h fasthttp.ResponseHeader
 			var malformed *httpreply.MalformedError
@@ -130,7 +130,7 @@
 // A malformed reply, also behind others, must not reach the client of a checked connection.
 func TestConnRefusesMalformedReplies(t *testing.T) {
 	const before = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
-	for _, c := range replytest.All() {
+	for _, c := range replytest.Heads() {
 		for _, split := range []bool{false, true} {
 			for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
 				conn := converse(t, split, before, interim+c.Raw())
--- a/internal/httpreply/replytest/replytest.go
+++ b/internal/httpreply/replytest/replytest.go
@@ -110,6 +110,39 @@
 	{Name: "two carriage returns end a header", raw: withLine("X-Note: a\r")},
 }
 
+// OldFramings are replies of HTTP/1.0 with a body in chunks, which that version does not know.
+var OldFramings = []Case{
+	{Name: "chunks in HTTP/1.0", raw: "HTTP/1.0 200 OK\r\n" + headersMark + "Transfer-Encoding: chunked\r\n\r\n" + chunks, Closes: true},
+	{Name: "chunks and a length in HTTP/1.0", raw: "HTTP/1.0 200 OK\r\n" + headersMark + "transfer-encoding: chunked\r\nContent-Length: 24\r\n\r\n" + chunks, Closes: true},
+}
+
+// Bodies are replies whose body has no end that can be told, by its length or its chunks.
+var Bodies = []Case{
+	{Name: "encoding of no chunks", raw: withLine("Transfer-Encoding: gzip")},
+	{Name: "two encodings", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks},
+	{Name: "list of encodings", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks},
+	{Name: "two lengths", raw: withLine("Content-Length: 3")},
+	{Name: "list of lengths", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content-Length: 14, 14\r\n\r\n" + Body},
+	{Name: "signed length", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content-Length: +14\r\n\r\n" + Body},
+	{Name: "negative length", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content-Length: -1\r\n\r\n" + Body},
+	{Name: "hexadecimal length", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content-Length: 0xe\r\n\r\n" + Body},
+	{Name: "length of nothing", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content-Length: \r\n\r\n" + Body, Closes: true},
+	{Name: "length beyond all numbers", raw: "HTTP/1.1 200 OK\r\n" + headersMark + "Content-Length: 18446744073709551630\r\n\r\n" + Body},
+	{Name: "chunks, signed size", raw: chunked("+e\r\n" + Body + "\r\n0\r\n\r\n")},
+	{Name: "chunks, space before the size", raw: chunked(" e\r\n" + Body + "\r\n0\r\n\r\n")},
+	{Name: "chunks, size of nothing", raw: chunked("\r\n" + Body + "\r\n0\r\n\r\n")},
+	{Name: "chunks, size beyond all numbers", raw: chunked("1000000000000000e\r\n" + Body + "\r\n0\r\n\r\n")},
+	{Name: "chunks, line feed ends the size", raw: chunked("e\n" + Body + "\r\n0\r\n\r\n")},
+	{Name: "chunks, line feed ends the chunk", raw: chunked("e\r\n" + Body + "\n0\r\n\r\n")},
+	{Name: "chunks, line feed ends the last size", raw: chunked("e\r\n" + Body + "\r\n0\n\r\n")},
+	{Name: "chunks, more than the size", raw: chunked("d\r\n" + Body + "\r\n0\r\n\r\n")},
+}
+
+// chunked returns a reply with the given chunks.
+func chunked(chunks string) string {
+	return "HTTP/1.1 200 OK\r\n" + headersMark + "Transfer-Encoding: chunked\r\n\r\n" + chunks
+}
+
 // chunks is Body in one chunk.
 const chunks = "e\r\n" + Body + "\r\n0\r\n\r\n"
 
@@ -118,8 +151,8 @@
 	return "HTTP/1.1 200 OK\r\n" + headersMark + line + "\r\nContent-Length: 14\r\n\r\n" + Body
 }
 
-// All returns all cases.
-func All() []Case { return slices.Concat(StatusLines, FieldNames, Lines) }
+// Heads returns all cases whose head alone is not allowed.
+func Heads() []Case { return slices.Concat(StatusLines, FieldNames, Lines, OldFramings) }
 
 // Answer starts a server that answers each read of a connection with a case's bytes, and
 // returns its address.
--- a/load/malformedreply_test.go
+++ b/load/malformedreply_test.go
@@ -18,6 +18,12 @@
 // A response with a folded line counted as an answer.
 func TestMalformedLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Lines) }
 
+// A response by HTTP/1.0 with chunks, or with another body whose end can't be told, must not
+// count as an answer.
+func TestMalformedBodyIsNoAnswer(t *testing.T) {
+	testMalformed(t, append(replytest.OldFramings, replytest.Bodies...))
+}
+
 // testMalformed checks that no malformed response counts as an answer.
 func testMalformed(t *testing.T, cases []replytest.Case) {
 	r := NewRunner(&Scenario{Callers: 1})
--- a/proxy/malformedreply_test.go
+++ b/proxy/malformedreply_test.go
@@ -25,6 +25,13 @@
 // the caller got it as an answer.
 func TestMalformedLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Lines) }
 
+// An upstream answered by HTTP/1.0 with a body in chunks, which that version does not know, and
+// the bytes of the chunks reached the caller as the body.
+func TestChunksOfHTTP10AreNoAnswer(t *testing.T) { testMalformed(t, replytest.OldFramings) }
+
+// A body whose end can't be told, by its length or its chunks, must not reach a caller.
+func TestMalformedBodyIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Bodies) }
+
 // testMalformed checks that no malformed reply reaches a caller, and that the call ends as
 // unknown.
 func testMalformed(t *testing.T, cases []replytest.Case) {
@@ -48,7 +55,7 @@
 
 // A reply that HTTP does not allow counted as the reply to a probe.
 func TestMalformedReplyToProbe(t *testing.T) {
-	for _, c := range replytest.All() {
+	for _, c := range replytest.Heads() {
 		t.Run(c.Name, func(t *testing.T) {
 			cn := newConn(dialTest(t, replytest.Answer(t, c, headers.Load+": 0/6")), "")
 			var resp fasthttp.Response
--- a/store/malformedreply_test.go
+++ b/store/malformedreply_test.go
@@ -17,6 +17,12 @@
 // An answer with a folded line counted as the list of instances.
 func TestMalformedLineIsNoList(t *testing.T) { testMalformed(t, replytest.Lines) }
 
+// An answer by HTTP/1.0 with chunks, or another body whose end can't be told, must not count as
+// a list.
+func TestMalformedBodyIsNoList(t *testing.T) {
+	testMalformed(t, append(replytest.OldFramings, replytest.Bodies...))
+}
+
 // testMalformed checks that no malformed answer counts as a list.
 func testMalformed(t *testing.T, cases []replytest.Case) {
 	for _, c := range cases {
