Take no reply with a trailer that HTTP does not allow

What callers saw: an upstream answered in chunks, with a blank in the name of a trailer's header. Through catkin-entry the caller got a success whose own head was broken: "Trailer: X Note", which its HTTP library refused. Through catkin-node, which passes no trailers on, it got a success of a reply that was none; with a control byte in the name the same reply ended as unknown.

Cause: the same as of the heads, at the other place where the HTTP library reads header lines. 5 of 9 such replies of the stand-in (replytest.Trailers) passed in gateway, and 5 in proxy: blanks in or behind a name, a folded line, line feeds alone. A large reply that is sent on while it is read ended as complete too (TestTruncatedStream, new case).

Change: httpreply.ReadTrailer checks the lines as ReadHead does. A reply that is sent on while it is read ends without its last chunk, and the caller's connection is closed.

Handled before, and kept as tests: control bytes, a line without a colon, and another reply in the trailer's place.

--- a/gateway/malformedreply_test.go
+++ b/gateway/malformedreply_test.go
@@ -38,6 +38,10 @@
 // A body whose end can't be told, by its length or its chunks, must not reach a caller.
 func TestMalformedBodyIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Bodies) }
 
+// An upstream answered in chunks with a trailer that HTTP does not allow, and the caller got it as
+// an answer.
+func TestMalformedTrailerIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Trailers) }
+
 // testMalformed checks that no malformed reply reaches a caller, that requests that are not
 // idempotent end as unknown, and that idempotent ones are answered by another upstream.
 func testMalformed(t *testing.T, cases []replytest.Case) {
--- a/gateway/replybody.go
+++ b/gateway/replybody.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinrouter/catkinrouter/internal/httpreply"
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
 )
 
@@ -34,7 +35,7 @@
 	}
 	resp.SetBodyRaw(body)
 	if chunked {
-		return resp.Header.ReadTrailer(c.r)
+		return httpreply.ReadTrailer(c.r, &resp.Header)
 	}
 	return nil
 }
--- a/internal/httpreply/head.go
+++ b/internal/httpreply/head.go
@@ -40,13 +40,15 @@
 	maxStatus        = 599
 )
 
-// headCheck checks the head of a reply while it arrives. The zero value begins at the status
-// line.
+// headCheck checks the head of a reply, or a trailer, while it arrives. The zero value begins
+// at the status line.
 type headCheck struct {
 	// checked is the length of the lines that were checked.
 	checked int
 	// status is the reply's status, 0 before its status line.
 	status int
+	// isTrailer is set if there is no status line.
+	isTrailer bool
 	// isHTTP10 is set if the reply's version is HTTP/1.0.
 	isHTTP10 bool
 }
@@ -64,7 +66,7 @@
 		switch {
 		case !ok:
 			err = malformed("no carriage return before the line feed", line)
-		case c.status == 0:
+		case c.expectsStatus():
 			err = c.checkStatusLine(line)
 		case len(line) == 0:
 			return true, nil
@@ -77,11 +79,14 @@
 	}
 }
 
+// expectsStatus reports whether the next line is a status line.
+func (c *headCheck) expectsStatus() bool { return c.status == 0 && !c.isTrailer }
+
 // checkStart checks the start of a line that has not arrived as a whole: bytes that are no
 // reply may have no end of a line.
 func (c *headCheck) checkStart(line []byte) error {
 	n := min(len(line), len(statusPrefix))
-	if c.status == 0 && string(line[:n]) != statusPrefix[:n] {
+	if c.expectsStatus() && string(line[:n]) != statusPrefix[:n] {
 		return malformed("no HTTP/1 version", line)
 	}
 	return nil
--- a/internal/httpreply/httpreply_test.go
+++ b/internal/httpreply/httpreply_test.go
@@ -59,6 +59,31 @@
 	}
 }
 
+// A trailer that HTTP allows must be taken, and no other, in whatever pieces it arrives.
+func TestReadTrailer(t *testing.T) {
+	for raw, allowed := range map[string]bool{
+		"\r\n": true, "X-Sum: 7\r\n\r\n": true, "X-Sum: 7\r\nX-Empty:\r\n\r\n": true,
+		"X Sum: 7\r\n\r\n": false, "X-Sum : 7\r\n\r\n": false, "X-Sum: 7\r\n 8\r\n\r\n": false, "X-Sum: 7\n\r\n": false,
+		"\n": false, "X-Sum: 7\r\n\n": false, "X-Sum\r\n\r\n": false, "HTTP/1.1 200 OK\r\n\r\n": false, "X-Sum: \x00\r\n\r\n": false,
+	} {
+		for name, src := range map[string]io.Reader{"at once": strings.NewReader(raw + "next"), "byte by byte": iotest.OneByteReader(strings.NewReader(raw + "next"))} {
+			r := bufio.NewReaderSize(src, testBuffer)
+			var h fasthttp.ResponseHeader
+			err := httpreply.ReadTrailer(r, &h)
+			if allowed && err != nil {
+				t.Errorf("%q %s: error %v", raw, name, err)
+			}
+			var malformed *httpreply.MalformedError
+			if !allowed && !errors.As(err, &malformed) {
+				t.Errorf("%q %s: error %v, want a malformed reply", raw, name, err)
+			}
+			if rest, err := io.ReadAll(r); allowed && (err != nil || string(rest) != "next") {
+				t.Errorf("%q %s: %q follows the trailer, error %v", raw, name, rest, err)
+			}
+		}
+	}
+}
+
 // A head that ends early, or that exceeds the buffer, must be an error.
 func TestReadHeadCutOrTooLarge(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nX-Note: a\r\n\r\n"
--- a/internal/httpreply/read.go
+++ b/internal/httpreply/read.go
@@ -15,14 +15,22 @@
 // It returns a *MalformedError as soon as the bytes can't be a reply's, and io.EOF if they
 // end before the head does.
 func ReadHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
-	var c headCheck
-	if err := await(r, &c); err != nil {
+	if err := await(r, &headCheck{}); err != nil {
 		return err
 	}
 	return h.Read(r)
 }
 
-// await waits until the buffer of r holds a whole head, and checks it meanwhile.
+// ReadTrailer reads the trailer behind a body in chunks into h, the head of the same reply. Its
+// limit and errors are those of ReadHead.
+func ReadTrailer(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	if err := await(r, &headCheck{isTrailer: true}); err != nil {
+		return err
+	}
+	return h.ReadTrailer(r)
+}
+
+// await waits until the buffer of r holds a whole head or trailer, and checks it meanwhile.
 func await(r *bufio.Reader, c *headCheck) error {
 	for n := 1; ; n = r.Buffered() + 1 {
 		_, readErr := r.Peek(n)
--- a/internal/httpreply/replytest/replytest.go
+++ b/internal/httpreply/replytest/replytest.go
@@ -138,6 +138,19 @@
 	{Name: "chunks, more than the size", raw: chunked("d\r\n" + Body + "\r\n0\r\n\r\n")},
 }
 
+// Trailers are replies in chunks whose trailer is not allowed.
+var Trailers = []Case{
+	{Name: "trailer, space in a name", raw: chunked("e\r\n" + Body + "\r\n0\r\nX Note: a\r\n\r\n")},
+	{Name: "trailer, space before the colon", raw: chunked("e\r\n" + Body + "\r\n0\r\nX-Note : a\r\n\r\n")},
+	{Name: "trailer, folded", raw: chunked("e\r\n" + Body + "\r\n0\r\nX-Note: a\r\n b\r\n\r\n")},
+	{Name: "trailer, control byte in a name", raw: chunked("e\r\n" + Body + "\r\n0\r\nX\x01Note: a\r\n\r\n")},
+	{Name: "trailer, control byte in a value", raw: chunked("e\r\n" + Body + "\r\n0\r\nX-Note: \x01\r\n\r\n")},
+	{Name: "trailer, line feed ends a header", raw: chunked("e\r\n" + Body + "\r\n0\r\nX-Note: a\nX-More: b\r\n\r\n")},
+	{Name: "trailer, line feed ends it", raw: chunked("e\r\n" + Body + "\r\n0\r\nX-Note: a\r\n\n\r\n\r\n")},
+	{Name: "trailer, no colon", raw: chunked("e\r\n" + Body + "\r\n0\r\nX-Note\r\n\r\n")},
+	{Name: "trailer, a reply in its place", raw: chunked("e\r\n" + Body + "\r\n0\r\n" + wellFormed)},
+}
+
 // chunked returns a reply with the given chunks.
 func chunked(chunks string) string {
 	return "HTTP/1.1 200 OK\r\n" + headersMark + "Transfer-Encoding: chunked\r\n\r\n" + chunks
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -175,7 +175,7 @@
 	}
 	resp.SetBodyRaw(body)
 	if length == chunkedLength {
-		return unexpectedEOF(resp.Header.ReadTrailer(c.r))
+		return unexpectedEOF(httpreply.ReadTrailer(c.r, &resp.Header))
 	}
 	return nil
 }
@@ -220,7 +220,7 @@
 		if err != nil || n == maxSkippedBytes {
 			return errors.Join(err, errSkipped)
 		}
-		return unexpectedEOF(resp.Header.ReadTrailer(c.r))
+		return unexpectedEOF(httpreply.ReadTrailer(c.r, &resp.Header))
 	default:
 		_, err := io.CopyN(io.Discard, c.r, int64(length))
 		return unexpectedEOF(err)
@@ -244,7 +244,7 @@
 		return err
 	}
 	if length == chunkedLength {
-		return unexpectedEOF(resp.Header.ReadTrailer(c.r))
+		return unexpectedEOF(httpreply.ReadTrailer(c.r, &resp.Header))
 	}
 	return nil
 }
--- a/proxy/exchange_test.go
+++ b/proxy/exchange_test.go
@@ -73,6 +73,7 @@
 		{"chunks, truncated", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(large)), 16) + "\r\n" + large + "\r\n", false},
 		{"chunks, truncated in the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(large)), 16) + "\r\n" + large + "\r\n0\r\n", false},
 		{"trailers", "HTTP/1.1 200 OK\r\nTrailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(large)), 16) + "\r\n" + large + "\r\n0\r\nX-Sum: 7\r\n\r\n", true},
+		{"trailer that is not allowed", "HTTP/1.1 200 OK\r\nTrailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(large)), 16) + "\r\n" + large + "\r\n0\r\nX Sum: 7\r\n\r\n", false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			site := newTestSite(t, noRules, startRawUpstream(t, func(int, *fasthttp.Request) (string, bool) { return tc.raw, true }))
--- a/proxy/malformedreply_test.go
+++ b/proxy/malformedreply_test.go
@@ -32,6 +32,10 @@
 // A body whose end can't be told, by its length or its chunks, must not reach a caller.
 func TestMalformedBodyIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Bodies) }
 
+// An upstream answered in chunks with a trailer that HTTP does not allow, and the caller got it as
+// an answer, at times with a head that is not allowed itself.
+func TestMalformedTrailerIsNoAnswer(t *testing.T) { testMalformed(t, replytest.Trailers) }
+
 // testMalformed checks that no malformed reply reaches a caller, and that the call ends as
 // unknown.
 func testMalformed(t *testing.T, cases []replytest.Case) {
--- a/proxy/reply.go
+++ b/proxy/reply.go
@@ -5,6 +5,8 @@
 	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinrouter/catkinrouter/internal/httpreply"
 )
 
 // replyStream is the body of a large reply, read from the upstream while it
@@ -50,7 +52,7 @@
 		return nil, unexpectedEOF(err)
 	}
 	resp.SetBody(buffered)
-	return nil, unexpectedEOF(resp.Header.ReadTrailer(c.r))
+	return nil, unexpectedEOF(httpreply.ReadTrailer(c.r, &resp.Header))
 }
 
 // endOfChunks reports whether a read that came up short reached the last
@@ -103,7 +105,7 @@
 // readTrailer ends a chunked reply; it returns io.EOF if the trailer is
 // complete.
 func (r *replyStream) readTrailer() error {
-	if err := r.resp.Header.ReadTrailer(r.c.r); err != nil {
+	if err := httpreply.ReadTrailer(r.c.r, &r.resp.Header); err != nil {
 		r.abort()
 		return unexpectedEOF(err)
 	}
