Show by tests that bytes without end from an upstream are bounded

An operator's report: a faulty upstream sent bytes that were no answer, without end, in a head or a body; the process that had called it kept them all and ran out of memory, and the requests of others ended with it.

The cases moved to replytest, for all who read replies. FuzzReply of gateway takes all cases as seeds.

--- a/gateway/crowd_test.go
+++ b/gateway/crowd_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
+	"github.com/catkinrouter/catkinrouter/internal/memtest"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
@@ -76,7 +77,7 @@
 func TestIdleConnectionsTakeTheMemorySetAsideForThem(t *testing.T) {
 	const (
 		idle  = 500
-		limit = memoryFactor * idle * connectionBytes
+		limit = memtest.Factor * idle * connectionBytes
 	)
 	u := newSink(t, "u")
 	tg := newTestGateway(t)
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -14,41 +11,20 @@
 	"testing"
 	"time"
 
+	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/internal/httpreply/replytest"
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
+	"github.com/catkinrouter/catkinrouter/internal/memtest"
 )
 
-// endlessReplies are replies whose bytes do not end until the caller closes the
-// connection. The head and then the rest are sent again and again.
-var endlessReplies = []struct{ name, head, rest string }{
-	{"head", "HTTP/1.1 200 OK\r\n", "X-Filler: " + strings.Repeat("x", 500) + "\r\n"},
-	{"header line", "HTTP/1.1 200 OK\r\nX-Filler: ", strings.Repeat("x", 1000)},
-	{"status line", "HTTP/1.1 200 ", strings.Repeat("x", 1000)},
-	{"interim replies", "", "HTTP/1.1 102 Processing\r\n\r\n"},
-	{"stray replies", "", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("x", 1000)},
-	{"body of announced length", "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: x\r\nContent-Length: 60000000\r\n\r\n", strings.Repeat("x", 1000)},
-	{"body until close", "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: x\r\nConnection: close\r\n\r\n", strings.Repeat("x", 1000)},
-	{"chunks", "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n"},
-	{"one chunk", "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n3900000\r\n", strings.Repeat("x", 1000)},
-	{"chunk extension", "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n5;", strings.Repeat("x", 1000)},
-	{"trailer", "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: " + strings.Repeat("x", 500) + "\r\n"},
-}
+// strayReplies are replies to another request without end.
+var strayReplies = replytest.EndlessStray("Request-Id: other")
 
-// endless sends head and then rest until the connection fails, with a pause
-// between two pieces.
-func endless(head, rest string, pause time.Duration) behaviour {
+// endless runs a request and answers it with a reply without end.
+func endless(reply replytest.EndlessCase, pause time.Duration) behaviour {
 	return func(s *stub, c net.Conn, r *http.Request, _ string) bool {
-		id := s.run(r)
-		w := bufio.NewWriterSize(c, 64<<10)
-		fmt.Fprint(w, strings.Replace(head, "%s", id, 1))
-		for {
-			if _, err := io.WriteString(w, rest); err != nil {
-				return false
-			}
-			if pause > 0 {
-				w.Flush()
-				time.Sleep(pause)
-			}
-		}
+		reply.Write(c, pause, "Request-Id: "+s.run(r), "Signature: x")
+		return false
 	}
 }
 
@@ -56,11 +32,11 @@
 // unknown outcome (the request may have run), never in a success or a refusal,
 // and return the memory of the reply.
 func TestEndlessReplies(t *testing.T) {
-	for _, c := range endlessReplies {
+	for _, c := range append(replytest.Endless, strayReplies) {
 		for _, pause := range []time.Duration{0, time.Millisecond} {
-			t.Run(fmt.Sprint(c.name, " ", pause), func(t *testing.T) {
+			t.Run(fmt.Sprint(c.Name, " ", pause), func(t *testing.T) {
 				t.Parallel()
-				s := newStub(t, "i-a", endless(c.head, c.rest, pause))
+				s := newStub(t, "i-a", endless(c, pause))
 				tg := newTestGateway(t)
 				tg.configure(700*time.Millisecond, s)
 				r, id := tg.purchaseUntilRun(s)
@@ -107,50 +83,31 @@
 	}
 }
 
-// residentPeak returns the peak resident memory of this process in kB, and
-// begins a new peak.
-func residentPeak(t *testing.T) (kb int) {
-	t.Helper()
-	text, err := os.ReadFile("/proc/self/status")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(text)) {
-		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kb); err == nil {
-			break
-		}
-	}
-	if err := os.WriteFile("/proc/self/clear_refs", []byte("5"), 0); err != nil {
-		t.Fatalf("peak of resident memory not reset: %v", err)
-	}
-	return kb
-}
-
 // Fifty endless replies at once, at full speed, must not take the process over the
 // memory of its instance, and other callers must be served meanwhile.
 func TestEndlessRepliesTakeBoundedMemory(t *testing.T) {
 	const (
 		parallel = 50
 		memoryMB = 184 // of the instance
-		// limitKB is the memory of the instance: a process that takes more is
+		// limit is the memory of the instance in bytes: a process that takes more is
 		// killed.
-		limitKB = memoryFactor * memoryMB << 10
+		limit = memtest.Factor * memoryMB << 20
 	)
 	// As catkin-node does; the runtime may exceed it.
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(memoryMB << 20 * 8 / 10))
-	for _, c := range endlessReplies[5:9] {
+	for _, c := range append(replytest.Endless, strayReplies) {
 		tg := newTestGatewayWith(t, func(o *Options) { o.MemoryBytes = memoryMB << 20 })
 		tg.setFleet(tg)
-		bad, good := newStub(t, "i-bad", endless(c.head, c.rest, 0)), newStub(t, "i-good", answerOK)
+		bad, good := newStub(t, "i-bad", endless(c, 0)), newStub(t, "i-good", answerOK)
 		tg.configure(3*time.Second, bad)
-		residentPeak(t)
-		before := residentPeak(t)
+		memtest.ResidentPeak(t)
+		before := memtest.ResidentPeak(t)
 		var calls sync.WaitGroup
 		var ended atomic.Int64
 		for i := range parallel {
 			calls.Go(func() {
 				if r := tg.call("POST", "/purchase/1", fmt.Sprint("t-", i), "x"); r.status == http.StatusOK {
-					t.Errorf("%s: an endless reply was answered as a success", c.name)
+					t.Errorf("%s: an endless reply was answered as a success", c.Name)
 				}
 				ended.Add(1)
 			})
@@ -161,13 +118,13 @@
 		tg.configure(3*time.Second, good)
 		for i := range 20 {
 			if r := tg.call("GET", "/clue/1", fmt.Sprint("g-", i), ""); r.err != nil || r.status != http.StatusOK {
-				t.Errorf("%s: another caller got status %d, error %v", c.name, r.status, r.err)
+				t.Errorf("%s: another caller got status %d, error %v", c.Name, r.status, r.err)
 			}
 		}
 		calls.Wait()
 		tg.waitForFreeMemory(membudget.Replies)
-		if rise := residentPeak(t) - before; rise > limitKB {
-			t.Errorf("%s: resident memory rose by %d kB, want at most %d", c.name, rise, limitKB)
+		if rise := memtest.ResidentPeak(t) - before; rise > limit {
+			t.Errorf("%s: resident memory rose by %d bytes, want at most %d", c.Name, rise, limit)
 		}
 	}
 }
@@ -212,3 +169,24 @@
 		tg.waitForFreeMemory(membudget.Replies)
 	}
 }
+
+// Health replies without end must count as failed, and return their memory.
+func TestEndlessHealthReplies(t *testing.T) {
+	for _, c := range replytest.Endless {
+		for _, pause := range []time.Duration{0, time.Millisecond} {
+			t.Run(fmt.Sprint(c.Name, " ", pause), func(t *testing.T) {
+				t.Parallel()
+				tg := newTestGateway(t)
+				u := &discovery.Upstream{ID: "u", Service: testService, Address: replytest.AnswerEndless(t, c, pause, "Upstream-Id: u", "Load: 0,0,6")}
+				began := time.Now()
+				if res := tg.g.probe(u, "/health", began.Add(lateProbeTimeout)); res.err == nil {
+					t.Errorf("taken as a reply: %+v", res.report)
+				}
+				if took := time.Since(began); took > 10*lateProbeTimeout {
+					t.Errorf("the probe took %v", took)
+				}
+				tg.waitForFreeMemory(membudget.Replies)
+			})
+		}
+	}
+}
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/internal/httpreply/replytest"
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
 )
 
@@ -29,8 +31,11 @@
 // Any bytes in place of a reply must be read without a panic, within the memory
 // for replies, and a success must bear the request's ID or none.
 func FuzzReply(f *testing.F) {
-	for _, c := range endlessReplies {
-		f.Add([]byte(c.head + c.rest))
+	for _, c := range append(replytest.Endless, strayReplies) {
+		f.Add([]byte(c.Start("Request-Id: r")))
+	}
+	for _, c := range slices.Concat(replytest.Heads(), replytest.Bodies, replytest.Trailers) {
+		f.Add([]byte(c.Raw("Request-Id: r")))
 	}
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.0 200 OK\r\n\r\nuntil the end"))
--- a/gateway/norace_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package gateway
-
-const memoryFactor = 1
--- a/gateway/requestbody_test.go
+++ b/gateway/requestbody_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
+	"github.com/catkinrouter/catkinrouter/internal/memtest"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
@@ -232,15 +233,15 @@
 		bodyMB   = 48
 		large    = 10
 		small    = 16
-		limitKB  = memoryFactor * memoryMB << 10
+		limit    = memtest.Factor * memoryMB << 20 // bytes
 	)
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(memoryMB << 20 * 8 / 10)) // as catkin-node does
 	u := newSink(t, "u")
 	tg := newTestGatewayWith(t, func(o *Options) { o.MemoryBytes = memoryMB << 20 })
 	tg.setFleet(tg)
 	tg.configureSinks(route.Limits{MaxBodyBytes: 64 << 20}, u)
-	residentPeak(t)
-	before := residentPeak(t)
+	memtest.ResidentPeak(t)
+	before := memtest.ResidentPeak(t)
 	var answered, refused atomic.Int32
 	var done atomic.Bool
 	var callers, others sync.WaitGroup
@@ -287,10 +288,10 @@
 	done.Store(true)
 	others.Wait()
 	tg.waitForFreeMemory(membudget.Requests)
-	rise := residentPeak(t) - before
-	t.Logf("%d of %d large requests answered, %d refused, resident memory rose by %d kB", answered.Load(), large, refused.Load(), rise)
-	if rise > limitKB {
-		t.Errorf("resident memory rose by %d kB, want at most %d", rise, limitKB)
+	rise := memtest.ResidentPeak(t) - before
+	t.Logf("%d of %d large requests answered, %d refused, resident memory rose by %d bytes", answered.Load(), large, refused.Load(), rise)
+	if rise > limit {
+		t.Errorf("resident memory rose by %d bytes, want at most %d", rise, limit)
 	}
 	if answered.Load() == 0 {
 		t.Error("no large request was answered")
--- a/internal/httpreply/replytest/replytest.go
+++ b/internal/httpreply/replytest/replytest.go
@@ -170,6 +170,13 @@
 // Answer starts a server that answers each read of a connection with a case's bytes, and
 // returns its address.
 func Answer(t testing.TB, c Case, lines ...string) string {
+	t.Helper()
+	return serve(t, func(nc net.Conn) { answer(nc, c, c.Raw(lines...)) })
+}
+
+// serve starts a server that calls handle for each connection and closes it afterwards, and
+// returns its address.
+func serve(t testing.TB, handle func(nc net.Conn)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -182,14 +189,16 @@
 			if err != nil {
 				return
 			}
-			go answer(nc, c, c.Raw(lines...))
+			go func() {
+				defer nc.Close()
+				handle(nc)
+			}()
 		}
 	}()
 	return ln.Addr().String()
 }
 
 func answer(nc net.Conn, c Case, raw string) {
-	defer nc.Close()
 	request := make([]byte, 64<<10)
 	for {
 		if _, err := nc.Read(request); err != nil {
--- a/proxy/callers_test.go
+++ b/proxy/callers_test.go
@@ -75,14 +75,11 @@
 	site := newTestSiteWith(t, noRules, Settings{Memory: 160 << 20}, startUpstream(t, answer), startUpstream(t, answer))
 	free := sync.OnceFunc(func() { close(release) })
 	t.Cleanup(free)
-	var a LookupAnswer
-	if err := json.Unmarshal(site.roundTrip(rawRequest("GET "+headers.LookupPath+"?service="+testService, "")).Body(), &a); err != nil {
-		t.Fatal(err)
-	}
+	permit := site.permit()
 	var callers []*caller
 	for i := range 12 {
 		c := site.dial()
-		c.send(rawRequest("POST /buy", "", fmt.Sprintf("Catkin-Key: %s/%d", a.Addresses[0].Permit, i), "Content-Length: 0"))
+		c.send(rawRequest("POST /buy", "", fmt.Sprintf("Catkin-Key: %s/%d", permit, i), "Content-Length: 0"))
 		callers = append(callers, c)
 	}
 	site.eventually("all requests run", func() bool { return int(waiting.Load()) == len(callers) })
--- a/proxy/repeat_test.go
+++ b/proxy/repeat_test.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"encoding/json"
 	"sync/atomic"
 	"testing"
 
@@ -22,11 +21,7 @@
 		ctx.SetStatusCode(fasthttp.StatusCreated)
 		ctx.SetBodyString("pack 7")
 	}))
-	var a LookupAnswer
-	if err := json.Unmarshal(site.roundTrip(rawRequest("GET "+headers.LookupPath+"?service="+testService, "")).Body(), &a); err != nil {
-		t.Fatal(err)
-	}
-	buy := rawRequest("POST /buy", "", "Content-Length: 0", "Catkin-Key: "+a.Addresses[0].Permit+"/one")
+	buy := rawRequest("POST /buy", "", "Content-Length: 0", "Catkin-Key: "+site.permit()+"/one")
 	text := func(r *fasthttp.Response) string {
 		r.Header.Del(fasthttp.HeaderDate)
 		return r.String()
--- a/proxy/testsite_test.go
+++ b/proxy/testsite_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"net"
 	"strings"
 	"sync"
@@ -140,6 +141,16 @@
 	return c.read()
 }
 
+// permit returns a permit for keyed calls at the entry.
+func (site *testSite) permit() string {
+	site.t.Helper()
+	var a LookupAnswer
+	if err := json.Unmarshal(site.roundTrip(rawRequest("GET "+headers.LookupPath+"?service="+testService, "")).Body(), &a); err != nil {
+		site.t.Fatal(err)
+	}
+	return a.Addresses[0].Permit
+}
+
 // rawGet returns a GET request to the service with additional headers.
 func rawGet(lines ...string) string { return rawRequest("GET /clue", "", lines...) }
 
