Bound the answers that catkinctl reads

What operators would see: catkinctl pointed at a wrong or faulty server ended with "fatal error: out of memory", after it had taken the memory of the machine.

Cause: its HTTP client had no limit of an answer's body.

Change: answers of at most 8 MiB; the largest, with the document, are below 2 MiB. A larger one counts as no answer, so a confirm ends as indefinite.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -41,6 +41,9 @@
 	return err
 }
 
+// maxAnswerBytes limits the body of an agent's answer.
+const maxAnswerBytes = 8 << 20
+
 // call sends in as a POST request and decodes the response into out. A refusal
 // by the agent is returned as an *operator.Refusal, a missing response as a
 // *noAnswerError.
@@ -60,6 +63,7 @@
 	req.SetBody(b)
 	client := fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxAnswerBytes,
 		Dial:                      func(a string) (net.Conn, error) { return httpreply.Dial(a, callTimeout) },
 	}
 	defer client.CloseIdleConnections()
