Bound the responses that catkin-load reads

What its users would see: the load tool ended with "fatal error: out of memory" when an entry or an upstream that it called directly announced a body of 60 GB, and grew by 4.3 GB in 2 s with a body until the close (TestEndlessResponsesTakeBoundedMemory, run before the change under a limit of 12 GB of address space). The measurement of all other callers ended with it.

It stood in five places, each with a client or the library's default one.

--- a/load/caller.go
+++ b/load/caller.go
@@ -103,7 +103,7 @@
 	var errs []error
 	for _, i := range c.rng.Perm(len(c.entries)) {
 		var a proxy.LookupAnswer
-		code, body, err := fasthttp.GetTimeout(nil, "http://"+c.entries[i]+headers.LookupPath+"?service="+service, lookupTimeout)
+		code, body, err := control.GetTimeout(nil, "http://"+c.entries[i]+headers.LookupPath+"?service="+service, lookupTimeout)
 		if err == nil && code != fasthttp.StatusOK {
 			err = fmt.Errorf("lookup at %s: status %d: %s", c.entries[i], code, body)
 		}
--- a/load/control.go
+++ b/load/control.go
@@ -27,7 +27,7 @@
 	req.SetRequestURI(url)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(b)
-	if err := fasthttp.DoTimeout(req, resp, controlTimeout); err != nil {
+	if err := control.DoTimeout(req, resp, controlTimeout); err != nil {
 		return oops.In("load").Hint("check the address and that the process runs").Wrapf(err, "%s", url)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/load/cost.go
+++ b/load/cost.go
@@ -46,7 +46,7 @@
 	var out []entryMetrics
 	for _, a := range addrs {
 		u := entryMetrics{address: a}
-		code, body, err := fasthttp.GetTimeout(nil, "http://"+a+"/metrics", controlTimeout)
+		code, body, err := control.GetTimeout(nil, "http://"+a+"/metrics", controlTimeout)
 		if err != nil || code != fasthttp.StatusOK || json.Unmarshal(body, &u) != nil {
 			continue
 		}
--- a/load/main.go
+++ b/load/main.go
@@ -108,7 +108,7 @@
 	if err := fs.Parse(args); err != nil {
 		return daemon.ExitUsage
 	}
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+*entry+headers.LookupPath, lookupTimeout)
+	code, body, err := control.GetTimeout(nil, "http://"+*entry+headers.LookupPath, lookupTimeout)
 	switch {
 	case err != nil:
 		fmt.Fprintf(stderr, "catkin-load: entry %s: %v: check the address and that the entry runs\n", *entry, err)
--- a/load/run.go
+++ b/load/run.go
@@ -5,13 +5,9 @@
 	"io"
 	"math"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"github.com/catkinrouter/catkinrouter/internal/httpreply"
 	"github.com/catkinrouter/catkinrouter/standin"
 )
 
@@ -28,7 +24,6 @@
 func NewRunner(scenario *Scenario) *Runner { return &Runner{scenario: scenario} }
 
 const (
-	maxConns         = 8192
 	progressInterval = 5 * time.Second
 	// seedStride is the distance between the stream numbers of mixes, which
 	// keeps their random numbers apart from those of callers and faults: these
@@ -90,16 +85,10 @@
 	return fetchCounts(r.scenario.Control)
 }
 
-// dialTimeout limits the time in which a caller connects.
-const dialTimeout = 3 * time.Second
-
 // callers returns the callers of a run. They share one client, which never
 // retries by itself: only the caller counts and repeats tries.
 func (r *Runner) callers(v Variant, ups []standin.UpstreamCounts) []*caller {
-	client := &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxConnsPerHost: maxConns,
-		Dial: func(a string) (net.Conn, error) { return httpreply.Dial(a, dialTimeout) },
-	}
+	client := newClient()
 	entries := r.scenario.Entries
 	if len(v.Entries) > 0 {
 		entries = v.Entries
@@ -121,8 +110,6 @@
 	return out
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
-
 // runMix starts the calls of mix i at their intended times, each in its own
 // goroutine, and waits for all of them.
 func (r *Runner) runMix(i int, v Variant, start time.Time, callers []*caller, res *Result) {
