Pass on all of an upstream's headers that come more than once

What callers saw: of three Link headers of an answer the caller got the last one; the same of all others that may stand more than once (Vary, Via, WWW-Authenticate), but not of cookies.

Cause: writeUpstreamResponse of gateway set each header of the reply, which replaces the one before. Found while the parts of an answer that reach the caller were compared with what the stand-in had sent (TestRepeatedHeadersReachTheCaller failed: two of three links lost). Proxy reads the reply into the response and is not affected.

Change: headers are added.

--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -102,7 +102,7 @@
 	connectionHeader := strings.ToLower(string(from.Header.Peek(fasthttp.HeaderConnection)))
 	for k, v := range from.Header.All() {
 		if !isHopByHop(string(k), connectionHeader) {
-			to.Header.SetBytesKV(k, v)
+			to.Header.AddBytesKV(k, v)
 		}
 	}
 	if ctx.IsHead() {
