Pass on the signature whatever a reply's Connection header names

What callers saw: an upstream in trouble named its signature in the Connection header.

Cause: gateway removes the headers that Connection names before the caller gets the reply, but looks for the signature before that. A sender must not name headers there that are meant for all recipients (RFC 9110, 7.6.1).

Change: neither the signature nor the request's ID counts as a header of the connection, in replies and requests; the others that Connection names are removed as before. TestSignatureIsNoHeaderOfTheConnection failed before (status 200, neither header).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -161,7 +161,7 @@
 	connectionHeader := strings.ToLower(string(h.Peek(fasthttp.HeaderConnection)))
 	for k, v := range h.AllInOrder() {
 		name := string(k)
-		if g.isPerAttemptHeader(name) || isHopByHop(name, connectionHeader) {
+		if g.isPerAttemptHeader(name) || g.isHopByHop(name, connectionHeader) {
 			continue
 		}
 		b = append(b, k...)
@@ -178,8 +178,13 @@
 	return strings.EqualFold(name, g.proto.Deadline) || strings.EqualFold(name, g.proto.ExpectUpstream)
 }
 
-// isHopByHop reports whether a header applies to a single connection only.
-func isHopByHop(name, connectionHeader string) bool {
+// isHopByHop reports whether a header applies to a single connection only. The request's ID
+// and the signature never do, whatever the Connection header names: without them, a caller
+// can't tell the answer to its request.
+func (g *Gateway) isHopByHop(name, connectionHeader string) bool {
+	if strings.EqualFold(name, g.proto.RequestID) || strings.EqualFold(name, g.proto.Signature) {
+		return false
+	}
 	switch strings.ToLower(name) {
 	case "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
 		"te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect":
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -101,7 +101,7 @@
 	to.SetStatusCode(from.StatusCode())
 	connectionHeader := strings.ToLower(string(from.Header.Peek(fasthttp.HeaderConnection)))
 	for k, v := range from.Header.All() {
-		if !isHopByHop(string(k), connectionHeader) {
+		if !g.isHopByHop(string(k), connectionHeader) {
 			to.Header.AddBytesKV(k, v)
 		}
 	}
--- a/gateway/wholereply_test.go
+++ b/gateway/wholereply_test.go
@@ -30,3 +30,21 @@
 		t.Error(diff)
 	}
 }
+
+// A reply that named its signature among the headers of the connection reached the caller as a
+// success without it.
+func TestSignatureIsNoHeaderOfTheConnection(t *testing.T) {
+	u := newStub(t, "u", func(s *stub, c net.Conn, r *http.Request, _ string) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nX-Hop: 1\r\nConnection: X-Hop, signature, Request-Id\r\nContent-Length: 4\r\n\r\nbody", s.run(r))
+		return true
+	})
+	tg := newTestGateway(t)
+	tg.configure(time.Second, u)
+	r := tg.call("POST", "/purchase/1", "r-1", "pack")
+	if r.err != nil || r.status == http.StatusOK && (r.header.Get("Signature") != "s" || r.header.Get("Request-Id") != "r-1" || r.body != "body") {
+		t.Errorf("status %d, header %v, body %q, error %v", r.status, r.header, r.body, r.err)
+	}
+	if r.header.Get("X-Hop") != "" {
+		t.Error("a header of the connection reached the caller")
+	}
+}
