Add no Content-Type to an upstream's answer

What callers saw: an answer for which the upstream named no Content-Type came as "text/plain; charset=utf-8", whatever its body was.

Cause: the HTTP library lists a default type among the headers of a parsed reply that has none, and gateway passed it on. Proxy had turned that off.

Change: the default is off in gateway too. TestNoContentTypeIsAdded failed before.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -106,6 +106,7 @@
 // connection.
 func readHead(c *conn, resp *fasthttp.Response) error {
 	resp.Reset()
+	resp.Header.SetNoDefaultContentType(true)
 	if err := httpreply.ReadHead(c.r, &resp.Header); err != nil {
 		return unexpectedEOF(err)
 	}
--- a/gateway/wholereply_test.go
+++ b/gateway/wholereply_test.go
@@ -48,3 +48,15 @@
 		t.Error("a header of the connection reached the caller")
 	}
 }
+
+// A reply without a Content-Type reached the caller with one, as plain text.
+func TestNoContentTypeIsAdded(t *testing.T) {
+	u := newStub(t, "u", answerOK)
+	tg := newTestGateway(t)
+	tg.configure(time.Second, u)
+	r := tg.call("GET", "/clue/1", "r-1", "")
+	wantStatus(t, r, http.StatusOK)
+	if got, found := r.header["Content-Type"]; found {
+		t.Errorf("Content-Type %q", got)
+	}
+}
