Count the replies that HTTP does not allow

Operators saw of an upstream that sends malformed replies only the log line of each attempt. Now `malformed_replies_total` (catkin-node; also replies to health checks) and `reply.malformed` (catkin-entry; also replies to probes, and trailers of replies that are sent on while they are read) count them.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -32,6 +32,11 @@
 // empty for a health check. It returns true once a byte may have been sent. A reply without
 // an ID is taken only if nothing else was asked for on the connection.
 func (g *Gateway) exchange(c *conn, u *discovery.Upstream, out []byte, body [][]byte, id string, isHead bool, deadline time.Time, resp *fasthttp.Response, memory *membudget.Reservation) (wrote bool, err error) {
+	defer func() {
+		if httpreply.IsMalformed(err) {
+			g.metrics.malformedReplies.Inc(1)
+		}
+	}()
 	if err := c.SetDeadline(deadline); err != nil {
 		return false, err
 	}
--- a/gateway/malformedreply_test.go
+++ b/gateway/malformedreply_test.go
@@ -78,6 +78,9 @@
 			if res := tg.g.probe(u, "/health", time.Now().Add(lateProbeTimeout)); res.err == nil {
 				t.Errorf("taken as a reply: %+v", res.report)
 			}
+			if n := tg.g.metrics.malformedReplies.Count(); n != 1 {
+				t.Errorf("%d malformed replies counted", n)
+			}
 		})
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,8 @@
 	probes       gometrics.Counter
 	probesFailed gometrics.Counter
 	strayReplies gometrics.Counter
+	// malformedReplies counts replies, also to health checks, that HTTP/1.1 does not allow.
+	malformedReplies gometrics.Counter
 	// repeatedIDs counts the connections passed over because they had carried a request
 	// with the same ID.
 	repeatedIDs gometrics.Counter
@@ -45,7 +47,7 @@
 	c := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter(name, registry) }
 	m := &metricSet{
 		registry: registry, connsOpened: c("upstream_connections_opened_total"), probes: c("probes_total"), probesFailed: c("probes_failed_total"),
-		strayReplies: c("stray_replies_total"), repeatedIDs: c("repeated_ids_total"),
+		strayReplies: c("stray_replies_total"), malformedReplies: c("malformed_replies_total"), repeatedIDs: c("repeated_ids_total"),
 		crashes: c("upstream_crashes_total"), crashChecksSkipped: c("crash_checks_skipped_total"),
 		leaving: c("upstreams_leaving_total"), pauses: c("upstream_pauses_total"),
 		crashReports: c("crash_reports_total"), quarantines: c("quarantines_total"), quarantinesLifted: c("quarantines_lifted_total"),
--- a/internal/httpreply/head.go
+++ b/internal/httpreply/head.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strings"
 )
@@ -17,6 +18,12 @@
 	Line []byte
 }
 
+// IsMalformed reports whether err is a *MalformedError or wraps one.
+func IsMalformed(err error) bool {
+	var malformed *MalformedError
+	return errors.As(err, &malformed)
+}
+
 // maxErrorLine limits the part of a faulty line that an error holds.
 const maxErrorLine = 80 // bytes
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -73,7 +73,7 @@
 	if r.Err != nil {
 		s.pool.discard(cn)
 		if r.MayHaveSent {
-			s.m.truncatedReplies.Inc(1)
+			s.m.lostReply(r.Err)
 		}
 		s.checkCrash(c, t, began, &r)
 		return r
--- a/proxy/malformedreply_test.go
+++ b/proxy/malformedreply_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -57,6 +59,18 @@
 	}
 }
 
+// Malformed replies must be counted, at their start and in what is read while it is sent on.
+func TestMalformedRepliesAreCounted(t *testing.T) {
+	trailer := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30000\r\n" + strings.Repeat("x", 0x30000) + "\r\n0\r\nX Sum: 7\r\n\r\n"
+	for _, raw := range []string{replytest.StatusLines[0].Raw(), trailer} {
+		site := newTestSite(t, noRules, startRawUpstream(t, func(int, *fasthttp.Request) (string, bool) { return raw, true }))
+		c := site.dial()
+		c.send(rawRequest("POST /buy", "", "Content-Length: 0"))
+		go io.Copy(io.Discard, c.r)
+		site.eventually("the reply is counted", func() bool { return site.s.m.malformedReplies.Count() == 1 })
+	}
+}
+
 // A reply that HTTP does not allow counted as the reply to a probe.
 func TestMalformedReplyToProbe(t *testing.T) {
 	for _, c := range replytest.Heads() {
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -9,6 +9,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/catkinrouter/catkinrouter/attempt"
+	"github.com/catkinrouter/catkinrouter/internal/httpreply"
 	"github.com/catkinrouter/catkinrouter/internal/metrics"
 	"github.com/catkinrouter/catkinrouter/link"
 )
@@ -35,6 +36,9 @@
 	// truncatedReplies counts exchanges without a complete reply after the
 	// request may have been sent.
 	truncatedReplies gometrics.Counter
+	// malformedReplies counts those of them whose reply HTTP/1.1 does not allow, and
+	// such replies to probes.
+	malformedReplies gometrics.Counter
 	lookups          gometrics.Counter
 
 	mu       sync.Mutex // serialises writes of byReason
@@ -49,7 +53,7 @@
 	for name, c := range map[string]*gometrics.Counter{
 		"caller.gone": &m.callersGone, "probe.sent": &m.probesSent, "probe.failed": &m.probesFailed,
 		"probe.dropped": &m.probesDropped, "connection.opened": &m.connsOpened, "connection.reused": &m.connsReused,
-		"connection.stale": &m.connsStale, "reply.cut": &m.truncatedReplies, "lookup.answered": &m.lookups,
+		"connection.stale": &m.connsStale, "reply.cut": &m.truncatedReplies, "reply.malformed": &m.malformedReplies, "lookup.answered": &m.lookups,
 	} {
 		*c = gometrics.GetOrRegisterCounter(name, r)
 	}
@@ -69,6 +73,19 @@
 	return m
 }
 
+// lostReply counts an exchange that ended with err in place of a complete reply.
+func (m *counters) lostReply(err error) {
+	m.truncatedReplies.Inc(1)
+	m.countMalformed(err)
+}
+
+// countMalformed counts a reply that HTTP/1.1 does not allow, if err says so.
+func (m *counters) countMalformed(err error) {
+	if httpreply.IsMalformed(err) {
+		m.malformedReplies.Inc(1)
+	}
+}
+
 func (m *counters) outcome(o attempt.Outcome) gometrics.Counter { return m.outcomes[o] }
 
 // refused returns the counter "refused.REASON" of the refusals for a reason.
--- a/proxy/probe.go
+++ b/proxy/probe.go
@@ -56,6 +56,7 @@
 	load, err := p.fetchLoad(st, resp)
 	if err != nil {
 		p.m.probesFailed.Inc(1)
+		p.m.countMalformed(err)
 	}
 	p.d.probed(st, load, time.Since(began))
 }
--- a/proxy/reply.go
+++ b/proxy/reply.go
@@ -96,7 +96,7 @@
 	case r.length < 0 && err == io.EOF:
 		return n, r.readTrailer()
 	case err != nil:
-		r.abort()
+		r.abort(err)
 		return n, unexpectedEOF(err)
 	}
 	return n, nil
@@ -106,7 +106,7 @@
 // complete.
 func (r *replyStream) readTrailer() error {
 	if err := httpreply.ReadTrailer(r.c.r, &r.resp.Header); err != nil {
-		r.abort()
+		r.abort(err)
 		return unexpectedEOF(err)
 	}
 	r.finish()
@@ -119,10 +119,10 @@
 	r.pool.release(r.c, r.resp)
 }
 
-// abort closes the connection after a truncated reply.
-func (r *replyStream) abort() {
+// abort closes the connection after a reply that ended with err.
+func (r *replyStream) abort(err error) {
 	r.ended = true
-	r.m.truncatedReplies.Inc(1)
+	r.m.lostReply(err)
 	r.pool.discard(r.c)
 }
 
