Let upstreams of the soak send malformed replies

Some upstreams' replies are changed, one in four, to one of ten malformed ones: status 000 and 099, blanks and a tab in names, a folded line, a line feed alone, bytes before the reply, the start of a reply a thousand times, a head of 1 MiB. Callers now check the head of what they get: a status of a final response, the signature of a success, names of headers.

--- a/internal/soak/faultproxy_test.go
+++ b/internal/soak/faultproxy_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,8 @@
 	conns  map[net.Conn]bool
 	// repeats is set if replies of the target are sent a second time, late.
 	repeats bool
+	// malforms is set if some replies of the target are changed to malformed ones.
+	malforms bool
 }
 
 // newFaultProxy starts a proxy on addr that is closed when the test ends.
@@ -93,6 +96,13 @@
 	p.repeats = repeats
 }
 
+// setMalforms sets whether some replies of the target are changed to malformed ones.
+func (p *faultProxy) setMalforms(malforms bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.malforms = malforms
+}
+
 func (p *faultProxy) currentTarget() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -155,11 +165,15 @@
 			time.Sleep(addedDelay)
 		}
 		if n > 0 {
-			if _, err := to.Write(b[:n]); err != nil {
+			data := b[:n]
+			if !toTarget {
+				data = p.malform(data)
+			}
+			if _, err := to.Write(data); err != nil {
 				return
 			}
 			if !toTarget {
-				p.repeat(to, b[:n])
+				p.repeat(to, data)
 			}
 		}
 		if err != nil {
@@ -168,6 +182,31 @@
 	}
 }
 
+// malformations change a reply so that it is none any more.
+var malformations = []func(reply string) string{
+	func(r string) string { return strings.Replace(r, "HTTP/1.1 200", "HTTP/1.1 000", 1) },
+	func(r string) string { return strings.Replace(r, "HTTP/1.1 200", "HTTP/1.1 099", 1) + r },
+	func(r string) string { return strings.Replace(r, "Content-Length:", "Content Length:", 1) },
+	func(r string) string { return strings.Replace(r, "Content-Length:", "Content-Length :", 1) },
+	func(r string) string { return strings.Replace(r, "\r\nDate:", "\r\nX\tNote: a\r\nDate:", 1) },
+	func(r string) string { return strings.Replace(r, "\r\nDate:", "\r\n X-Note: a\r\nDate:", 1) },
+	func(r string) string { return strings.Replace(r, "\r\n", "\n", 1) },
+	func(r string) string { return "\x00\x01" + r },
+	func(r string) string { return strings.Repeat(r[:min(len(r), 40)], 1000) },
+	func(r string) string { return "HTTP/1.1 200 OK\r\nX-Filler: " + strings.Repeat("x", 1<<20) },
+}
+
+// malform returns data, or a malformed reply in its place if it is one.
+func (p *faultProxy) malform(data []byte) []byte {
+	p.mu.Lock()
+	malforms := p.malforms
+	p.mu.Unlock()
+	if !malforms || !bytes.HasPrefix(data, []byte("HTTP/1.1 ")) || rand.IntN(4) > 0 {
+		return data
+	}
+	return []byte(malformations[rand.IntN(len(malformations))](string(data)))
+}
+
 // maxRepeatDelay is the longest time after which a reply is sent a second time.
 const maxRepeatDelay = 120 * time.Millisecond
 
--- a/internal/soak/oddities_test.go
+++ b/internal/soak/oddities_test.go
@@ -17,8 +17,8 @@
 // largeBody is the size of a large body in bytes.
 const largeBody = 12 << 20
 
-// injectOddity sometimes writes an odd entry, makes an upstream repeat replies, lets another
-// one take over its address, or sends large bodies. It draws from numbers of its own, so
+// injectOddity sometimes writes an odd entry, makes an upstream repeat replies or send malformed
+// ones, lets another one take over its address, or sends large bodies. It draws from numbers of its own, so
 // that the other faults of a seed stay the same.
 func (s *soak) injectOddity() {
 	s.mu.Lock()
@@ -44,6 +44,9 @@
 			s.ledger.mu.Unlock()
 			go s.request(in, "buy", id, largeBody)
 		}
+	case 4:
+		s.t.Logf("upstream %s sends malformed replies", u.id)
+		u.proxy.setMalforms(true)
 	}
 }
 
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -282,6 +283,8 @@
 type response struct {
 	status int
 	body   string
+	// fault is what is wrong with the response's head, empty if nothing is.
+	fault string
 	// leaving is the upstream that said in the response that it is leaving.
 	leaving string
 }
@@ -307,13 +310,32 @@
 	if err != nil {
 		return response{}
 	}
-	out := response{status: resp.StatusCode, body: string(b)}
+	out := response{status: resp.StatusCode, body: string(b), fault: faultOf(resp)}
 	if resp.Header.Get("Server-Leaving") != "" {
 		out.leaving = resp.Header.Get("X-Catkinrouter-Server-Stamp")
 	}
 	return out
 }
 
+// faultOf returns what is wrong with the head of a response, empty if nothing is.
+func faultOf(resp *http.Response) string {
+	if resp.StatusCode < 200 || resp.StatusCode > 599 {
+		return "no status of a final response"
+	}
+	if resp.StatusCode < 300 && resp.Header.Get("X-Catkinrouter-Server-Stamp") == "" {
+		return "no signature"
+	}
+	for name := range resp.Header {
+		if !validName.MatchString(name) {
+			return fmt.Sprintf("the header %q", name)
+		}
+	}
+	return ""
+}
+
+// validName matches names of headers.
+var validName = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]+$")
+
 // zeros is a reader of zeros without end.
 type zeros struct{}
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,8 +83,8 @@
 	backup     standin.Backup
 	// noticeRNG decides what upstreams say of themselves.
 	noticeRNG *rand.Rand
-	// oddRNG decides about odd entries, repeated replies, addresses used again and
-	// large bodies.
+	// oddRNG decides about odd entries, repeated and malformed replies, addresses used
+	// again and large bodies.
 	oddRNG *rand.Rand
 
 	mu            sync.Mutex
@@ -246,6 +246,7 @@
 	for _, u := range s.upstreams {
 		u.proxy.setFault(faultNone)
 		u.proxy.setRepeats(false)
+		u.proxy.setMalforms(false)
 	}
 }
 
@@ -276,6 +277,9 @@
 	s.ledger.mu.Unlock()
 	resp := in.call("/"+kind+"/", id, size)
 	s.recordResponse(key, resp)
+	if resp.fault != "" {
+		s.ledger.addViolation("request %s got a response with status %d and %s", id, resp.status, resp.fault)
+	}
 	switch {
 	case resp.status == 200:
 		s.checkResponse(key, minVersion, id, resp)
