--- a/internal/httpreply/replytest/endless.go
+++ b/internal/httpreply/replytest/endless.go
@@ -71,7 +71,7 @@
 // returns its address.
 func AnswerEndless(t testing.TB, c EndlessCase, pause time.Duration, lines ...string) string {
 	t.Helper()
-	return serve(t, func(nc net.Conn) {
+	return Serve(t, func(nc net.Conn) {
 		if _, err := nc.Read(make([]byte, writeBuffer)); err == nil {
 			c.Write(nc, pause, lines...)
 		}
--- a/internal/httpreply/replytest/replytest.go
+++ b/internal/httpreply/replytest/replytest.go
@@ -171,12 +171,12 @@
 // returns its address.
 func Answer(t testing.TB, c Case, lines ...string) string {
 	t.Helper()
-	return serve(t, func(nc net.Conn) { answer(nc, c, c.Raw(lines...)) })
+	return Serve(t, func(nc net.Conn) { answer(nc, c, c.Raw(lines...)) })
 }
 
-// serve starts a server that calls handle for each connection and closes it afterwards, and
+// Serve starts a server that calls handle for each connection and closes it afterwards, and
 // returns its address.
-func serve(t testing.TB, handle func(nc net.Conn)) string {
+func Serve(t testing.TB, handle func(nc net.Conn)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -23,22 +23,10 @@
 // It returns its address and counts its requests.
 func startEndlessUpstream(t *testing.T, c replytest.EndlessCase, pause time.Duration, runs *atomic.Int32) string {
 	t.Helper()
-	ln := listenTest(t)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serveEndless(nc, c, pause, runs)
-		}
-	}()
-	return ln.Addr().String()
+	return replytest.Serve(t, func(nc net.Conn) { serveEndless(nc, c, pause, runs) })
 }
 
 func serveEndless(nc net.Conn, c replytest.EndlessCase, pause time.Duration, runs *atomic.Int32) {
-	defer nc.Close()
 	r := bufio.NewReader(nc)
 	for {
 		var req fasthttp.Request
