Count a pause in the soak only if the instance could read it

Cause, in the soak's own upstreams, by a trace with the request that was refused: - 21000: the pause was answered to buy-2-182 and buy-0-171, 0.26 and 0.27 s after their instance had given them up at their time limit (504) and closed the connection. The faulty proxy had withheld them ("silence for 1.813s") and let them pass when the fault ended.

Change: a pause counts as told unless the proxy withheld or lost data since the request was sent, and a reply with Retry-After isn't made malformed. The check is the same for all others.

--- a/internal/soak/faultproxy_test.go
+++ b/internal/soak/faultproxy_test.go
@@ -27,6 +27,11 @@
 	return [...]string{"none", "delay", "reset", "silence", "one-way"}[f]
 }
 
+// withholds reports whether data is withheld or lost while the fault lasts.
+func (f connFault) withholds() bool {
+	return f == faultReset || f == faultBlackhole || f == faultOneWay
+}
+
 // faultProxy forwards TCP connections to a target and applies the current fault.
 type faultProxy struct {
 	ln net.Listener
@@ -34,7 +39,9 @@
 	mu     sync.Mutex
 	target string
 	fault  connFault
-	conns  map[net.Conn]bool
+	// withheldUntil is when a fault that withholds or loses data ended last.
+	withheldUntil time.Time
+	conns         map[net.Conn]bool
 	// repeats is set if replies of the target are sent a second time, late.
 	repeats bool
 	// malforms is set if some replies of the target are changed to malformed ones.
@@ -69,6 +76,9 @@
 func (p *faultProxy) setFault(f connFault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.fault.withholds() {
+		p.withheldUntil = time.Now()
+	}
 	p.fault = f
 	if f == faultReset {
 		for c := range p.conns {
@@ -78,6 +88,13 @@
 	}
 }
 
+// withheldSince reports whether data may have been withheld or lost since then.
+func (p *faultProxy) withheldSince(then time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault.withholds() || p.withheldUntil.After(then)
+}
+
 // setTarget makes new connections lead to another target, and closes the others.
 func (p *faultProxy) setTarget(target string) {
 	p.mu.Lock()
@@ -196,12 +213,13 @@
 	func(r string) string { return "HTTP/1.1 200 OK\r\nX-Filler: " + strings.Repeat("x", 1<<20) },
 }
 
-// malform returns data, or a malformed reply in its place if it is one.
+// malform returns data, or a malformed reply in its place if it is one. A reply that asks for a
+// pause stays as it is, since the check of pauses takes it as read.
 func (p *faultProxy) malform(data []byte) []byte {
 	p.mu.Lock()
 	malforms := p.malforms
 	p.mu.Unlock()
-	if !malforms || !bytes.HasPrefix(data, []byte("HTTP/1.1 ")) || rand.IntN(4) > 0 {
+	if !malforms || !bytes.HasPrefix(data, []byte("HTTP/1.1 ")) || bytes.Contains(data, []byte("\r\nRetry-After:")) || rand.IntN(4) > 0 {
 		return data
 	}
 	return []byte(malformations[rand.IntN(len(malformations))](string(data)))
--- a/internal/soak/notices_test.go
+++ b/internal/soak/notices_test.go
@@ -91,7 +91,11 @@
 	if n.told == nil {
 		n.told = map[string]*toldPause{}
 	}
-	n.told[sent.key] = &toldPause{from: now, until: now.Add(n.pause)}
+	if u.proxy.withheldSince(sent.at) {
+		delete(n.told, sent.key) // the instance may have given up the request before it came
+	} else {
+		n.told[sent.key] = &toldPause{from: now, until: now.Add(n.pause)}
+	}
 	w.Header().Set("X-Catkinrouter-Not-Executed", "1")
 	w.Header().Set("Retry-After", fmt.Sprintf("%.2f", n.pause.Seconds()))
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -31,8 +31,10 @@
 
 // regressionSeeds are seeds that have failed before. They run every time.
 var regressionSeeds = []uint64{
-	2,    // SIGHUP ended a process that had just started and not yet registered a handler
-	5014, // a cancelled hedge's reply, which asked for a pause, was not read
+	2,     // SIGHUP ended a process that had just started and not yet registered a handler
+	21000, // an upstream's refusal to a request that its instance had given up counted as told
+	21047, // a refusal that was malformed on its way counted as told
+	5014,  // a cancelled hedge's reply, which asked for a pause, was not read
 }
 
 const (
