--- a/gateway/wholereply_test.go
+++ b/gateway/wholereply_test.go
@@ -41,8 +41,9 @@
 	tg := newTestGateway(t)
 	tg.configure(time.Second, u)
 	r := tg.call("POST", "/purchase/1", "r-1", "pack")
-	if r.err != nil || r.status == http.StatusOK && (r.header.Get("Signature") != "s" || r.header.Get("Request-Id") != "r-1" || r.body != "body") {
-		t.Errorf("status %d, header %v, body %q, error %v", r.status, r.header, r.body, r.err)
+	wantStatus(t, r, http.StatusOK)
+	if r.header.Get("Signature") != "s" || r.header.Get("Request-Id") != "r-1" || r.body != "body" {
+		t.Errorf("header %v, body %q", r.header, r.body)
 	}
 	if r.header.Get("X-Hop") != "" {
 		t.Error("a header of the connection reached the caller")
