Decode customers, and require their keys

A configuration with customers was served as if it had none: every request was forwarded without the customer's name and with the caller's key.

The document now holds the customers, with digests of their keys; a request without a known key gets 401 unless its route is public. The key is left out of what upstreams get, and the customer's name is set, whatever the caller sent under that header. A customer's priority replaces the route's.

The settings and the fields that the further parts need are decoded too.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -25,7 +25,7 @@
 	var ch choice
 	limit := c.arrived + time.Duration(queueTargetShare*float64(c.route.TargetLatency))
 	found := false
-	if c.g.now() >= limit || !c.g.queue.mustWait(c.service.Name, c.route.Priority) {
+	if c.g.now() >= limit || !c.g.queue.mustWait(c.service.Name, c.priority()) {
 		ch, found = c.g.pickUpstream(c)
 	}
 	if !found {
@@ -54,7 +54,7 @@
 	if !c.hasUntried() {
 		return "no-upstream"
 	}
-	due, reason := c.blockedUntil(c.g.queue.ahead(c.service.Name, c.route.Priority))
+	due, reason := c.blockedUntil(c.g.queue.ahead(c.service.Name, c.priority()))
 	if due < limit {
 		return ""
 	}
@@ -100,13 +100,13 @@
 // call in the queue probes upstreams, on behalf of all: probes of every
 // waiting call would take up the slots that they look for.
 func (c *call) waitForRoom(ch choice, limit time.Duration) choice {
-	w := c.g.queue.enqueue(c.service.Name, c.route.Priority)
+	w := c.g.queue.enqueue(c.service.Name, c.priority())
 	for !c.hasRoom(&ch) && c.g.now() < limit && !c.callerLeft() {
 		select {
 		case next := <-w.slot:
 			if c.tried[next.probeResult.upstream.ID] {
 				c.g.releaseChoice(next)
-				w = c.g.queue.enqueue(c.service.Name, c.route.Priority)
+				w = c.g.queue.enqueue(c.service.Name, c.priority())
 				continue
 			}
 			c.g.releaseChoice(ch)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinrouter/catkinrouter/attempt"
+	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 	"github.com/catkinrouter/catkinrouter/quarantine"
 	"github.com/catkinrouter/catkinrouter/route"
@@ -37,8 +38,10 @@
 	id      string
 	version uint64
 	route   *route.Route
-	service route.Service
-	arrived time.Duration
+	// customer is the one whose key the request carries, nil for none.
+	customer *customer.Customer
+	service  route.Service
+	arrived  time.Duration
 	// deadline is the latest time of the response to the caller, as a duration
 	// since the gateway's start.
 	deadline time.Duration
@@ -74,6 +77,9 @@
 	return 10 * c.work()
 }
 
+// priority returns the call's priority; 0 is the most urgent.
+func (c *call) priority() int { return c.customer.PriorityOr(c.route.Priority) }
+
 // workKey identifies the kind of work that the call is.
 func (c *call) workKey() workKey { return workKey{route: c.route.Name, service: c.service.Name} }
 
@@ -166,14 +172,14 @@
 	}
 	c.hedgeSearches++
 	work := c.work()
-	if c.quarantinedFor() > 0 || c.timeLeft() < work || c.g.estimates.fullnessOf(c.service.Name).Busy() || !c.g.retryBudgets.allowsHedge(c.g.now(), c.service.Name, c.route.Priority) {
+	if c.quarantinedFor() > 0 || c.timeLeft() < work || c.g.estimates.fullnessOf(c.service.Name).Busy() || !c.g.retryBudgets.allowsHedge(c.g.now(), c.service.Name, c.priority()) {
 		return
 	}
 	ch, ok := c.g.pickUpstream(c)
 	if !ok {
 		return
 	}
-	if ch.report == nil || ch.rateLimit.Named || ch.report.NearlyFull(ch.sentSince) || ch.report.Pace > maxHedgePace || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.route.Priority) {
+	if ch.report == nil || ch.rateLimit.Named || ch.report.NearlyFull(ch.sentSince) || ch.report.Pace > maxHedgePace || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()) {
 		c.g.releaseChoice(ch)
 		timer.Reset(hedgeRecheckDelay)
 		return
@@ -240,7 +246,7 @@
 		return attempt.DeniedAttempts
 	case c.timeLeft() < c.work()/2:
 		return attempt.DeniedDeadline
-	case c.sent > 0 && !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.route.Priority):
+	case c.sent > 0 && !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()):
 		return attempt.DeniedBudget
 	}
 	return ""
@@ -269,7 +275,7 @@
 	if d := c.quarantinedFor(); d > 0 {
 		return d
 	}
-	until, reason := c.blockedUntil(c.g.queue.ahead(c.service.Name, c.route.Priority))
+	until, reason := c.blockedUntil(c.g.queue.ahead(c.service.Name, c.priority()))
 	switch {
 	case reason == reasonLeaving:
 		return leavingRetryAfter
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -157,8 +157,8 @@
 }
 
 // requestHead returns the request line and the headers that are the same in
-// every attempt.
-func (g *Gateway) requestHead(ctx *fasthttp.RequestCtx) []byte {
+// every attempt. If there are customers, the caller's key is left out.
+func (g *Gateway) requestHead(ctx *fasthttp.RequestCtx, customers bool) []byte {
 	h := &ctx.Request.Header
 	b := append([]byte(nil), h.Method()...)
 	b = append(b, ' ')
@@ -167,7 +167,7 @@
 	connectionHeader := strings.ToLower(string(h.Peek(fasthttp.HeaderConnection)))
 	for k, v := range h.AllInOrder() {
 		name := string(k)
-		if g.isPerAttemptHeader(name) || g.isHopByHop(name, connectionHeader) {
+		if g.isPerAttemptHeader(name) || g.isHopByHop(name, connectionHeader) || customers && strings.EqualFold(name, fasthttp.HeaderAuthorization) {
 			continue
 		}
 		b = append(b, k...)
@@ -178,10 +178,10 @@
 	return b
 }
 
-// isPerAttemptHeader reports whether a request header is set for each attempt
-// separately.
+// isPerAttemptHeader reports whether a request header is set by this system in each
+// attempt, whatever the caller sent.
 func (g *Gateway) isPerAttemptHeader(name string) bool {
-	return strings.EqualFold(name, g.proto.Deadline) || strings.EqualFold(name, g.proto.ExpectUpstream)
+	return strings.EqualFold(name, g.proto.Deadline) || strings.EqualFold(name, g.proto.ExpectUpstream) || strings.EqualFold(name, g.proto.Customer)
 }
 
 // isHopByHop reports whether a header applies to a single connection only. The request's ID
@@ -213,6 +213,9 @@
 func (g *Gateway) appendRequest(b []byte, c *call, upstream string, timeLeft time.Duration) (out []byte, rest [][]byte) {
 	b = append(b, c.head...)
 	b = fmt.Appendf(b, "%s: %d\r\n%s: %s\r\n", g.proto.Deadline, timeLeft.Milliseconds(), g.proto.ExpectUpstream, upstream)
+	if c.customer != nil {
+		b = fmt.Appendf(b, "%s: %s\r\n", g.proto.Customer, c.customer.Name)
+	}
 	if c.body.size > 0 || c.hasBody {
 		b = fmt.Appendf(b, "Content-Length: %d\r\n", c.body.size)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,26 @@
 	ProbesPerUpstream float64
 	// MaxLookupTTL caps the lifetime of lookup responses.
 	MaxLookupTTL time.Duration
+	// KeyMaxAge is the age of the copy of the store from which keys are refused; 0 sets
+	// no limit.
+	KeyMaxAge     time.Duration
+	CustomerQuota CustomerQuota
+	ColdLimit     ColdLimit
+}
+
+// CustomerQuota bounds the requests of a customer that all instances together send in any
+// Window: (PerSecond x Window + Burst) x (1 + Overshoot) + Slack, by its customer.Limit.
+type CustomerQuota struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64 // requests
+}
+
+// ColdLimit bounds the requests that a cold upstream gets from all instances together in
+// any second: route.Service.ColdPerSecond x Overshoot + Slack.
+type ColdLimit struct {
+	Overshoot float64
+	Slack     float64 // requests
 }
 
 // Gateway is the data path of one instance.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/internal/reqtarget"
 	"github.com/catkinrouter/catkinrouter/route"
 )
@@ -51,17 +52,22 @@
 		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, reasonRouteUnreadable)
 		return
 	}
+	cust, refusal := g.authenticate(ctx, snap.table.Customers, r)
+	if refusal != nil {
+		g.refuseKey(ctx, id, refusal)
+		return
+	}
 	if limit := snap.table.Limits.MaxHeaderBytes; limit > 0 && len(h.RawHeaders())+len(h.RequestURI()) > limit {
 		g.refuse(ctx, id, fasthttp.StatusRequestHeaderFieldsTooLarge, reasonHeadersTooLarge)
 		return
 	}
-	body, refusal := g.readBody(ctx, snap.table.Limits.MaxBodyBytes)
-	if refusal != nil {
-		g.refuseBody(ctx, id, refusal)
+	body, bodyRefusal := g.readBody(ctx, snap.table.Limits.MaxBodyBytes)
+	if bodyRefusal != nil {
+		g.refuseBody(ctx, id, bodyRefusal)
 		return
 	}
 	defer body.release()
-	c := g.newCall(ctx, snap, r, id, g.now(), body)
+	c := g.newCall(ctx, snap, r, cust, id, g.now(), body)
 	if !g.stop.Load().admits(c.arrived, c.deadline-c.arrived, c.work()) {
 		g.respond(c, c.failureResult("stopping"))
 		return
@@ -97,7 +103,7 @@
 
 // newCall creates a call from a request and its route. The call's timeout is
 // the route's, or the caller's deadline if that is shorter.
-func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, snap *snapshot, r *route.Route, id string, arrived time.Duration, body *requestBody) *call {
+func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, snap *snapshot, r *route.Route, cust *customer.Customer, id string, arrived time.Duration, body *requestBody) *call {
 	name := r.NextService()
 	svc, _ := snap.table.Service(name)
 	svc.Name = name
@@ -107,11 +113,11 @@
 		timeout = time.Duration(ms) * time.Millisecond
 	}
 	c := &call{
-		g: g, ctx: ctx, id: id, version: snap.table.Version, route: r, service: svc,
+		g: g, ctx: ctx, id: id, version: snap.table.Version, route: r, customer: cust, service: svc,
 		arrived: arrived, deadline: arrived + timeout,
 		// Copied, because an attempt can outlive the request, whose buffers
 		// are then reused.
-		head: g.requestHead(ctx), body: body,
+		head: g.requestHead(ctx, snap.table.Customers != nil), body: body,
 		hasBody: ctx.Request.Header.ContentLength() != 0 && !ctx.IsGet() && !ctx.IsHead(), isHead: ctx.IsHead(),
 		tried: map[string]bool{}, finished: make(chan *try, maxUnsent+r.MaxAttempts+1),
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -38,6 +38,10 @@
 	// decodes its value, empty if there is none.
 	Leaving   string
 	IsLeaving func(string) bool
+	// Customer holds the name of the customer whose request it is; set by this system only.
+	Customer string
+	// Cold holds, in health replies, for how many milliseconds the upstream stays cold.
+	Cold string
 	// LookupDataCentre is the query parameter of a lookup that holds the caller's
 	// data centre. EncodeLookup encodes the body of the response.
 	LookupDataCentre string
--- a/node/node.go
+++ b/node/node.go
@@ -210,6 +210,7 @@
 	return gateway.Limits{
 		RetryBudget:       gateway.RetryBudgetOptions{Share: settings.RetryShare, Allowance: settings.RetryAllowance, Window: settings.RetryWindow},
 		ProbesPerUpstream: settings.ProbesPerUpstream, MaxLookupTTL: settings.MaxLookupTTL,
+		KeyMaxAge: settings.KeyMaxAge, CustomerQuota: settings.CustomerQuota, ColdLimit: settings.ColdLimit,
 	}
 }
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/catkinrouter/catkinrouter/gateway"
 	"github.com/catkinrouter/catkinrouter/settings"
 )
 
@@ -53,6 +54,13 @@
 	ProbesPerUpstream float64
 	// MaxLookupTTL is the upper limit of the TTL of lookup answers.
 	MaxLookupTTL time.Duration
+	// KeyMaxAge is the age of the copy of the store from which keys of customers are
+	// refused, since they may have been taken away; 0 if there is no such limit.
+	KeyMaxAge time.Duration
+	// CustomerQuota bounds what customers may get beyond their limits, ColdLimit what
+	// cold upstreams may get beyond the rate that they bear.
+	CustomerQuota gateway.CustomerQuota
+	ColdLimit     gateway.ColdLimit
 }
 
 // Check returns all invalid settings as one joined error.
@@ -100,4 +108,7 @@
 	// Quarantine is the key of the requests that crash upstreams, which instances
 	// that start must know.
 	Quarantine string
+	// EvacuationPrefix is followed by the name of a data centre whose upstreams get no
+	// requests while the key exists.
+	EvacuationPrefix string
 }
--- a/route/route.go
+++ b/route/route.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/catkinrouter/catkinrouter/customer"
 )
 
 // Part is one service's share of a route's requests.
@@ -35,6 +37,8 @@
 	MaxAttempts int
 	// Parts holds a single service or the weighted parts of a traffic split.
 	Parts []Part
+	// Public is set if requests need no key of a customer.
+	Public bool
 	// Unreadable is set if the operators' row could not be read: its requests are refused,
 	// since neither an older row nor another route may serve them.
 	Unreadable bool
@@ -42,7 +46,7 @@
 
 // Problem is a field of the operators' configuration that could not be read as written.
 type Problem struct {
-	Table string // "routes", "services" or "limits"
+	Table string // "routes", "services", "tenants" or "limits"
 	Row   int    // position in the table, from 0
 	Name  string // of the route or service, empty if it could not be read
 	Field string // empty if the problem is the row as a whole
@@ -57,6 +61,10 @@
 	// MaxConns is the number of connections that each upstream accepts from
 	// all instances together.
 	MaxConns int
+	// ColdTime is how long an upstream is cold after its start, ColdPerSecond the rate of
+	// requests that it bears while it is, from all instances together; 0 sets no limit.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 }
 
 // Limits holds the limits on callers' requests and connections.
@@ -73,16 +81,20 @@
 	Rules    []Rule
 	Services []Service
 	Limits   Limits
+	// Customers is nil if requests need no key.
+	Customers *customer.Set
 	// Problems lists what could not be read as written.
 	Problems []Problem
 }
 
 // Table finds the route of a request. It is safe for concurrent use.
 type Table struct {
-	Version  uint64
-	Limits   Limits
-	hosts    map[string][]*Route // longest prefix first
-	services map[string]Service
+	Version uint64
+	Limits  Limits
+	// Customers is nil if requests need no key.
+	Customers *customer.Set
+	hosts     map[string][]*Route // longest prefix first
+	services  map[string]Service
 }
 
 // Route is a Rule in use, with the state of its traffic split.
@@ -96,7 +108,7 @@
 // first requests to the same part.
 func NewTable(doc *Document, rng *rand.Rand) *Table {
 	t := &Table{
-		Version: doc.Version, Limits: doc.Limits,
+		Version: doc.Version, Limits: doc.Limits, Customers: doc.Customers,
 		hosts: map[string][]*Route{}, services: make(map[string]Service, len(doc.Services)),
 	}
 	for _, s := range doc.Services {
