Use the last slots of an upstream while they raise its throughput

At the peaks of a service with two slots an upstream, callers were refused although every second slot was free: with one request running, an upstream counted as nearly full, and as without room since requests there take 1.7 times as long. Two requests at 1.7 times the time are still more a second than one.

Ruled out: too few probes (the reports showed a free slot in each), a wrong factor (it was measured as 1.7).

Room now also holds while (n + 1) / n is above the measured factor; upstreams without room, not those that are nearly full, count as busy for hedges. With three slots at 1.7, and with six, nothing changes.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -151,7 +151,7 @@
 		})
 		if res.report != nil {
 			g.estimates.recordPace(res.upstream.Service, res.report.Pace)
-			g.estimates.updateFullness(res.upstream.Service, func(f *pick.Fullness) { f.RecordReport(res.report.NearlyFull(0)) })
+			g.estimates.updateFullness(res.upstream.Service, func(f *pick.Fullness) { f.RecordReport(f.Room(now, res.report, 0)) })
 		}
 		if res.upstream.DataCentre != g.opt.DataCentre {
 			cand.Distance = crossDataCentreCost
--- a/pick/fullness.go
+++ b/pick/fullness.go
@@ -20,22 +20,22 @@
 	maxMeanWeight = 20.0
 	// meanHalfLife is the time in which a mean's distance from 1 halves.
 	meanHalfLife = 8 * time.Second
-	// nearlyFullAlpha is the weight of one report in the moving average of
-	// the share of nearly full upstreams.
-	nearlyFullAlpha = 0.05
-	// busyShare is the share of nearly full upstreams above which a service
+	// fullAlpha is the weight of one report in the moving average of
+	// the share of upstreams without room.
+	fullAlpha = 0.05
+	// busyShare is the share of upstreams without room above which a service
 	// has no capacity to spare.
 	busyShare = 0.3
 )
 
 // Fullness tracks how much longer requests take at the nearly full upstreams
-// of a service, and the share of its upstreams that are nearly full.
+// of a service, and the share of its upstreams that have no room.
 type Fullness struct {
 	// notFullMean and nearlyFullMean are mean request times, as multiples of the
 	// expected time, by the state of the upstream when the request was sent.
 	notFullMean, nearlyFullMean decayingMean
-	// nearlyFullShare is the share of load reports from nearly full upstreams.
-	nearlyFullShare float64
+	// fullShare is the share of load reports from upstreams without room.
+	fullShare float64
 }
 
 // decayingMean is a mean with a capped weight that decays towards 1.
@@ -76,18 +76,18 @@
 	}
 }
 
-// RecordReport records whether a load report showed a nearly full upstream.
-func (f *Fullness) RecordReport(nearlyFull bool) {
+// RecordReport records whether a load report showed an upstream with room.
+func (f *Fullness) RecordReport(room bool) {
 	v := 0.0
-	if nearlyFull {
+	if !room {
 		v = 1
 	}
-	f.nearlyFullShare += nearlyFullAlpha * (v - f.nearlyFullShare)
+	f.fullShare += fullAlpha * (v - f.fullShare)
 }
 
-// Busy reports whether so many upstreams are nearly full that there is no
+// Busy reports whether so many upstreams have no room that there is no
 // capacity for a second attempt of the same request.
-func (f Fullness) Busy() bool { return f.nearlyFullShare > busyShare }
+func (f Fullness) Busy() bool { return f.fullShare > busyShare }
 
 // Factor returns how much longer requests take at nearly full upstreams than
 // at others; at least 1.
@@ -98,7 +98,14 @@
 }
 
 // Room reports whether the upstream can take one more request without delaying
-// it or the requests that are already running there.
+// it or the requests that are already running there, or serves more requests a second
+// with it: at a peak, more callers are answered in time if the last slots are used,
+// unless all requests there slow down by more than the slot adds. The second of two
+// slots is worth its use up to a Factor of 2, the third of three up to 1.5.
 func (f Fullness) Room(now time.Duration, r *Report, sentSince int) bool {
-	return r.Free(sentSince) && (!r.NearlyFull(sentSince) || f.Factor(now) < maxFullFactor)
+	if !r.Free(sentSince) {
+		return false
+	}
+	ahead := float64(max(1, r.ahead(sentSince)))
+	return !r.NearlyFull(sentSince) || f.Factor(now) < max(maxFullFactor, (ahead+1)/ahead)
 }
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -100,6 +100,28 @@
 	}
 }
 
+// TestLastSlotIsUsedWhileItRaisesThroughput guards against refusing callers at a peak while
+// every second slot is free: at upstreams of two slots, where requests take 1.7 times as
+// long with both in use, two slots serve more than one. Of three slots, they serve less.
+func TestLastSlotIsUsedWhileItRaisesThroughput(t *testing.T) {
+	var slow Fullness
+	for i := range 20 {
+		now := time.Duration(i) * 100 * time.Millisecond
+		slow.Add(now, 1, false)
+		slow.Add(now, 1.7, true)
+	}
+	now := 2 * time.Second
+	if !slow.Room(now, &Report{Running: 1, Slots: 2, Pace: 1}, 0) {
+		t.Errorf("no room in the second of two slots at factor %.2f", slow.Factor(now))
+	}
+	if slow.Room(now, &Report{Running: 2, Slots: 2, Pace: 1}, 0) {
+		t.Error("room without a free slot")
+	}
+	if slow.Room(now, &Report{Running: 2, Slots: 3, Pace: 1}, 0) {
+		t.Errorf("room in the third of three slots at factor %.2f", slow.Factor(now))
+	}
+}
+
 // TestProbeBackoffExpires checks the length of the probe backoff after each kind
 // of report and after no answer.
 func TestProbeBackoffExpires(t *testing.T) {
