Evacuate data centres named in the store

Operators had no way to take all upstreams of a data centre out at once: each upstream would have had to drain itself.

While the store has a key op/evacuate/DATACENTRE, Registry.Usable leaves the upstreams there out, and SetRoutes tells the gateway which data centres these are. The gateway checks the latest set before a probe, before a choice is admitted (also for a handed-off slot) and before a request is written, so that calls which picked earlier pick again; such an attempt counts as not run and is no evidence against the upstream. Idle connections there are closed and none are kept. Requests that run there end there. Evidence is retained, since rate limits, pauses and failures count again when the load returns.

The key is applied like any item of the copy, so a restart, a deletion and a store restored from an older copy need no code of their own.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -69,6 +69,8 @@
 	// departed holds the last entries of upstreams whose entry was removed, for
 	// departedMemory.
 	departed map[string]departure
+	// evacuated holds the names of the data centres whose upstreams get no requests.
+	evacuated map[string]bool
 	// recoveredAt is when the last store outage ended, if there was one.
 	recoveredAt time.Duration
 	hadOutage   bool
@@ -86,7 +88,7 @@
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{upstreams: map[string]*Upstream{}, keepUntil: map[string]time.Duration{}, departed: map[string]departure{}}
+	return &Registry{upstreams: map[string]*Upstream{}, keepUntil: map[string]time.Duration{}, departed: map[string]departure{}, evacuated: map[string]bool{}}
 }
 
 // Put adds or updates an upstream. It ignores an entry of an older incarnation,
@@ -154,12 +156,13 @@
 	return removed
 }
 
-// Usable returns the upstreams that may get new requests, by service. The
+// Usable returns the upstreams that may get new requests, by service: those that are
+// neither draining nor in an evacuated data centre. The
 // Registry does not change the result or the upstreams in it afterwards.
 func (r *Registry) Usable() map[string][]*Upstream {
 	out := map[string][]*Upstream{}
 	for _, u := range r.upstreams {
-		if !u.Draining {
+		if !u.Draining && !r.evacuated[u.DataCentre] {
 			out[u.Service] = append(out[u.Service], u)
 		}
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -45,14 +45,14 @@
 	}
 	c.logNoRoom(ch)
 	c.g.releaseChoice(ch)
-	return ch, c.failureResult("no-room"), false
+	return ch, c.failureResult(c.reasonUnlessEvacuated("no-room")), false
 }
 
 // cannotWait returns why no upstream can get the call before limit, or an empty
 // string if one may.
 func (c *call) cannotWait(limit time.Duration) string {
 	if !c.hasUntried() {
-		return "no-upstream"
+		return c.reasonUnlessEvacuated("no-upstream")
 	}
 	due, reason := c.blockedUntil(c.g.queue.ahead(c.service.Name, c.priority()))
 	if due < limit {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -279,6 +279,8 @@
 	switch {
 	case reason == reasonLeaving:
 		return leavingRetryAfter
+	case reason == reasonEvacuated:
+		return evacuatedRetryAfter
 	case reason == "" || until == never:
 		return 0
 	}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -94,6 +94,8 @@
 	dialled atomic.Uint64 // the number of the newest connection
 	mu      sync.Mutex
 	idle    map[string][]*conn // most recently used last
+	// blocked holds the addresses to which no idle connections are kept.
+	blocked map[string]bool
 }
 
 func newPool(metrics *metricSet) *pool { return &pool{metrics: metrics, idle: map[string][]*conn{}} }
@@ -149,6 +151,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.blocked[c.addr] {
+		c.Close()
+		return
+	}
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -65,12 +65,15 @@
 	e.update(u, func(ev *pick.Evidence) { ev.Record(now, failed, weight) })
 }
 
-// retain drops the evidence about upstreams that are not in live.
-func (e *evidenceTable) retain(live map[string][]*discovery.Upstream) {
+// retain drops the evidence about upstreams that are in neither list: what evacuated ones
+// said of themselves and their failures count once they are used again.
+func (e *evidenceTable) retain(usable, evacuated map[string][]*discovery.Upstream) {
 	ids := map[string]bool{}
-	for _, l := range live {
-		for _, u := range l {
-			ids[u.ID] = true
+	for _, byService := range []map[string][]*discovery.Upstream{usable, evacuated} {
+		for _, l := range byService {
+			for _, u := range l {
+				ids[u.ID] = true
+			}
 		}
 	}
 	e.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 	table     *route.Table
 	upstreams map[string][]*discovery.Upstream
 	byKey     map[uint64]*discovery.Upstream
+	evacuated evacuated
 }
 
 // Instance is an instance of the fleet that callers may use.
@@ -144,9 +145,10 @@
 	return g
 }
 
-// SetRoutes replaces the routing table and the upstreams.
-func (g *Gateway) SetRoutes(t *route.Table, upstreams map[string][]*discovery.Upstream) {
-	snap := &snapshot{table: t, upstreams: upstreams, byKey: map[uint64]*discovery.Upstream{}}
+// SetRoutes replaces the routing table, the usable upstreams and the evacuated data
+// centres, whose upstreams are not among the usable ones.
+func (g *Gateway) SetRoutes(t *route.Table, upstreams map[string][]*discovery.Upstream, evacuations ...discovery.Evacuation) {
+	snap := &snapshot{table: t, upstreams: upstreams, byKey: map[uint64]*discovery.Upstream{}, evacuated: newEvacuated(evacuations)}
 	for _, l := range upstreams {
 		for _, u := range l {
 			snap.byKey[upstreamKey(u)] = u
@@ -156,7 +158,8 @@
 		close(g.configured)
 	}
 	g.callers.SetTimeouts(callerTimeouts(t.Limits))
-	g.evidence.retain(upstreams)
+	g.pool.block(snap.evacuatedAddresses())
+	g.evidence.retain(upstreams, snap.evacuated.byService)
 	g.probeBudget.setCounts(len(snap.byKey), 0)
 }
 
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -13,9 +13,10 @@
 	"github.com/catkinrouter/catkinrouter/quota"
 )
 
-// errUnwanted ends an attempt before it is sent: its upstream has said meanwhile that
-// it is leaving, or that it wants no requests for a time.
-var errUnwanted = errors.New("upstream is leaving or asked for a pause after it was picked")
+// errUnwanted ends an attempt or a probe before it is sent: its upstream has said
+// meanwhile that it is leaving, or that it wants no requests for a time, or its data
+// centre is evacuated.
+var errUnwanted = errors.New("upstream is leaving, asked for a pause or was evacuated after it was picked")
 
 // leavingRetryAfter is when callers are told to come back if all upstreams of a service
 // are leaving: the next ones are being started.
@@ -163,6 +164,9 @@
 // admit counts a request to the chosen upstream. It returns false if the upstream
 // admits none now.
 func (g *Gateway) admit(ch *choice) bool {
+	if g.isEvacuated(ch.upstream) {
+		return false
+	}
 	ch.rateLimit, ch.admitted = g.evidence.admit(g.now(), ch.upstream)
 	if !ch.admitted && ch.rateLimit.Named {
 		g.metrics.rateLimited.Inc(1)
@@ -181,6 +185,9 @@
 // ahead other calls, and why not now; the reason is empty if an upstream is open. The time
 // is never if no upstream left to the call will admit one.
 func (c *call) blockedUntil(ahead int) (until time.Duration, reason string) {
+	if c.allEvacuated() {
+		return never, reasonEvacuated
+	}
 	now := c.g.now()
 	var waiting []quota.Admission
 	var reasons []string
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
@@ -143,6 +144,7 @@
 		g.evidence.update(res.upstream, func(ev *pick.Evidence) {
 			cand.FailureRate, cand.SentSince = ev.FailureRate(now), ev.Since(res.sendMark)
 			switch {
+			case errors.Is(res.err, errUnwanted): // not probed
 			case res.report == nil:
 				ev.RecordNoAnswer(now)
 			default:
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -44,6 +44,10 @@
 // carry a request. If an idle connection fails, it retries on a new one.
 func (g *Gateway) probe(u *discovery.Upstream, path string, deadline time.Time) probeResult {
 	res := probeResult{upstream: u}
+	if g.isEvacuated(u) {
+		res.err = errUnwanted
+		return res
+	}
 	g.evidence.update(u, func(ev *pick.Evidence) { res.sendMark = ev.Mark() })
 	c := g.pool.take(u.Address)
 	reused := c != nil
@@ -157,7 +161,7 @@
 
 // recordProbe records a failed probe as evidence.
 func (g *Gateway) recordProbe(res probeResult) {
-	if res.err != nil {
+	if res.err != nil && !errors.Is(res.err, errUnwanted) {
 		g.metrics.probesFailed.Inc(1)
 		g.evidence.recordOutcome(g.now(), res.upstream, true, failedProbeWeight)
 	}
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -131,7 +131,7 @@
 		}
 		return
 	}
-	if g.evidence.unwanted(g.now(), t.upstream) {
+	if g.unwanted(t.upstream) {
 		t.err = errUnwanted
 		if t.clearConn() {
 			g.pool.put(cn)
--- a/node/node.go
+++ b/node/node.go
@@ -71,6 +71,7 @@
 	activeItem    mirror.Item
 	storedVersion uint64
 	shared        sharedQuarantine
+	evacuations   evacuations
 
 	// quarantineChanged triggers a check of whether the store lacks a quarantined
 	// request.
@@ -83,7 +84,7 @@
 	n := &Node{
 		settings: settings, adapter: adapter, log: logs.WithPart(l, "node"), started: time.Now(), registry: gometrics.NewRegistry(),
 		rng: rand.New(rand.NewPCG(seed, 2)), upstreams: discovery.New(), maintainNow: make(chan struct{}, 1),
-		quarantineChanged: make(chan struct{}, 1),
+		quarantineChanged: make(chan struct{}, 1), evacuations: evacuations{},
 	}
 	n.guard = panics.Guard{Log: n.log, Count: gometrics.GetOrRegisterCounter("panics_total", n.registry)}
 	n.gateway = gateway.New(gateway.Options{
@@ -229,10 +230,13 @@
 				n.applyQuarantine(it, source)
 			case strings.HasPrefix(it.Key, n.adapter.Keys.UpstreamPrefix):
 				changes.count(n.applyUpstream(now, it, source), it.Revision)
+			case isEvacuation(n.adapter.Keys.EvacuationPrefix, it.Key):
+				n.applyEvacuation(it)
 			}
 		})
 	}
 	changes.log(n.log, source)
+	n.recordEvacuations(source)
 	n.publish()
 }
 
@@ -270,7 +274,7 @@
 		return
 	}
 	first := !n.gateway.Ready()
-	n.gateway.SetRoutes(n.table, n.upstreams.Usable())
+	n.gateway.SetRoutes(n.table, n.upstreams.Usable(), n.upstreams.Evacuations()...)
 	if first {
 		signal(n.maintainNow)
 	}
