Queue calls in the least-cost order

With the order by priority a call waits for 0.3 of its target whatever the load, the queue is unbounded, and a rejected caller returns after 40 to 100 ms.

Options.QueueOrder selects the least-cost order. Its queue determines the first and the last call at the moment of the decision, since calls age and miss their targets while they wait; the first is kept for 5 ms, so that polls of many waiting calls stay cheap. Beyond the bound the last call is turned away, also one that waits. The first call still probes on behalf of all. Rejections are counted by reason and priority, and logged with the inputs of the decision. Without the option every call takes the same steps as before.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -23,9 +23,13 @@
 // them. It returns the call's result and false if the call is not sent.
 func (c *call) admit() (choice, callResult, bool) {
 	var ch choice
-	limit := c.arrived + time.Duration(queueTargetShare*float64(c.route.TargetLatency))
+	rejected := reasonNoRoom
+	if c.tooLate() {
+		return ch, c.reject(reasonTooLate), false
+	}
+	limit := c.waitLimit()
 	found := false
-	if c.g.now() >= limit || !c.g.queue.mustWait(c.service.Name, c.priority()) {
+	if c.g.now() >= limit || !c.mustWait() {
 		ch, found = c.g.pickUpstream(c)
 	}
 	if !found {
@@ -34,7 +38,7 @@
 		}
 	}
 	if !c.hasRoom(&ch) && !c.healthUnknown(&ch) {
-		ch = c.waitForRoom(ch, limit)
+		ch, rejected = c.waitForRoom(ch, limit)
 	}
 	switch {
 	case c.callerLeft():
@@ -45,7 +49,7 @@
 	}
 	c.logNoRoom(ch)
 	c.g.releaseChoice(ch)
-	return ch, c.failureResult("no-room"), false
+	return ch, c.reject(rejected), false
 }
 
 // cannotWait returns why no upstream can get the call before limit, or an empty
@@ -54,7 +58,7 @@
 	if !c.hasUntried() {
 		return "no-upstream"
 	}
-	due, reason := c.blockedUntil(c.g.queue.ahead(c.service.Name, c.priority()))
+	due, reason := c.blockedUntil(c.callsAhead())
 	if due < limit {
 		return ""
 	}
@@ -96,23 +100,31 @@
 }
 
 // waitForRoom queues the call for a slot that another call frees, until there
-// is room, limit has passed or the caller has disconnected. Only the first
+// is room, limit has passed, the caller has disconnected or the queue turns the
+// call away; it returns why the call has no room if it has none. Only the first
 // call in the queue probes upstreams, on behalf of all: probes of every
 // waiting call would take up the slots that they look for.
-func (c *call) waitForRoom(ch choice, limit time.Duration) choice {
-	w := c.g.queue.enqueue(c.service.Name, c.priority())
+func (c *call) waitForRoom(ch choice, limit time.Duration) (choice, string) {
+	w, queued := c.enqueue()
+	if !queued {
+		return ch, reasonQueueFull
+	}
 	for !c.hasRoom(&ch) && c.g.now() < limit && !c.callerLeft() {
 		select {
 		case next := <-w.slot:
 			if c.tried[next.probeResult.upstream.ID] {
 				c.g.releaseChoice(next)
-				w = c.g.queue.enqueue(c.service.Name, c.priority())
+				if w, queued = c.enqueue(); !queued {
+					return ch, reasonQueueFull
+				}
 				continue
 			}
 			c.g.releaseChoice(ch)
-			return next
+			return next, ""
+		case <-w.turnedAway:
+			return ch, reasonDisplaced
 		case <-time.After(min(queuePollInterval, limit-c.g.now())):
-			if !c.g.queue.isFirst(c.service.Name, w) {
+			if !c.isFirst(w) {
 				continue
 			}
 			if next, found := c.g.probeFurther(c, ch); found {
@@ -120,10 +132,10 @@
 			}
 		}
 	}
-	if next, handedOff := c.g.queue.remove(c.service.Name, w); handedOff {
+	if next, handedOff := c.dequeue(w); handedOff {
 		c.g.releaseChoice(next)
 	}
-	return ch
+	return ch, reasonNoRoom
 }
 
 // hasRoom reports whether the chosen upstream can run the call without
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
+	leastcost "github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/internal/netpeek"
@@ -60,6 +61,8 @@
 	sent, unsent  int
 	mayHaveRun    bool
 	hedgeSearches int
+	// orderInputs is set once inputs has determined them.
+	orderInputs *leastcost.Call
 	// contentDigest is set once content has computed it.
 	contentDigest quarantine.Content
 	contentKnown  bool
@@ -270,17 +273,19 @@
 
 // retryAfter returns after how long a refused call has a chance: at the end of its
 // quarantine, or once this instance may send to an upstream again if what they say of
-// themselves prevents it, and 0 if that can't be told.
+// themselves prevents it, or by the least-cost order, and 0 if that can't be told.
 func (c *call) retryAfter() time.Duration {
 	if d := c.quarantinedFor(); d > 0 {
 		return d
 	}
-	until, reason := c.blockedUntil(c.g.queue.ahead(c.service.Name, c.priority()))
+	until, reason := c.blockedUntil(c.callsAhead())
 	switch {
 	case reason == reasonLeaving:
 		return leavingRetryAfter
-	case reason == "" || until == never:
+	case until == never:
 		return 0
+	case reason == "":
+		return c.returnAfter()
 	}
 	return max(0, until-c.g.now())
 }
--- a/gateway/estimates.go
+++ b/gateway/estimates.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// measured reports whether workOf returns a measured time.
+func (w *workEstimates) measured(key workKey) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.quantiles[key]
+	if q == nil {
+		return false
+	}
+	_, ok := q.Value()
+	return ok
+}
+
 func (w *workEstimates) workOf(key workKey) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	leastcost "github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/internal/connlimit"
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
@@ -30,6 +31,8 @@
 	MemoryBytes int64
 	// MaxCallers bounds the open connections of callers; 0 sets no bound.
 	MaxCallers int
+	// QueueOrder is the order in which calls wait for a slot.
+	QueueOrder leastcost.QueueOrder
 	Now        func() time.Duration
 	Seed       uint64
 }
@@ -83,7 +86,9 @@
 	retryBudgets *retryBudgets
 	probeBudget  *probeBudget
 	queue        *waitQueue
-	instances    atomic.Pointer[[]Instance]
+	// leastCost replaces queue with the least-cost order; nil with the order by priority.
+	leastCost *leastCostQueue
+	instances atomic.Pointer[[]Instance]
 	// configured is closed with the first configuration, instanceKnown with
 	// the first instance that lookups can return.
 	configured, instanceKnown chan struct{}
@@ -135,6 +140,9 @@
 		quarantine: lockedQuarantine{table: quarantine.New()},
 		rng:        rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
+	if opt.QueueOrder == leastcost.LeastCost {
+		g.leastCost = newLeastCostQueue()
+	}
 	g.callers = connlimit.NewLimiter(connlimit.Options{
 		Name: "callers", Max: opt.MaxCallers, Response: rejection, ConnectionBytes: connectionBytes, Memory: g.memory,
 	}, registry)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	leastcost "github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/pick"
 )
 
@@ -22,6 +23,10 @@
 type waiter struct {
 	slot     chan choice
 	priority int
+	// call holds the inputs of the least-cost order. turnedAway is closed if the call
+	// is turned away while it waits; nil with the order by priority.
+	call       leastcost.Call
+	turnedAway chan struct{}
 }
 
 func newWaitQueue() *waitQueue { return &waitQueue{byService: map[string][]*waiter{}} }
@@ -108,10 +113,10 @@
 // handOff gives a choice to the first queued call of the service, if there is one
 // and the upstream's rate limit admits it.
 func (g *Gateway) handOff(service string, ch choice) bool {
-	if g.queue.empty(service) || !g.admit(&ch) {
+	if g.queueEmpty(service) || !g.admit(&ch) {
 		return false
 	}
-	if !g.queue.handOff(service, ch) {
+	if !g.giveToFirst(service, ch) {
 		g.withdraw(&ch)
 		return false
 	}
@@ -123,6 +128,7 @@
 // connection to a queued call if the upstream has room, and otherwise returns
 // it to the pool, or closes it if the upstream does or it is exhausted.
 func (g *Gateway) finishExchange(c *call, t *try, cn *conn) {
+	g.recordFreedSlot(c.service.Name)
 	r, err := g.proto.ParseLoad(string(t.resp.Header.Peek(g.proto.Load)))
 	closes := t.resp.ConnectionClose() || cn.exhausted()
 	if err == nil {
