Select the queue order by a flag of catkin-node

-queue-order least-cost passes the order through node.Settings to the gateway; any other value than priority and least-cost is a usage error. The default is the order by priority.

--- a/cmd/catkin-node/main.go
+++ b/cmd/catkin-node/main.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/internal/daemon"
 	"github.com/catkinrouter/catkinrouter/internal/hangup"
 	"github.com/catkinrouter/catkinrouter/internal/logs"
@@ -41,6 +42,7 @@
 	showVersion := fs.Bool("version", false, "print the version and exit")
 	minLevel := fs.String("log", "info", "minimum log level: debug, info, warn or error")
 	metricsPort := fs.Int("metrics-port", 0, "port of the metrics endpoint on the instance's IP address; 0 selects the second internal port")
+	orderName := fs.String("queue-order", string(admission.ByPriority), "order in which calls wait for a slot: priority or least-cost")
 	fs.Usage = func() {
 		fmt.Fprintf(stderr, "%s: runs one instance on a platform; the environment variable %s holds the path of the platform's settings file\n\n", name, platform.SettingsVariable)
 		fs.PrintDefaults()
@@ -58,11 +60,17 @@
 		fmt.Fprintf(stderr, "%s: unexpected argument or port: see -h\n", name)
 		return daemon.ExitUsage
 	}
+	order, err := admission.ParseQueueOrder(*orderName)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return daemon.ExitUsage
+	}
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return daemon.ExitUsage
 	}
+	settings.QueueOrder = order
 	if *metricsPort > 0 {
 		settings.MetricsAddress = settings.WithPort(*metricsPort)
 	}
--- a/cmd/catkin-node/main_test.go
+++ b/cmd/catkin-node/main_test.go
@@ -39,6 +39,8 @@
 		{"no file named", "", nil, daemon.ExitUsage, "no settings"},
 		{"no such file", good + "x", nil, daemon.ExitUsage, "no such file"},
 		{"check", good, []string{"-check"}, daemon.ExitOK, "valid"},
+		{"queue order", good, []string{"-check", "-queue-order", "least-cost"}, daemon.ExitOK, "valid"},
+		{"unknown queue order", good, []string{"-check", "-queue-order", "least"}, daemon.ExitUsage, "not known"},
 		{"log level", good, []string{"-log", "loud"}, daemon.ExitUsage, "not known"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -88,7 +88,7 @@
 	n.guard = panics.Guard{Log: n.log, Count: gometrics.GetOrRegisterCounter("panics_total", n.registry)}
 	n.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Address: settings.DataAddress, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes,
-		MaxCallers: connlimit.MaxCallers(connlimit.Descriptors(settings.MaxDescriptors, n.log)), Now: n.now, Seed: seed,
+		MaxCallers: connlimit.MaxCallers(connlimit.Descriptors(settings.MaxDescriptors, n.log)), QueueOrder: settings.QueueOrder, Now: n.now, Seed: seed,
 	}, adapter.Protocol, logs.WithPart(l, "gateway"), n.registry)
 	n.gateway.SetHooks(gateway.Hooks{
 		UpstreamFailed: func(key uint64, weight float64) {
--- a/node/settings.go
+++ b/node/settings.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/gateway"
 	"github.com/catkinrouter/catkinrouter/settings"
 )
@@ -57,6 +58,8 @@
 	// KeyMaxAge is the age of the copy of the store from which keys of customers are
 	// refused, since they may have been taken away; 0 if there is no such limit.
 	KeyMaxAge time.Duration
+	// QueueOrder is the order in which calls wait for a slot.
+	QueueOrder admission.QueueOrder
 	// CustomerQuota bounds what customers may get beyond their limits, ColdLimit what
 	// cold upstreams may get beyond the rate that they bear.
 	CustomerQuota gateway.CustomerQuota
