--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -108,13 +108,13 @@
 	svc, _ := snap.table.Service(name)
 	svc.Name = name
 	timeout := r.Timeout
-	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(g.proto.Deadline)), 10, 64)
-	if err == nil && ms > 0 && ms <= timeout.Milliseconds() {
-		timeout = time.Duration(ms) * time.Millisecond
+	callerTime := g.callerTime(ctx)
+	if callerTime > 0 {
+		timeout = min(timeout, callerTime)
 	}
 	c := &call{
 		g: g, ctx: ctx, id: id, version: snap.table.Version, route: r, customer: cust, service: svc,
-		arrived: arrived, deadline: arrived + timeout,
+		arrived: arrived, deadline: arrived + timeout, callerTime: callerTime,
 		// Copied, because an attempt can outlive the request, whose buffers
 		// are then reused.
 		head: g.requestHead(ctx, snap.table.Customers != nil), body: body,
@@ -125,3 +125,15 @@
 	g.retryBudgets.recordCall(arrived, name)
 	return c
 }
+
+// maxCallerTime bounds the time that a caller says it waits.
+const maxCallerTime = 24 * time.Hour
+
+// callerTime returns how long the caller says it waits, 0 if it does not say.
+func (g *Gateway) callerTime(ctx *fasthttp.RequestCtx) time.Duration {
+	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(g.proto.Deadline)), 10, 64)
+	if err != nil || ms <= 0 {
+		return 0
+	}
+	return time.Duration(min(ms, maxCallerTime.Milliseconds())) * time.Millisecond
+}
