--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -31,12 +31,12 @@
 // Guards against calls that starve behind more urgent ones, and against late calls of
 // priority 0 that age past those that can meet their target.
 func TestAging(t *testing.T) {
-	c := Call{Priority: 3, Arrived: 1000 * ms, Deadline: 2000 * ms}
+	c := Call{Priority: 3, Arrived: 1000 * ms, Target: 1800 * ms, Deadline: 2000 * ms}
 	for _, x := range []struct {
 		now      time.Duration
 		priority int
 		want     int
-	}{{1499 * ms, 3, 3}, {1500 * ms, 3, 2}, {1749 * ms, 3, 2}, {1750 * ms, 3, 1}, {1750 * ms, 1, 0}, {1750 * ms, 0, 0}} {
+	}{{1499 * ms, 3, 3}, {1500 * ms, 3, 2}, {1749 * ms, 3, 2}, {1750 * ms, 3, 1}, {1750 * ms, 1, 0}, {1750 * ms, 0, 0}, {1801 * ms, 3, 3}} {
 		if c.Priority = x.priority; c.urgency(x.now) != x.want {
 			t.Errorf("priority %d counts as %d at %v, want %d", x.priority, c.urgency(x.now), x.now, x.want)
 		}
--- a/admission/order.go
+++ b/admission/order.go
@@ -38,9 +38,13 @@
 func (c Call) meetsTarget(now time.Duration) bool { return now+c.Work <= c.Target }
 
 // urgency returns the call's priority after aging. It answers a flood of urgent calls that
-// lasts: less urgent ones get slots before their time is over. Nothing is more urgent than
-// priority 0, so late calls of priority 0 do not displace those that can meet their target.
+// lasts: less urgent ones get slots before their time is over. A call that will miss
+// its target does not age: it would displace more urgent calls that can still meet theirs.
+// Nothing is more urgent than priority 0.
 func (c Call) urgency(now time.Duration) int {
+	if !c.meetsTarget(now) {
+		return c.Priority
+	}
 	waited, had := now-c.Arrived, c.Deadline-c.Arrived
 	steps := 0
 	if float64(waited) >= firstAgingShare*float64(had) {
--- a/gateway/leastcost_loads_test.go
+++ b/gateway/leastcost_loads_test.go
@@ -165,7 +165,7 @@
 	return replayLoad{
 		name: "0.4 of the upstreams 12 times slower", paces: paces, arrivals: arrivals,
 		good: func(m map[int]tally) bool {
-			return total(m).inTargetShare() > 0.75 && total(m).refusedShare() < 0.06 && m[2].refusedShare() < 0.2
+			return total(m).inTargetShare() > 0.85 && total(m).refusedShare() < 0.06 && m[2].refusedShare() < 0.2
 		},
 	}
 }
@@ -181,7 +181,7 @@
 	return replayLoad{
 		name: "flood of long work of low priority", paces: uniform(12), arrivals: arrivals,
 		good: func(m map[int]tally) bool {
-			return m[0].inTargetShare() > 0.99 && m[1].inTargetShare() > 0.85 && m[1].refusedShare() < 0.02
+			return m[0].inTargetShare() > 0.99 && m[1].inTargetShare() > 0.85 && m[1].refusedShare() < 0.02 && m[3].inTargetShare() > 0.25
 		},
 	}
 }
