Date confirmations of the copy at what they prove

An instance whose process stood still found old replies in its sockets when it woke, and took them for confirmations of its copy at that moment; one whose machine was suspended counted that only at its next tick. A copy that was never confirmed passed for as old as the process.

A watch now confirms the copy as of its beginning, or as of the end of its wait if nothing changed; a heartbeat as of its arrival by the kernel's timestamp. A confirmation that may be from before a suspension leaves that in the age. CopyAge gives the age with all of this, without the lock, which is held while a configuration is decoded; it is published after the Listener has the changes, so what a reader finds in force is at least as new as the age says.

Views name the instances that are neither ready nor leaving, and summaries those of a data centre without a ready one, for lookups while no instance is ready. Hubs can be told to watch in shorter turns.

--- /dev/null
+++ b/fleet/copyage_test.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/catkinrouter/catkinrouter/internal/panics"
+	"github.com/catkinrouter/catkinrouter/mirror"
+	"github.com/catkinrouter/catkinrouter/store"
+)
+
+// agingFleet is a Fleet on clocks that the test sets.
+type agingFleet struct {
+	*Fleet
+	now, slept time.Duration
+}
+
+func newAgingFleet() *agingFleet {
+	a := &agingFleet{now: 10 * time.Second}
+	a.Fleet = New(Options{
+		Self: info(1), Now: func() time.Duration { return a.now }, Suspended: func() time.Duration { return a.slept },
+		Log: log.NewNopLogger(), Guard: panics.Guard{Log: log.NewNopLogger()}, OnStoreCall: func(string) {},
+	}, nil, &recordingListener{values: map[string]string{}})
+	return a
+}
+
+// read makes the result of a watch known that began at a time and waited for a second.
+func (a *agingFleet) read(began time.Duration, revision store.Revision, items ...mirror.Item) {
+	a.handleReadResult(dueRead{kind: callWatch, wait: time.Second, began: began}, mirror.Delta{Base: a.copy.Revision(), Full: a.copy.Revision() == 0, Revision: revision, Items: items}, nil)
+}
+
+func (a *agingFleet) wantAge(t *testing.T, what string, want time.Duration) {
+	t.Helper()
+	if got := a.CopyAge(); got != want {
+		t.Errorf("%s: age %v, want %v", what, got, want)
+	}
+}
+
+// A copy that was never confirmed passed for as old as the process, so that a restarted
+// instance took its first copy for a new one.
+func TestUnconfirmedCopyHasNoAge(t *testing.T) {
+	a := newAgingFleet()
+	a.wantAge(t, "at the start", AgeUnknown)
+	a.read(9*time.Second, 5)
+	a.wantAge(t, "after the first copy", 0)
+	a.now += 700 * time.Millisecond
+	a.wantAge(t, "later", 700*time.Millisecond)
+}
+
+// Between the end of a suspension and the next tick, the copy passed for new. What was in the
+// sockets when it began must not confirm the copy either.
+func TestSuspensionCountsAtOnce(t *testing.T) {
+	a := newAgingFleet()
+	a.read(9*time.Second, 5)
+	a.slept, a.now = time.Minute, a.now+50*time.Millisecond
+	a.wantAge(t, "before the tick", time.Minute+50*time.Millisecond)
+	if age := a.newHeartbeat(0).AgeMillis; age < 60_000 {
+		t.Errorf("heartbeat names an age of %d ms", age)
+	}
+	a.read(9500*time.Millisecond, 5)
+	if age := a.CopyAge(); age < time.Minute {
+		t.Errorf("a reply from before the suspension makes the copy %v old", age)
+	}
+	a.now += time.Second
+	a.read(a.now-time.Second/2, 5)
+	if age := a.CopyAge(); age > time.Second {
+		t.Errorf("a read after the suspension leaves the copy %v old", age)
+	}
+}
+
+// A process that stood still finds old replies in its sockets: they confirmed the copy as of
+// the moment at which it woke.
+func TestOldRepliesConfirmNothingNew(t *testing.T) {
+	a := newAgingFleet()
+	a.read(9*time.Second, 5)
+	a.now += 20 * time.Second
+	a.read(10*time.Second, 5)
+	a.wantAge(t, "watch without changes", 19*time.Second)
+	a.read(10500*time.Millisecond, 6, mirror.Item{Key: "k", Revision: 6})
+	a.wantAge(t, "watch with a change", 19*time.Second)
+	a.read(11500*time.Millisecond, 7, mirror.Item{Key: "k", Revision: 7})
+	a.wantAge(t, "later watch with a change", 18500*time.Millisecond)
+	beat := heartbeat{Format: heartbeatFormat, Incarnation: 1, Revision: 7, AgeMillis: 300}
+	a.handleDatagram(info(2).Address, beat.encode(), 19*time.Second, true)
+	a.wantAge(t, "heartbeat that waited", 18500*time.Millisecond)
+	a.handleDatagram(info(2).Address, beat.encode(), 0, false)
+	a.wantAge(t, "heartbeat of unknown wait", 18500*time.Millisecond)
+	a.handleDatagram(info(2).Address, beat.encode(), 0, true)
+	a.wantAge(t, "heartbeat", 300*time.Millisecond)
+}
+
+// The kernel must tell for how long a datagram was in the socket.
+func TestWaitOfDatagrams(t *testing.T) {
+	sockets := listen(t)
+	defer sockets.Close()
+	if err := stampArrivals(sockets.udp); err != nil {
+		t.Fatal(err)
+	}
+	out, err := net.Dial("udp4", sockets.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	if _, err := out.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	const pause = 60 * time.Millisecond
+	time.Sleep(pause)
+	buf, control := make([]byte, 8), make([]byte, timestampBytes)
+	_, n, _, _, err := sockets.udp.ReadMsgUDPAddrPort(buf, control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if waited, ok := waitedSince(time.Now(), control[:n]); !ok || waited < pause || waited > pause+10*time.Second {
+		t.Errorf("waited %v, known %v; want %v", waited, ok, pause)
+	}
+	if _, ok := waitedSince(time.Now(), nil); ok {
+		t.Error("a wait is known without a control message")
+	}
+}
--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
@@ -61,20 +62,16 @@
 // countSuspension adds the time for which the machine was suspended to the age of
 // the copy: the clock that Now reads did not count it.
 func (f *Fleet) countSuspension() {
-	total := f.opt.Suspended()
-	lost := total - f.suspended
-	if lost < minSuspension {
+	lost := f.suspendedSince(f.suspended)
+	if lost == 0 {
 		return
 	}
-	f.suspended = total
-	f.reader.suspended += lost
+	f.suspended += lost
+	f.reader.countSuspension(f.opt.Now(), lost)
+	f.publishConfirmation()
 	level.Warn(f.opt.Log).Log("msg", "machine was suspended", "for", lost, "copy_age", f.reader.age(f.opt.Now()))
 }
 
-// minSuspension is the shortest suspension that is counted; less is the
-// difference between two clocks that are not read at the same moment.
-const minSuspension = 100 * time.Millisecond
-
 // logRoleChange logs the hubs and the leaders of this data centre if they
 // changed.
 func (f *Fleet) logRoleChange(now time.Duration) {
@@ -126,7 +123,7 @@
 		Revision: f.copy.Revision(), AgeMillis: ageUnknown, Members: f.publishedVersion,
 	}
 	if f.reader.confirmed {
-		b.AgeMillis = ageMillis(f.reader.age(f.opt.Now()))
+		b.AgeMillis = ageMillis(f.fullAge(f.opt.Now()))
 	}
 	for _, s := range []struct {
 		set  bool
@@ -150,9 +147,12 @@
 
 // receive handles heartbeats and warnings until the socket is closed.
 func (f *Fleet) receive(conn *net.UDPConn) error {
-	buf := make([]byte, maxDatagramBytes)
+	if err := stampArrivals(conn); err != nil {
+		return fmt.Errorf("times of arrival of datagrams: %w: run on Linux", err)
+	}
+	buf, control := make([]byte, maxDatagramBytes), make([]byte, timestampBytes)
 	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		n, controlled, _, from, err := conn.ReadMsgUDPAddrPort(buf, control)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -160,11 +160,16 @@
 			continue // the error concerns the destination of an earlier datagram
 		}
 		// A panic is logged; the sender sends its state again.
-		_ = f.opt.Guard.Run("datagram", func() { f.handleDatagram(from.String(), buf[:n]) })
+		_ = f.opt.Guard.Run("datagram", func() {
+			waited, known := waitedSince(time.Now(), control[:controlled])
+			f.handleDatagram(from.String(), buf[:n], waited, known)
+		})
 	}
 }
 
-func (f *Fleet) handleDatagram(from string, p []byte) {
+// handleDatagram handles a datagram that has waited in the socket for a time, if that is
+// known.
+func (f *Fleet) handleDatagram(from string, p []byte, waited time.Duration, known bool) {
 	if w, ok := decodeWarning(p); ok {
 		f.receiveWarning(from, w)
 		return
@@ -178,7 +183,7 @@
 		level.Warn(f.opt.Log).Log("msg", "datagram ignored", "from", from, "err", err)
 		return
 	}
-	f.handleHeartbeat(from, b)
+	f.handleHeartbeat(from, b.delayed(waited, known))
 }
 
 // handleHeartbeat records a peer's heartbeat, replies to it and queues a sync if
@@ -223,10 +228,12 @@
 	if b.AgeMillis == ageUnknown || b.Revision > f.copy.Revision() || f.copy.Revision() == 0 {
 		return
 	}
+	f.countSuspension()
 	at := now - time.Duration(b.AgeMillis)*time.Millisecond
 	if at > f.reader.confirmedAt && f.reader.confirm(at) {
 		f.listener.StoreRecovered(now)
 	}
+	f.publishConfirmation()
 }
 
 // updateListSources requests the whole list from each new source. What this
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -95,6 +96,9 @@
 	// MaxCopyAge is the age of the copy from which an instance reads the store
 	// itself; 0 stands for defaultMaxCopyAge.
 	MaxCopyAge time.Duration
+	// WatchWait is the longest time between two replies of the store to a hub; 0 stands
+	// for watchWait.
+	WatchWait time.Duration
 	// Now returns the time since the process started, Suspended the total time
 	// for which the machine was suspended, which Now does not count.
 	Now       func() time.Duration
@@ -144,6 +148,8 @@
 	counts          Status // only the counters are set
 	// suspended is the value of opt.Suspended that the copy's age includes.
 	suspended time.Duration
+	// confirmation is nil until the copy was confirmed complete.
+	confirmation atomic.Pointer[confirmation]
 
 	warningLimiter, forwardLimiter *rate.Limiter
 	crashReports, crashForwards    crashLimiter
@@ -175,7 +181,7 @@
 	}
 	f := &Fleet{
 		opt: opt, source: source, listener: listener,
-		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(), reader: reader{maxAge: opt.MaxCopyAge},
+		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(), reader: reader{maxAge: opt.MaxCopyAge, watchWait: opt.WatchWait},
 		warningLimiter: rate.NewLimiter(maxWarningsPerSecond, maxWarningsPerSecond),
 		forwardLimiter: rate.NewLimiter(maxForwardsPerSecond, maxForwardsPerSecond),
 		crashReports:   newCrashLimiter(maxCrashReportsPerSecond), crashForwards: newCrashLimiter(maxCrashForwardsPerSecond),
@@ -271,6 +277,7 @@
 // is new, and each confirmation by the store, is told to the instances that rely
 // on this one.
 func (f *Fleet) apply(now time.Duration, d mirror.Delta, confirmedAt time.Duration, source string) bool {
+	f.countSuspension()
 	before := f.copy.Revision()
 	first := before == 0
 	changed, ok := f.copy.Apply(d)
@@ -293,6 +300,7 @@
 		f.applyDirectory(changed)
 		f.listener.ItemsChanged(now, changed, source)
 	}
+	f.publishConfirmation()
 	if len(changed) > 0 || first || source == SourceStore {
 		f.sendHeartbeats(f.table.receivers(now), 0)
 	}
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -64,6 +64,19 @@
 	return b, binary.Read(bytes.NewReader(p), binary.BigEndian, &b)
 }
 
+// delayed returns the heartbeat as it counts after it has waited in the socket. One whose
+// wait is not known confirms nothing.
+func (b heartbeat) delayed(waited time.Duration, known bool) heartbeat {
+	switch {
+	case b.AgeMillis == ageUnknown:
+	case !known:
+		b.AgeMillis = ageUnknown
+	default:
+		b.AgeMillis = ageMillis(time.Duration(b.AgeMillis)*time.Millisecond + waited)
+	}
+	return b
+}
+
 // Warning is a datagram that reports a failed request to an upstream, or that an
 // upstream says that it is leaving, so that other instances learn of it without requests
 // of their own.
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -42,6 +42,9 @@
 // usable reports whether callers may be sent to the member.
 func (m Member) usable() bool { return !m.Silent && m.Ready && !m.Leaving }
 
+// unready reports whether the member lives and stays, but is not ready.
+func (m Member) unready() bool { return !m.Silent && !m.Ready && !m.Leaving }
+
 // member is a Member with what this instance knows of its liveness.
 type member struct {
 	Member
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -73,7 +73,7 @@
 	f.counts.SyncsServed++
 	f.table.UpdateMember(now, args.Info, args.State)
 	reply.Info, reply.State = f.opt.Self, f.state
-	reply.Proven, reply.Age = f.reader.confirmed, f.reader.age(now)
+	reply.Proven, reply.Age = f.reader.confirmed, f.fullAge(now)
 	reply.Members = f.table.ChangedSince(now, args.Members, args.Info.DataCentre)
 	reply.Summaries, reply.Version = f.table.summariesSince(args.Members), f.table.Version()
 	f.notifyMembers()
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -97,7 +97,7 @@
 }
 
 // handleReadResult processes the result of a store call. A read shows the store's
-// state as of its beginning, a watch as of now.
+// state as of its beginning.
 func (f *Fleet) handleReadResult(c dueRead, d mirror.Delta, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -119,7 +119,7 @@
 	}
 	confirmedAt := c.began
 	if c.kind == callWatch {
-		confirmedAt = now
+		confirmedAt = watchProvesAt(now, c, len(d.Items))
 	} else {
 		f.reader.fullReadDue = false
 	}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -61,8 +61,8 @@
 	confirmedAt time.Duration
 	confirmed   bool
 	// suspended is the time since confirmedAt for which the machine stood still;
-	// the clock does not count it.
-	suspended time.Duration
+	// the clock does not count it. suspensionSeenAt is when that was last noticed.
+	suspended, suspensionSeenAt time.Duration
 	// failingSince is when the first read failed after the last successful
 	// one; 0 for none.
 	failingSince time.Duration
@@ -82,6 +82,8 @@
 	// maxAge is the age of the copy from which an instance that is not a hub
 	// reads the store itself.
 	maxAge time.Duration
+	// watchWait replaces the constant of this name, unless it is 0.
+	watchWait time.Duration
 	// staleReadAt is when the copy, now older than maxAge, leads to a read; 0
 	// while it is not that old.
 	staleReadAt time.Duration
@@ -150,7 +152,7 @@
 	case r.fullReadDue:
 		return callReadAll, 0
 	case s.rank >= 0:
-		return callWatch, max(minWatchWait, watchWait-r.age(now))
+		return callWatch, max(minWatchWait, r.longestWatch()-r.age(now))
 	case r.age(now) < r.maxAge:
 		r.staleReadAt = 0
 		return callNone, r.maxAge - r.age(now)
@@ -162,7 +164,20 @@
 		return callNone, r.staleReadAt - now
 	}
 	r.staleReadAt = 0
-	return callWatch, watchWait
+	return callWatch, r.longestWatch()
+}
+
+func (r *reader) longestWatch() time.Duration {
+	if r.watchWait > 0 {
+		return r.watchWait
+	}
+	return watchWait
+}
+
+// countSuspension records that the machine was suspended since the copy's last confirmation.
+func (r *reader) countSuspension(now, lost time.Duration) {
+	r.suspended += lost
+	r.suspensionSeenAt = now
 }
 
 // staleWait returns how long an instance with an old copy waits before it reads
@@ -188,11 +203,15 @@
 }
 
 // confirm records that the copy was complete at a time. It returns true if this
-// ends an outage of the store; time for which the machine was suspended is none.
+// ends an outage of the store; time for which the machine was suspended is none. A time
+// before a suspension was noticed may be one before the suspension.
 func (r *reader) confirm(at time.Duration) (returned bool) {
 	returned = r.confirmed && at-r.confirmedAt >= outageAge
 	if !r.confirmed || at > r.confirmedAt {
-		r.confirmedAt, r.confirmed, r.suspended = at, true, 0
+		r.confirmedAt, r.confirmed = at, true
+		if at > r.suspensionSeenAt {
+			r.suspended = 0
+		}
 	}
 	return returned
 }
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -157,7 +157,7 @@
 	target := in.s.byAddress[to]
 	in.transmit(datagramBytes, func() {
 		if target != nil {
-			target.exec(target.run, receiveCost, func() { target.f.handleDatagram(in.info.Address, p) })
+			target.exec(target.run, receiveCost, func() { target.f.handleDatagram(in.info.Address, p, 0, true) })
 		}
 	})
 }
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -21,6 +21,9 @@
 	// Usable holds data addresses that callers may use, at most
 	// maxSummaryAddresses.
 	Usable []string
+	// Unready holds, if Usable is empty, data addresses of instances that are neither
+	// ready nor leaving, at most maxSummaryAddresses.
+	Unready []string
 }
 
 // maxSummaryAddresses bounds the addresses in a Summary. Callers of another data
@@ -41,7 +44,9 @@
 	return cmp.Or(cmp.Compare(s.Sequence, o.Sequence), cmp.Compare(s.Issuer, o.Issuer)) > 0
 }
 
-func (s Summary) equal(o Summary) bool { return s.Live == o.Live && slices.Equal(s.Usable, o.Usable) }
+func (s Summary) equal(o Summary) bool {
+	return s.Live == o.Live && slices.Equal(s.Usable, o.Usable) && slices.Equal(s.Unready, o.Unready)
+}
 
 // same reports whether s and o are the same summary of the same issuer.
 func (s Summary) same(o Summary) bool {
@@ -62,19 +67,27 @@
 // ownSummary describes this instance's data centre from the member list.
 func (t *Table) ownSummary() Summary {
 	s := Summary{DataCentre: t.members[t.self].DataCentre, Issuer: t.self}
-	var usable []*member
+	var usable, unready []*member
 	for _, m := range t.members {
 		if !m.infoKnown || m.Silent || m.DataCentre != s.DataCentre {
 			continue
 		}
 		s.Live++
-		if m.usable() {
+		switch {
+		case m.usable():
 			usable = insertRanked(usable, m, maxSummaryAddresses)
+		case m.unready():
+			unready = insertRanked(unready, m, maxSummaryAddresses)
 		}
 	}
 	for _, m := range usable {
 		s.Usable = append(s.Usable, m.DataAddress)
 	}
+	if len(usable) == 0 {
+		for _, m := range unready {
+			s.Unready = append(s.Unready, m.DataAddress)
+		}
+	}
 	return s
 }
 
@@ -192,6 +205,9 @@
 	// Usable holds the instances that callers may use: all of this data centre
 	// and some of each other one.
 	Usable []Instance
+	// Unready holds instances that are neither ready nor leaving: all of this data centre,
+	// and some of each other one that has no usable instance.
+	Unready []Instance
 }
 
 // Live returns the number of live instances of all data centres.
@@ -203,7 +219,7 @@
 	return n
 }
 
-// View returns the current view, with Usable sorted by address.
+// View returns the current view, with its instances sorted by address.
 func (t *Table) View() View {
 	own := t.members[t.self].DataCentre
 	v := View{LiveIn: map[string]int{}}
@@ -212,8 +228,11 @@
 			continue
 		}
 		v.LiveIn[own]++
-		if m.usable() {
+		switch {
+		case m.usable():
 			v.Usable = append(v.Usable, Instance{m.DataAddress, own})
+		case m.unready():
+			v.Unready = append(v.Unready, Instance{m.DataAddress, own})
 		}
 	}
 	for dc, s := range t.summaries {
@@ -224,7 +243,12 @@
 		for _, a := range s.Usable {
 			v.Usable = append(v.Usable, Instance{a, dc})
 		}
+		for _, a := range s.Unready {
+			v.Unready = append(v.Unready, Instance{a, dc})
+		}
 	}
-	slices.SortFunc(v.Usable, func(a, b Instance) int { return strings.Compare(a.DataAddress, b.DataAddress) })
+	byAddress := func(a, b Instance) int { return strings.Compare(a.DataAddress, b.DataAddress) }
+	slices.SortFunc(v.Usable, byAddress)
+	slices.SortFunc(v.Unready, byAddress)
 	return v
 }
