Refuse keys once the copy of the store is too old

An instance that could not reach the store served keys that had been withdrawn, for as long as it ran, and a call that waited for its body or for a slot was sent with a key that had been withdrawn meanwhile.

The key is looked up again before each attempt, after the age was read, so the customers are at least as new as the age says. A key is not kept: it stays in the memory of the request's header.

While no instance is ready, lookups name the live ones that are not leaving, which also hold the upstreams' rate limits. With a KeyMaxAge, instances read the store at half of it and hubs watch in turns short enough for that.

The digest by which requests are quarantined held the key. It is logged and sent to other instances, and a short key could be guessed from it: with customers it holds the customer's name, which is what the upstream gets.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -38,10 +38,14 @@
 	id      string
 	version uint64
 	route   *route.Route
-	// customer is the one whose key the request carries, nil for none.
-	customer *customer.Customer
-	service  route.Service
-	arrived  time.Duration
+	// hasCustomers is set if the configuration has customers.
+	hasCustomers bool
+	// key is what the request carries. customer is the one that held it at the call's
+	// arrival, identified at its last attempt; nil for none.
+	key                  presentedKey
+	customer, identified *customer.Customer
+	service              route.Service
+	arrived              time.Duration
 	// deadline is the latest time of the response to the caller, as a duration
 	// since the gateway's start.
 	deadline time.Duration
@@ -155,6 +159,10 @@
 		c.g.releaseChoice(ch)
 		return c.failureResult(reasonQuarantined), true
 	}
+	if refusal := c.identify(); refusal != nil {
+		c.g.releaseChoice(ch)
+		return c.keyRefusalResult(refusal), true
+	}
 	t := c.launch(ch, reason)
 	if c.route.Idempotent && c.sent+c.hedgeSearches == 0 && c.route.MaxAttempts > 1 {
 		hedge.Reset(time.Duration(hedgeDelayFactor * float64(c.expectedTime(ch))))
@@ -179,6 +187,10 @@
 	if !ok {
 		return
 	}
+	if c.identify() != nil {
+		c.g.releaseChoice(ch)
+		return
+	}
 	if ch.report == nil || ch.rateLimit.Named || ch.report.NearlyFull(ch.sentSince) || ch.report.Pace > maxHedgePace || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()) {
 		c.g.releaseChoice(ch)
 		timer.Reset(hedgeRecheckDelay)
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -20,18 +20,30 @@
 	maxCrashCheckWait = 100 * time.Millisecond
 )
 
-// content identifies what the call asks for: the caller's credentials, the
-// method, host, path and query, and the body. Callers' addresses are left out,
-// since one caller may have many.
+// content identifies what the call asks for: the caller, the method, host, path and
+// query, and the body. Callers' addresses are left out, since one caller may have many.
 func (c *call) content() quarantine.Content {
 	if !c.contentKnown {
 		h := &c.ctx.Request.Header
-		c.contentDigest = quarantine.NewContentWithBody(c.body.segments, h.Peek(fasthttp.HeaderAuthorization), h.Method(), h.Host(), h.RequestURI())
+		c.contentDigest = quarantine.NewContentWithBody(c.body.segments, c.callerIdentity(), h.Method(), h.Host(), h.RequestURI())
 		c.contentKnown = true
 	}
 	return c.contentDigest
 }
 
+// callerIdentity returns what upstreams get to know of the caller: the customer's name if there
+// are customers, else the credentials. Contents are logged and sent to other instances, and a
+// short key could be guessed from one.
+func (c *call) callerIdentity() []byte {
+	switch {
+	case !c.hasCustomers:
+		return c.ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)
+	case c.customer == nil:
+		return nil
+	}
+	return []byte(c.customer.Name)
+}
+
 // incarnationKey identifies an incarnation of an upstream in messages between
 // instances.
 func incarnationKey(u *discovery.Upstream) uint64 {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -210,11 +210,11 @@
 
 // appendRequest appends a request for one attempt. It returns the segments of the body that
 // follow it.
-func (g *Gateway) appendRequest(b []byte, c *call, upstream string, timeLeft time.Duration) (out []byte, rest [][]byte) {
-	b = append(b, c.head...)
-	b = fmt.Appendf(b, "%s: %d\r\n%s: %s\r\n", g.proto.Deadline, timeLeft.Milliseconds(), g.proto.ExpectUpstream, upstream)
-	if c.customer != nil {
-		b = fmt.Appendf(b, "%s: %s\r\n", g.proto.Customer, c.customer.Name)
+func (g *Gateway) appendRequest(b []byte, c *call, t *try, timeLeft time.Duration) (out []byte, rest [][]byte) {
+	b = append(b, t.head...)
+	b = fmt.Appendf(b, "%s: %d\r\n%s: %s\r\n", g.proto.Deadline, timeLeft.Milliseconds(), g.proto.ExpectUpstream, t.upstream.ID)
+	if t.customer != nil {
+		b = fmt.Appendf(b, "%s: %s\r\n", g.proto.Customer, t.customer.Name)
 	}
 	if c.body.size > 0 || c.hasBody {
 		b = fmt.Appendf(b, "Content-Length: %d\r\n", c.body.size)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,8 @@
 	probeBudget  *probeBudget
 	queue        *waitQueue
 	instances    atomic.Pointer[[]Instance]
+	// unready holds the instances for lookups while no instance is usable.
+	unready atomic.Pointer[[]Instance]
 	// configured is closed with the first configuration, instanceKnown with
 	// the first instance that lookups can return.
 	configured, instanceKnown chan struct{}
@@ -97,6 +99,7 @@
 	// crashChecks is the number of checks for crashed upstreams in progress.
 	crashChecks atomic.Int64
 	quarantine  lockedQuarantine
+	keys        keyGuard
 	// lookupTTL is the lifetime of lookup responses, in nanoseconds.
 	lookupTTL atomic.Int64
 
@@ -130,7 +133,7 @@
 		configured: make(chan struct{}), instanceKnown: make(chan struct{}), startupWait: startupWait,
 		hooks: Hooks{
 			UpstreamFailed: func(uint64, float64) {}, UpstreamLeaving: func(uint64) {}, DataNeeded: func() {},
-			CrashFound: func(CrashReport) {}, QuarantineChanged: func() {},
+			CrashFound: func(CrashReport) {}, QuarantineChanged: func() {}, CopyAge: func() time.Duration { return unknownAge },
 		},
 		quarantine: lockedQuarantine{table: quarantine.New()},
 		rng:        rand.New(rand.NewPCG(opt.Seed, 1)),
@@ -141,6 +144,7 @@
 	g.callers.SetTimeouts(defaultTimeouts)
 	registerMemory(registry, g.memory)
 	g.SetLimits(opt.Limits)
+	g.registerKeysServed(registry)
 	return g
 }
 
@@ -180,6 +184,10 @@
 	// QuarantineChanged is called when this instance has decided that a request
 	// crashes upstreams, or that it does not.
 	QuarantineChanged func()
+	// CopyAge returns the time since the copy of the store was last confirmed complete,
+	// also while the machine was suspended; math.MaxInt64 if it never was. The gateway has
+	// what the confirmation covers.
+	CopyAge func() time.Duration
 }
 
 // SetHooks sets the callbacks. It must be called before Run.
@@ -208,6 +216,8 @@
 	// Usable holds the instances that callers may use: all of this instance's
 	// data centre and some of each other one.
 	Usable []Instance
+	// Unready holds live instances that are neither ready nor leaving.
+	Unready []Instance
 	// Live is the number of live instances of each data centre.
 	Live map[string]int
 }
@@ -216,6 +226,7 @@
 // among which the limits of the fleet are divided.
 func (g *Gateway) SetFleet(f Fleet) {
 	g.instances.Store(&f.Usable)
+	g.unready.Store(&f.Unready)
 	if len(f.Usable) > 0 {
 		g.instanceKnownOnce.Do(func() { close(g.instanceKnown) })
 	}
@@ -227,24 +238,36 @@
 	g.liveCount.Store(int64(live))
 	g.retryBudgets.setInstances(now, live)
 	g.probeBudget.setCounts(0, live)
-	own := quota.Fleet{Self: g.opt.Address, DataCentre: g.opt.DataCentre, Live: f.Live}
-	for _, in := range f.Usable {
-		if in.DataCentre == own.DataCentre {
-			own.Usable = append(own.Usable, in.Address)
-		}
+	own := quota.Fleet{Self: g.opt.Address, DataCentre: g.opt.DataCentre, Live: f.Live, Usable: addressesIn(f.Usable, g.opt.DataCentre)}
+	if len(own.Usable) == 0 && g.keys.maxAge.Load() > 0 {
+		// They still serve: without holders, the upstreams' limits would admit nothing.
+		own.Usable = addressesIn(f.Unready, g.opt.DataCentre)
 	}
 	g.evidence.setFleet(now, own)
 }
 
+// addressesIn returns the addresses of the instances in a data centre.
+func addressesIn(list []Instance, dataCentre string) (out []string) {
+	for _, in := range list {
+		if in.DataCentre == dataCentre {
+			out = append(out, in.Address)
+		}
+	}
+	return out
+}
+
 // SetLimits replaces the limits.
 func (g *Gateway) SetLimits(l Limits) {
 	g.lookupTTL.Store(int64(min(lookupTTL, l.MaxLookupTTL)))
 	g.retryBudgets.setLimits(l.RetryBudget)
 	g.probeBudget.setLimits(l.ProbesPerUpstream)
+	g.keys.maxAge.Store(int64(l.KeyMaxAge))
 }
 
-// Ready reports whether requests can be served.
-func (g *Gateway) Ready() bool { return g.snapshot.Load() != nil && g.phase.Load() == serving }
+// Ready reports whether requests can be served, and those with keys for a while to come.
+func (g *Gateway) Ready() bool {
+	return g.snapshot.Load() != nil && g.phase.Load() == serving && g.keys.freshness().ready(g.copyAge())
+}
 
 func (g *Gateway) probeOrder(n int, prospect func(int) pick.Prospect) []int {
 	g.rngMu.Lock()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -6,7 +6,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/internal/reqtarget"
 	"github.com/catkinrouter/catkinrouter/route"
 )
@@ -52,9 +51,11 @@
 		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, reasonRouteUnreadable)
 		return
 	}
-	cust, refusal := g.authenticate(ctx, snap.table.Customers, r)
+	key := keyOf(h)
+	g.waitForConfirmation()
+	cust, refusal := g.authenticate(key, r.Public)
 	if refusal != nil {
-		g.refuseKey(ctx, id, refusal)
+		g.refuse(ctx, id, refusal.status, refusal.reason)
 		return
 	}
 	if limit := snap.table.Limits.MaxHeaderBytes; limit > 0 && len(h.RawHeaders())+len(h.RequestURI()) > limit {
@@ -67,7 +68,8 @@
 		return
 	}
 	defer body.release()
-	c := g.newCall(ctx, snap, r, cust, id, g.now(), body)
+	c := g.newCall(ctx, snap, r, id, g.now(), body)
+	c.key, c.customer = key, cust
 	if !g.stop.Load().admits(c.arrived, c.deadline-c.arrived, c.work()) {
 		g.respond(c, c.failureResult("stopping"))
 		return
@@ -103,7 +105,7 @@
 
 // newCall creates a call from a request and its route. The call's timeout is
 // the route's, or the caller's deadline if that is shorter.
-func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, snap *snapshot, r *route.Route, cust *customer.Customer, id string, arrived time.Duration, body *requestBody) *call {
+func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, snap *snapshot, r *route.Route, id string, arrived time.Duration, body *requestBody) *call {
 	name := r.NextService()
 	svc, _ := snap.table.Service(name)
 	svc.Name = name
@@ -113,11 +115,11 @@
 		timeout = time.Duration(ms) * time.Millisecond
 	}
 	c := &call{
-		g: g, ctx: ctx, id: id, version: snap.table.Version, route: r, customer: cust, service: svc,
+		g: g, ctx: ctx, id: id, version: snap.table.Version, route: r, service: svc,
 		arrived: arrived, deadline: arrived + timeout,
 		// Copied, because an attempt can outlive the request, whose buffers
 		// are then reused.
-		head: g.requestHead(ctx, snap.table.Customers != nil), body: body,
+		head: g.requestHead(ctx, snap.table.Customers != nil), hasCustomers: snap.table.Customers != nil, body: body,
 		hasBody: ctx.Request.Header.ContentLength() != 0 && !ctx.IsGet() && !ctx.IsHead(), isHead: ctx.IsHead(),
 		tried: map[string]bool{}, finished: make(chan *try, maxUnsent+r.MaxAttempts+1),
 	}
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -50,6 +50,9 @@
 		g.waitAtStartup(g.instanceKnown)
 		addresses = g.lookupAddresses(dataCentre)
 	}
+	if len(addresses) == 0 {
+		addresses = g.unreadyAddresses(dataCentre)
+	}
 	g.metrics.lookups.Inc(1)
 	if len(addresses) == 0 {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -75,6 +78,20 @@
 	return nil
 }
 
+// unreadyAddresses returns the addresses for a lookup while no instance is usable. If the store
+// answers none, no instance is ready for keys, and each serves what it can.
+func (g *Gateway) unreadyAddresses(dataCentre string) []string {
+	list := g.unready.Load()
+	if list == nil || g.keys.maxAge.Load() == 0 {
+		return nil
+	}
+	addresses := chooseInstances(*list, dataCentre)
+	if len(addresses) > 0 {
+		g.metrics.unreadyLookups.Inc(1)
+	}
+	return addresses
+}
+
 // hasKnownInstance reports whether a usable instance has been known since the
 // start.
 func (g *Gateway) hasKnownInstance() bool {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,11 +36,12 @@
 	crashReports, quarantines, quarantinesLifted gometrics.Counter
 	hedges                                       gometrics.Counter
 	handoffs                                     gometrics.Counter
-	lookups                                      gometrics.Counter
-	warnings                                     gometrics.Counter
-	logFailures                                  gometrics.Counter
-	panics                                       gometrics.Counter
-	latency                                      gometrics.Histogram
+	// unreadyLookups counts the lookups answered with instances that are not ready.
+	lookups, unreadyLookups gometrics.Counter
+	warnings                gometrics.Counter
+	logFailures             gometrics.Counter
+	panics                  gometrics.Counter
+	latency                 gometrics.Histogram
 }
 
 func newMetricSet(registry gometrics.Registry) *metricSet {
@@ -51,7 +52,7 @@
 		crashes: c("upstream_crashes_total"), crashChecksSkipped: c("crash_checks_skipped_total"),
 		leaving: c("upstreams_leaving_total"), pauses: c("upstream_pauses_total"),
 		crashReports: c("crash_reports_total"), quarantines: c("quarantines_total"), quarantinesLifted: c("quarantines_lifted_total"),
-		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"), rateLimited: c("rate_limited_passes_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
+		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"), rateLimited: c("rate_limited_passes_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), unreadyLookups: c("lookups_unready_total"), warnings: c("warnings_total"),
 		logFailures: c("log_failures_total"), panics: c("panics_total"), latency: metrics.NewHistogram(),
 	}
 	registry.GetOrRegister("request_duration_us", m.latency)
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -135,6 +135,9 @@
 	if status == fasthttp.StatusServiceUnavailable {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatRetryAfter(retryAfter))
 	}
+	if status == fasthttp.StatusUnauthorized {
+		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
+	}
 	ctx.SetBodyString(reason + "\n")
 }
 
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -31,7 +31,7 @@
 func testProtocol() Protocol {
 	return Protocol{
 		RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectUpstream: "Expect-Upstream", UpstreamID: "Upstream-Id",
-		NotRun: "Not-Run", Signature: "Signature", Load: "Load", LookupDataCentre: "place", LookupPath: "/lookup", ReadyPath: "/ready",
+		Customer: "Customer-Name", NotRun: "Not-Run", Signature: "Signature", Load: "Load", LookupDataCentre: "place", LookupPath: "/lookup", ReadyPath: "/ready",
 		EncodeLookup: func(addresses []string, _ time.Duration) ([]byte, error) { return json.Marshal(addresses) },
 		Leaving:      "Leaving", IsLeaving: func(s string) bool { return s == "yes" },
 		RateLimit: "Rate-Limit", ParseRateLimit: func(s string) (float64, error) { return strconv.ParseFloat(s, 64) },
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
 	"github.com/catkinrouter/catkinrouter/pick"
@@ -45,6 +46,10 @@
 	upstream  *discovery.Upstream
 	reason    string
 	startedAt time.Duration
+	// customer is the one that the request is sent for, nil for none.
+	customer *customer.Customer
+	// head is that of the call when the attempt was launched.
+	head []byte
 
 	mu        sync.Mutex
 	cn        *conn
@@ -82,7 +87,7 @@
 // launch starts an attempt at the chosen upstream.
 func (c *call) launch(ch choice, reason string) *try {
 	t := &try{
-		choice: ch, upstream: ch.probeResult.upstream, reason: reason, startedAt: c.g.now(),
+		choice: ch, upstream: ch.probeResult.upstream, reason: reason, startedAt: c.g.now(), customer: c.identified, head: c.head,
 		resp: fasthttp.AcquireResponse(), memory: c.g.memory.Begin(membudget.Replies, 0),
 	}
 	c.tries = append(c.tries, t)
@@ -138,9 +143,16 @@
 		}
 		return
 	}
+	if t.customer != nil && !g.servesKeys() {
+		t.err = errKeysOutOfDate
+		if t.clearConn() {
+			g.pool.put(cn)
+		}
+		return
+	}
 	t.connNumber = cn.number
 	var body [][]byte
-	cn.writeBuf, body = g.appendRequest(cn.writeBuf[:0], c, t.upstream.ID, timeLeft)
+	cn.writeBuf, body = g.appendRequest(cn.writeBuf[:0], c, t, timeLeft)
 	sent := g.now()
 	t.wrote, t.err = g.exchange(cn, t.upstream, cn.writeBuf, body, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp, &t.memory)
 	t.took = g.now() - sent
@@ -235,7 +247,7 @@
 	status := t.resp.StatusCode()
 	failed, weight := true, 1.0
 	switch {
-	case errors.Is(t.err, errNoTime), errors.Is(t.err, errUnwanted):
+	case errors.Is(t.err, errNoTime), errors.Is(t.err, errUnwanted), errors.Is(t.err, errKeysOutOfDate):
 		t.outcome, weight = notRun, 0 // no evidence about the upstream
 	case t.err != nil && !t.wrote:
 		t.outcome = notRun
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -36,6 +36,7 @@
 		}
 		n.expireUpstreams()
 		n.updateFleetMetrics()
+		n.gateway.CheckKeys()
 		n.fleet.SetState(n.gateway.Ready(), leaving)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -98,6 +98,7 @@
 		DataNeeded:        func() { n.fleet.RequestCopy() },
 		CrashFound:        n.reportCrash,
 		QuarantineChanged: func() { signal(n.quarantineChanged) },
+		CopyAge:           func() time.Duration { return n.fleet.CopyAge() },
 	})
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Info{
@@ -105,8 +106,8 @@
 			Capacity: settings.Capacity, Incarnation: uint64(n.started.UnixMilli()),
 		},
 		FirstStart: settings.FirstStart, Seeds: settings.Seeds, DirectoryKey: adapter.Keys.Directory,
-		MaxCopyAge: time.Duration(maxCopyAgeShare * float64(settings.MaxChangeDelay)),
-		Now:        n.now, Suspended: suspended, Log: logs.WithPart(l, "fleet"),
+		MaxCopyAge: maxCopyAge(settings), WatchWait: watchWait(settings),
+		Now: n.now, Suspended: suspended, Log: logs.WithPart(l, "fleet"),
 		Guard: n.guard, Metrics: n.registry,
 		OnStoreCall: func(outcome string) {
 			gometrics.GetOrRegisterCounter("store_calls_total."+outcome, n.registry).Inc(1)
@@ -115,9 +116,40 @@
 	return n
 }
 
-// maxCopyAgeShare is the share of Settings.MaxChangeDelay at which an instance
-// whose copy no peer confirms reads the store; the rest is left for the read.
-const maxCopyAgeShare = 0.8
+const (
+	// maxCopyAgeShare is the share of Settings.MaxChangeDelay at which an instance
+	// whose copy no peer confirms reads the store; the rest is left for the read.
+	maxCopyAgeShare = 0.8
+	// maxKeyCopyAgeShare is the same share of Settings.KeyMaxAge. It is below that from
+	// which the instance is not ready.
+	maxKeyCopyAgeShare = 0.5
+	// confirmationDelay is the time in which a hub's read reaches the other instances: a
+	// heartbeat interval and a margin.
+	confirmationDelay = fleet.HeartbeatInterval + 100*time.Millisecond
+	// minWatchWait and maxWatchWait bound how long a hub's watch waits for changes.
+	minWatchWait = 200 * time.Millisecond
+	maxWatchWait = time.Second
+)
+
+// maxCopyAge returns the age of the copy from which an instance reads the store itself; 0 if
+// there is no limit.
+func maxCopyAge(s Settings) time.Duration {
+	byChange := time.Duration(maxCopyAgeShare * float64(s.MaxChangeDelay))
+	byKeys := time.Duration(maxKeyCopyAgeShare * float64(s.KeyMaxAge))
+	if byChange == 0 || byKeys == 0 {
+		return max(byChange, byKeys)
+	}
+	return min(byChange, byKeys)
+}
+
+// watchWait returns how long hubs watch, so that the copies of all instances are confirmed
+// before they reach maxCopyAge; 0 stands for the default.
+func watchWait(s Settings) time.Duration {
+	if s.KeyMaxAge == 0 {
+		return 0
+	}
+	return min(maxWatchWait, max(minWatchWait, maxCopyAge(s)-confirmationDelay))
+}
 
 // storeSource implements fleet.Source for all keys of the store.
 type storeSource struct{ adapter Adapter }
@@ -306,10 +338,14 @@
 
 // MembersChanged implements fleet.Listener.
 func (n *Node) MembersChanged(_ time.Duration, v fleet.View) {
-	usable := make([]gateway.Instance, len(v.Usable))
-	for i, in := range v.Usable {
-		usable[i] = gateway.Instance{Address: in.DataAddress, DataCentre: in.DataCentre}
+	level.Info(n.log).Log("msg", "members changed", "live", v.Live(), "usable", len(v.Usable))
+	n.gateway.SetFleet(gateway.Fleet{Usable: gatewayInstances(v.Usable), Unready: gatewayInstances(v.Unready), Live: v.LiveIn})
+}
+
+func gatewayInstances(list []fleet.Instance) []gateway.Instance {
+	out := make([]gateway.Instance, len(list))
+	for i, in := range list {
+		out[i] = gateway.Instance{Address: in.DataAddress, DataCentre: in.DataCentre}
 	}
-	level.Info(n.log).Log("msg", "members changed", "live", v.Live(), "usable", len(usable))
-	n.gateway.SetFleet(gateway.Fleet{Usable: usable, Live: v.LiveIn})
+	return out
 }
