--- a/fleet/copyage_test.go
+++ b/fleet/copyage_test.go
@@ -121,3 +121,36 @@
 		t.Error("a wait is known without a control message")
 	}
 }
+
+// With a bound of 2 s for keys, instances read the store at 1 s and hubs watch for 0.5 s: no
+// copy may come near 1.2 s, from which an instance is not ready, while the store answers.
+func TestCopiesStayReadyForKeys(t *testing.T) {
+	const unreadyFrom = 1200 * time.Millisecond
+	for _, count := range []int{30, 471} {
+		for _, pause := range []time.Duration{100 * time.Millisecond, 480 * time.Millisecond, time.Hour} {
+			if count > 100 && pause < 200*time.Millisecond {
+				continue // the smaller fleet shows it, in less time
+			}
+			s := newSimulation(count, 3)
+			s.maxCopyAge, s.watchWait = time.Second, 500*time.Millisecond
+			s.startAll(60)
+			s.RunUntil(s.Now + 3*time.Second)
+			oldest, calls, began, changed := time.Duration(0), s.calls, s.Now, s.Now
+			for s.Now < began+8*time.Second {
+				if s.Now-changed >= pause {
+					s.put("upstream-0", s.Now.String())
+					changed = s.Now
+				}
+				s.RunUntil(s.Now + 20*time.Millisecond)
+				for _, in := range s.instances {
+					oldest = max(oldest, in.f.CopyAge())
+				}
+			}
+			rate := (s.calls - calls) / (s.Now - began).Seconds()
+			t.Logf("%d instances, a change each %v: oldest copy %v, %.1f store calls a second", count, pause, oldest, rate)
+			if oldest >= unreadyFrom || rate > maxCallsPerSecond {
+				t.Errorf("%d instances, a change each %v: oldest copy %v, %.1f store calls a second", count, pause, oldest, rate)
+			}
+		}
+	}
+}
--- a/gateway/auth_test.go
+++ b/gateway/auth_test.go
@@ -374,3 +374,22 @@
 		}
 	})
 }
+
+// Forms of a header line that HTTP does not allow must not bring a customer's name, or a key, past
+// the removal of these headers.
+func TestOddHeaderLinesNameNoCustomer(t *testing.T) {
+	k := newKeyedGateway(t, customersWith(t, testKey))
+	for _, lines := range []string{
+		"Customer-Name : forged\r\n", "Customer-Name\t: forged\r\n", " Customer-Name: forged\r\n", "X: y\r\n Customer-Name: forged\r\n",
+		"X: y\rCustomer-Name: forged\r\n", "X: y\nCustomer-Name: forged\r\n", "Customer-Name:forged\r\n", "Customer-Name: a\r\n forged\r\n",
+		"Authorization : forged\r\n", "X: y\r\n Authorization: forged\r\n", "X: y\nAuthorization: forged\r\n",
+	} {
+		r, head := k.send(t, "/open/1", lines+emptyBody, "")
+		if names := head.Values("Customer-Name"); len(names) > 0 || len(head.Values("Authorization")) > 0 {
+			t.Errorf("%q: status %d, header at the upstream %v", lines, r.status, head)
+		}
+		if r.status != 200 && r.status != 400 {
+			t.Errorf("%q: status %d", lines, r.status)
+		}
+	}
+}
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -66,6 +66,9 @@
 	g.metrics.recordResult(res, took)
 	c.discardReplies(res.try)
 	kv := []any{"outcome", res.kind.String(), "sends", c.sent + len(c.inFlight), "took", took}
+	if c.customer != nil {
+		kv = append(kv, "customer", c.customer.Name)
+	}
 	switch res.kind {
 	case resultAnswered:
 		g.writeUpstreamResponse(c.ctx, res.try.resp)
