Let no restarted instance bring a withdrawn key back

An instance that started while the store had come back from an older copy read that copy, took it for complete, and served keys withdrawn since, until a peer told it of the newer configuration.

Its first copy now counts as confirmed once a sync with a peer has ended, or a second has passed without any, and once its configuration is no older than what a peer has named as in force. Peers name that version in each reply; the one that the store lost comes with a later one.

--- a/fleet/copyage.go
+++ b/fleet/copyage.go
@@ -17,7 +17,8 @@
 }
 
 // CopyAge returns the time since the copy was last confirmed complete, with the time for
-// which the machine was suspended until now, or AgeUnknown. The Listener has received all
+// which the machine was suspended until now, or AgeUnknown, also at a start while a peer may have a
+// newer configuration. The Listener has received all
 // changes that the confirmation covers. It takes no lock: the lock is held while a
 // configuration is decoded.
 func (f *Fleet) CopyAge() time.Duration {
@@ -28,10 +29,20 @@
 	return f.opt.Now() - c.at + c.suspended + f.suspendedSince(c.total)
 }
 
+// soloStart is how long an instance that starts waits for the end of a first sync before it
+// takes itself for alone. A sync takes a few initial heartbeats.
+const soloStart = time.Second
+
+// firstCopyCounts reports whether the first copy of the store can be taken for complete. A store
+// that came back from an older copy lacks the newest configuration, of which peers tell.
+func (f *Fleet) firstCopyCounts() bool {
+	return (f.synced || f.opt.Now() >= soloStart) && f.listener.ActiveVersion() >= f.peersVersion
+}
+
 // publishConfirmation makes the reader's state known to CopyAge. It is called with the lock
 // held, after the Listener has received what the confirmation covers.
 func (f *Fleet) publishConfirmation() {
-	if f.reader.confirmed {
+	if f.reader.confirmed && (f.confirmation.Load() != nil || f.firstCopyCounts()) {
 		f.confirmation.Store(&confirmation{at: f.reader.confirmedAt, suspended: f.reader.suspended, total: f.suspended})
 	}
 }
--- a/fleet/copyage_test.go
+++ b/fleet/copyage_test.go
@@ -71,6 +71,30 @@
 	}
 }
 
+// A store that came back from an older copy holds keys that were withdrawn since. An instance
+// that starts then must not take it for complete before a peer could tell of a newer one.
+func TestFirstCopyCountsAfterASync(t *testing.T) {
+	for _, synced := range []bool{true, false} {
+		a := newAgingFleet()
+		a.now = 100 * time.Millisecond
+		a.read(50*time.Millisecond, 5)
+		a.wantAge(t, "before a sync", AgeUnknown)
+		want := soloStart
+		if synced {
+			want = 300 * time.Millisecond
+			a.now = want
+			a.handleSyncReply(info(2).Address, &SyncArgs{MembersOnly: true}, a.now, &SyncReply{Info: info(2)}, nil)
+		} else {
+			a.now = want - 1
+			a.tick()
+			a.wantAge(t, "alone, before soloStart", AgeUnknown)
+			a.now = want
+			a.tick()
+		}
+		a.wantAge(t, "after it", want-100*time.Millisecond)
+	}
+}
+
 // A process that stood still finds old replies in its sockets: they confirmed the copy as of
 // the moment at which it woke.
 func TestOldRepliesConfirmNothingNew(t *testing.T) {
--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -41,6 +41,7 @@
 	defer f.mu.Unlock()
 	now := f.opt.Now()
 	f.countSuspension()
+	f.publishConfirmation()
 	if b := f.reader.blind(now); b != f.state.Blind {
 		f.state.Blind = b
 		f.stateChanged()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -148,6 +148,10 @@
 	counts          Status // only the counters are set
 	// suspended is the value of opt.Suspended that the copy's age includes.
 	suspended time.Duration
+	// synced is set once a sync with a peer has ended. peersVersion is the newest version of
+	// a configuration that a peer has said to be in force there.
+	synced       bool
+	peersVersion uint64
 	// confirmation is nil until the copy was confirmed complete.
 	confirmation atomic.Pointer[confirmation]
 
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -41,6 +41,8 @@
 	Packed []byte
 	Proven bool
 	Age    time.Duration
+	// ActiveVersion is the version of the configuration in force at the peer, 0 for none.
+	ActiveVersion uint64
 	// Lost is the configuration in force at the peer, if it is newer than the
 	// sender's and the store has lost it; without a key if not.
 	Lost mirror.Item
@@ -77,7 +79,8 @@
 	reply.Members = f.table.ChangedSince(now, args.Members, args.Info.DataCentre)
 	reply.Summaries, reply.Version = f.table.summariesSince(args.Members), f.table.Version()
 	f.notifyMembers()
-	if it, lost := f.listener.LostConfiguration(); lost && f.listener.ActiveVersion() > args.ActiveVersion {
+	reply.ActiveVersion = f.listener.ActiveVersion()
+	if it, lost := f.listener.LostConfiguration(); lost && reply.ActiveVersion > args.ActiveVersion {
 		reply.Lost = it
 	}
 	reply.Quarantine = f.listener.UnstoredQuarantine()
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -148,6 +148,8 @@
 	if len(reply.Quarantine) > 0 {
 		f.listener.QuarantineReceived(reply.Quarantine, from)
 	}
+	f.synced, f.peersVersion = true, max(f.peersVersion, reply.ActiveVersion)
+	f.publishConfirmation()
 	if args.MembersOnly && f.behindSince > 0 && f.isCarrier(now, from) {
 		f.enqueueSync(now, from) // fetches what a heartbeat has told of
 	}
--- a/gateway/auth_test.go
+++ b/gateway/auth_test.go
@@ -56,9 +56,9 @@
 func newKeyedGateway(t *testing.T, customers *customer.Set) *keyedGateway {
 	t.Helper()
 	k := &keyedGateway{}
-	k.testGateway = newTestGatewayWith(t, func(o *Options) { o.Limits.KeyMaxAge = maxKeyAge })
-	k.g.log = log.NewLogfmtLogger(log.NewSyncWriter(k))
-	k.g.hooks.CopyAge = func() time.Duration { return time.Duration(k.age.Load()) }
+	k.testGateway = startTestGatewayUsing(t, testStop, log.NewLogfmtLogger(log.NewSyncWriter(k)), func(o *Options) { o.Limits.KeyMaxAge = maxKeyAge }, func(h *Hooks) {
+		h.CopyAge = func() time.Duration { return time.Duration(k.age.Load()) }
+	})
 	k.stub = newStub(t, "i-a", func(s *stub, c net.Conn, r *http.Request, body string) bool {
 		k.mu.Lock()
 		head := r.Header.Clone()
@@ -228,12 +228,17 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	fmt.Fprintf(c, "POST /closed/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: r\r\n%sContent-Length: 70000\r\n\r\n", testHost, bearer(testKey))
-	for deadline := time.Now().Add(5 * time.Second); k.g.inFlight.Load() == 0 && time.Now().Before(deadline); {
+	const early, late = prefetchedBody + 1, 50_000 // the handler starts after the first
+	fmt.Fprintf(c, "POST /closed/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: r\r\n%sContent-Length: %d\r\n\r\n%s", testHost, bearer(testKey), early+late, strings.Repeat("x", early))
+	for deadline := time.Now().Add(5 * time.Second); k.g.inFlight.Load() == 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("the request did not begin")
+		}
 		time.Sleep(time.Millisecond)
 	}
+	time.Sleep(20 * time.Millisecond) // the key is checked at the begin
 	k.setCustomers(2, customersWith(t, "another"))
-	fmt.Fprint(c, strings.Repeat("x", 70000))
+	fmt.Fprint(c, strings.Repeat("x", late))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatal(err)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -52,7 +52,9 @@
 		return
 	}
 	key := keyOf(h)
-	g.waitForConfirmation()
+	if key.fault == nil {
+		g.waitForConfirmation()
+	}
 	cust, refusal := g.authenticate(key, r.Public)
 	if refusal != nil {
 		g.refuse(ctx, id, refusal.status, refusal.reason)
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -255,6 +255,12 @@
 }
 
 func startTestGatewayWith(t *testing.T, stopLimit time.Duration, change func(*Options)) *testGateway {
+	t.Helper()
+	return startTestGatewayUsing(t, stopLimit, log.NewNopLogger(), change, func(*Hooks) {})
+}
+
+// startTestGatewayUsing returns a gateway with a logger, and with changed options and hooks.
+func startTestGatewayUsing(t *testing.T, stopLimit time.Duration, logger log.Logger, change func(*Options), changeHooks func(*Hooks)) *testGateway {
 	t.Helper()
 	began := time.Now()
 	lns, err := Listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
@@ -270,7 +276,8 @@
 		Now: func() time.Duration { return time.Since(began) + time.Minute }, Seed: 1,
 	}
 	change(&opt)
-	g := New(opt, testProtocol(), log.NewNopLogger(), gometrics.NewRegistry())
+	g := New(opt, testProtocol(), logger, gometrics.NewRegistry())
+	changeHooks(&g.hooks)
 	ctx, stop := context.WithCancel(context.Background())
 	tg := &testGateway{t: t, g: g, addr: lns.Data.Addr().String(), auxAddr: lns.Ready.Addr().String(), stop: stop, done: make(chan error, 1)}
 	go func() { tg.done <- g.Run(ctx, lns, stopLimit) }()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -87,6 +87,8 @@
 	kv   *standin.KV
 	addr string
 	list []*running
+	// change, if it is not nil, changes the settings of each node.
+	change func(*node.Settings)
 }
 
 // running is a Node that runs in this process.
@@ -130,6 +132,9 @@
 		StoreAddress: s.addr, GracePeriod: 400 * time.Millisecond,
 		RetryShare: 0.2, RetryAllowance: 64, RetryWindow: 10 * time.Second, MaxLookupTTL: 5 * time.Second, MaxChangeDelay: 2 * time.Second, ProbesPerUpstream: 60,
 	}
+	if s.change != nil {
+		s.change(&set)
+	}
 	lns, err := node.Listen(&set)
 	if err != nil {
 		s.t.Fatal(err)
