--- a/gateway/keystate.go
+++ b/gateway/keystate.go
@@ -67,13 +67,21 @@
 			msg, kv = "copy of the store is old", []any{"state", c.state}
 			gometrics.GetOrRegisterCounter("key_states_total."+c.state, g.metrics.registry).Inc(1)
 		}
-		kv = append([]any{"msg", msg}, append(kv, "copy_age", age, "limit", time.Duration(g.keys.maxAge.Load()))...)
+		kv = append([]any{"msg", msg}, append(kv, "copy_age", ageText(age), "limit", time.Duration(g.keys.maxAge.Load()))...)
 		if err := level.Warn(g.log).Log(kv...); err != nil {
 			g.metrics.logFailures.Inc(1)
 		}
 	}
 }
 
+// ageText returns an age as it is logged.
+func ageText(age time.Duration) string {
+	if age == unknownAge {
+		return "unknown"
+	}
+	return age.String()
+}
+
 // registerKeysServed adds a gauge that is 1 while requests with keys are served.
 func (g *Gateway) registerKeysServed(registry gometrics.Registry) {
 	registry.GetOrRegister("keys_served", gometrics.NewFunctionalGauge(func() int64 {
