Keep what proves the copy apart from what decides its reads

With customers' keys, a heartbeat counted from its arrival in the socket, and one whose arrival the kernel did not tell confirmed nothing.

The time as of which the copy is proven complete is now a value of its own, carried beside the age in heartbeats and syncs. Only keys depend on it, and reads of the store only where keys have a bound. A datagram without a time of arrival counts from the read before it, which a process that stood still can't mistake.

--- a/fleet/copyage.go
+++ b/fleet/copyage.go
@@ -5,28 +5,77 @@
 	"time"
 )
 
-// AgeUnknown is the age of a copy of the store that was never confirmed complete.
+// AgeUnknown is the age of a copy of the store that was never proven complete.
 const AgeUnknown = time.Duration(math.MaxInt64)
 
-// confirmation is the last confirmation of the copy, for CopyAge.
-type confirmation struct {
-	at time.Duration
-	// suspended is the time since then for which the machine was suspended, as far as it
-	// was counted when Options.Suspended returned total.
-	suspended, total time.Duration
+// proof is when the copy was last proven complete. The reader takes a message as of its
+// arrival at this process, which decides when the store is read. A process that stood
+// still finds old messages in its sockets: they prove nothing about the time for which
+// they waited.
+type proof struct {
+	known bool
+	at    time.Duration
+	// suspended is the time since at for which the machine was suspended, and
+	// suspensionSeenAt when that was last noticed.
+	suspended, suspensionSeenAt time.Duration
 }
 
-// CopyAge returns the time since the copy was last confirmed complete, with the time for
-// which the machine was suspended until now, or AgeUnknown, also at a start while a peer may have a
-// newer configuration. The Listener has received all
-// changes that the confirmation covers. It takes no lock: the lock is held while a
-// configuration is decoded.
+// provenNever is the time at which a copy was proven complete that never was.
+const provenNever = time.Duration(math.MinInt64)
+
+// prove records that the copy was complete at a time, or provenNever. A time before a suspension was noticed
+// may be one before the suspension.
+func (p *proof) prove(at time.Duration) {
+	if at == provenNever || p.known && at <= p.at {
+		return
+	}
+	p.known, p.at = true, at
+	if at > p.suspensionSeenAt {
+		p.suspended = 0
+	}
+}
+
+// countSuspension records that the machine was suspended since the last proof.
+func (p *proof) countSuspension(now, lost time.Duration) {
+	p.suspended += lost
+	p.suspensionSeenAt = now
+}
+
+// age returns the time since the copy was proven complete, or AgeUnknown.
+func (p *proof) age(now time.Duration) time.Duration {
+	if !p.known {
+		return AgeUnknown
+	}
+	return now - p.at + p.suspended
+}
+
+// publishedProof is the last proof, for CopyAge.
+type publishedProof struct {
+	proof
+	// suspendedTotal is what Options.Suspended had returned when proof.suspended was counted.
+	suspendedTotal time.Duration
+}
+
+// CopyAge returns the time since the copy was last proven complete, with the time for
+// which the machine was suspended until now, or AgeUnknown, also at a start while a peer
+// may have a newer configuration. The Listener has received all changes that the proof
+// covers. It takes no lock: the lock is held while a configuration is decoded.
 func (f *Fleet) CopyAge() time.Duration {
-	c := f.confirmation.Load()
-	if c == nil {
+	p := f.published.Load()
+	if p == nil {
 		return AgeUnknown
 	}
-	return f.opt.Now() - c.at + c.suspended + f.suspendedSince(c.total)
+	return p.age(f.opt.Now()) + f.suspendedSince(p.suspendedTotal)
+}
+
+// provenAge returns the age of the copy with the suspension that was not counted yet, or
+// AgeUnknown. It is called with the lock held.
+func (f *Fleet) provenAge(now time.Duration) time.Duration {
+	age := f.proof.age(now)
+	if age == AgeUnknown {
+		return age
+	}
+	return age + f.suspendedSince(f.suspended)
 }
 
 // soloStart is how long an instance that starts waits for the end of a first sync before it
@@ -39,11 +88,11 @@
 	return (f.synced || f.opt.Now() >= soloStart) && f.listener.ActiveVersion() >= f.peersVersion
 }
 
-// publishConfirmation makes the reader's state known to CopyAge. It is called with the lock
-// held, after the Listener has received what the confirmation covers.
-func (f *Fleet) publishConfirmation() {
-	if f.reader.confirmed && (f.confirmation.Load() != nil || f.firstCopyCounts()) {
-		f.confirmation.Store(&confirmation{at: f.reader.confirmedAt, suspended: f.reader.suspended, total: f.suspended})
+// publishProof makes the last proof known to CopyAge. It is called with the lock held, after
+// the Listener has received what the proof covers.
+func (f *Fleet) publishProof() {
+	if f.proof.known && (f.published.Load() != nil || f.firstCopyCounts()) {
+		f.published.Store(&publishedProof{f.proof, f.suspended})
 	}
 }
 
@@ -61,10 +110,13 @@
 	return lost
 }
 
-// fullAge returns the age of the copy with the suspension that was not counted yet. It is
-// called with the lock held.
-func (f *Fleet) fullAge(now time.Duration) time.Duration {
-	return f.reader.age(now) + f.suspendedSince(f.suspended)
+// replyProvesAt returns the time as of which the reply to a sync that began at a time proves
+// the copy complete, if the peer's was proven an age ago.
+func replyProvesAt(began, age time.Duration) time.Duration {
+	if age == AgeUnknown {
+		return provenNever
+	}
+	return began - age
 }
 
 // watchProvesAt returns the time as of which a watch proves the copy complete. Its reply may
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,6 +96,9 @@
 	// MaxCopyAge is the age of the copy from which an instance reads the store
 	// itself; 0 stands for defaultMaxCopyAge.
 	MaxCopyAge time.Duration
+	// MaxProvenAge is the CopyAge from which an instance reads the store itself; 0 sets no
+	// limit.
+	MaxProvenAge time.Duration
 	// WatchWait is the longest time between two replies of the store to a hub; 0 stands
 	// for watchWait.
 	WatchWait time.Duration
@@ -152,8 +155,10 @@
 	// a configuration that a peer has said to be in force there.
 	synced       bool
 	peersVersion uint64
-	// confirmation is nil until the copy was confirmed complete.
-	confirmation atomic.Pointer[confirmation]
+	// proof is when the copy was last proven complete, published the same for CopyAge; nil
+	// until the copy was proven complete.
+	proof     proof
+	published atomic.Pointer[publishedProof]
 
 	warningLimiter, forwardLimiter *rate.Limiter
 	crashReports, crashForwards    crashLimiter
@@ -185,7 +190,7 @@
 	}
 	f := &Fleet{
 		opt: opt, source: source, listener: listener,
-		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(), reader: reader{maxAge: opt.MaxCopyAge, watchWait: opt.WatchWait},
+		table: NewTable(opt.Self, opt.Seeds), copy: mirror.New(), reader: reader{maxAge: opt.MaxCopyAge, maxProvenAge: opt.MaxProvenAge, watchWait: opt.WatchWait},
 		warningLimiter: rate.NewLimiter(maxWarningsPerSecond, maxWarningsPerSecond),
 		forwardLimiter: rate.NewLimiter(maxForwardsPerSecond, maxForwardsPerSecond),
 		crashReports:   newCrashLimiter(maxCrashReportsPerSecond), crashForwards: newCrashLimiter(maxCrashForwardsPerSecond),
@@ -276,11 +281,12 @@
 // instance read from the store itself.
 const SourceStore = "store"
 
-// apply merges a delta into the copy, which is then complete as of confirmedAt.
+// apply merges a delta into the copy, which is then complete as of confirmedAt, and proven to
+// be so as of provenAt.
 // It returns false if the delta leaves a gap, so that a full copy is needed. What
 // is new, and each confirmation by the store, is told to the instances that rely
 // on this one.
-func (f *Fleet) apply(now time.Duration, d mirror.Delta, confirmedAt time.Duration, source string) bool {
+func (f *Fleet) apply(now time.Duration, d mirror.Delta, confirmedAt, provenAt time.Duration, source string) bool {
 	f.countSuspension()
 	before := f.copy.Revision()
 	first := before == 0
@@ -304,7 +310,8 @@
 		f.applyDirectory(changed)
 		f.listener.ItemsChanged(now, changed, source)
 	}
-	f.publishConfirmation()
+	f.proof.prove(provenAt)
+	f.publishProof()
 	if len(changed) > 0 || first || source == SourceStore {
 		f.sendHeartbeats(f.table.receivers(now), 0)
 	}
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -22,12 +22,14 @@
 	// AgeMillis is the time since the copy was last confirmed complete, or
 	// ageUnknown.
 	AgeMillis uint32
+	// ProvenAgeMillis is the time since the copy was last proven complete, or ageUnknown.
+	ProvenAgeMillis uint32
 	// Members is the version of the sender's member list.
 	Members uint64
 }
 
 // heartbeatFormat changes with the layout of a heartbeat.
-const heartbeatFormat = 3
+const heartbeatFormat = 4
 
 // Flags of a heartbeat.
 const (
@@ -64,15 +66,10 @@
 	return b, binary.Read(bytes.NewReader(p), binary.BigEndian, &b)
 }
 
-// delayed returns the heartbeat as it counts after it has waited in the socket. One whose
-// wait is not known confirms nothing.
-func (b heartbeat) delayed(waited time.Duration, known bool) heartbeat {
-	switch {
-	case b.AgeMillis == ageUnknown:
-	case !known:
-		b.AgeMillis = ageUnknown
-	default:
-		b.AgeMillis = ageMillis(time.Duration(b.AgeMillis)*time.Millisecond + waited)
+// delayed returns the heartbeat with what it proves after it has waited in the socket.
+func (b heartbeat) delayed(waited time.Duration) heartbeat {
+	if b.ProvenAgeMillis != ageUnknown {
+		b.ProvenAgeMillis = ageMillis(time.Duration(b.ProvenAgeMillis)*time.Millisecond + waited)
 	}
 	return b
 }
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -41,6 +41,8 @@
 	Packed []byte
 	Proven bool
 	Age    time.Duration
+	// ProvenAge is the time since the copy was last proven complete, or AgeUnknown.
+	ProvenAge time.Duration
 	// ActiveVersion is the version of the configuration in force at the peer, 0 for none.
 	ActiveVersion uint64
 	// Lost is the configuration in force at the peer, if it is newer than the
@@ -75,7 +77,7 @@
 	f.counts.SyncsServed++
 	f.table.UpdateMember(now, args.Info, args.State)
 	reply.Info, reply.State = f.opt.Self, f.state
-	reply.Proven, reply.Age = f.reader.confirmed, f.fullAge(now)
+	reply.Proven, reply.Age, reply.ProvenAge = f.reader.confirmed, f.reader.age(now), f.provenAge(now)
 	reply.Members = f.table.ChangedSince(now, args.Members, args.Info.DataCentre)
 	reply.Summaries, reply.Version = f.table.summariesSince(args.Members), f.table.Version()
 	f.notifyMembers()
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -69,7 +69,7 @@
 	now := f.opt.Now()
 	c := dueRead{rank: f.table.HubRank(now), after: f.copy.Revision(), began: now}
 	c.kind, c.wait = f.reader.due(now, readState{
-		rank: c.rank, hasCopy: c.after > 0, live: f.live, isolated: f.table.isolated(now), leader: f.table.IsLeader(now), lacksStore: f.lacksStore(now),
+		rank: c.rank, hasCopy: c.after > 0, live: f.live, isolated: f.table.isolated(now), leader: f.table.IsLeader(now), lacksStore: f.lacksStore(now), provenAge: f.provenAge(now),
 	}, f.opt.Jitter())
 	return c
 }
@@ -97,7 +97,7 @@
 }
 
 // handleReadResult processes the result of a store call. A read shows the store's
-// state as of its beginning.
+// state as of its beginning, a watch as of now.
 func (f *Fleet) handleReadResult(c dueRead, d mirror.Delta, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,13 +117,13 @@
 		}
 		return
 	}
-	confirmedAt := c.began
+	confirmedAt, provenAt := c.began, c.began
 	if c.kind == callWatch {
-		confirmedAt = watchProvesAt(now, c, len(d.Items))
+		confirmedAt, provenAt = now, watchProvesAt(now, c, len(d.Items))
 	} else {
 		f.reader.fullReadDue = false
 	}
-	f.apply(now, d, confirmedAt, SourceStore)
+	f.apply(now, d, confirmedAt, provenAt, SourceStore)
 	if c.kind == callWatch && len(d.Items) > 0 {
 		f.reader.delayNextRead(now, c.rank)
 	}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -82,6 +82,9 @@
 	// maxAge is the age of the copy from which an instance that is not a hub
 	// reads the store itself.
 	maxAge time.Duration
+	// maxProvenAge is the same for the time since the copy was proven complete; 0 sets no
+	// limit.
+	maxProvenAge time.Duration
 	// watchWait replaces the constant of this name, unless it is 0.
 	watchWait time.Duration
 	// staleReadAt is when the copy, now older than maxAge, leads to a read; 0
@@ -134,6 +137,8 @@
 	leader bool
 	// lacksStore is set if the store most likely answers no instance.
 	lacksStore bool
+	// provenAge is the time since the copy was proven complete.
+	provenAge time.Duration
 }
 
 // due returns the call to make now and, for a watch, how long it waits; for
@@ -153,9 +158,9 @@
 		return callReadAll, 0
 	case s.rank >= 0:
 		return callWatch, max(minWatchWait, r.longestWatch()-r.age(now))
-	case r.age(now) < r.maxAge:
+	case r.freshFor(now, s) > 0:
 		r.staleReadAt = 0
-		return callNone, r.maxAge - r.age(now)
+		return callNone, r.freshFor(now, s)
 	}
 	if wait := r.staleWait(s, jitter); r.staleReadAt == 0 || wait == 0 {
 		r.staleReadAt = now + wait
@@ -167,6 +172,15 @@
 	return callWatch, r.longestWatch()
 }
 
+// freshFor returns for how long the copy is not old yet.
+func (r *reader) freshFor(now time.Duration, s readState) time.Duration {
+	fresh := r.maxAge - r.age(now)
+	if r.maxProvenAge > 0 {
+		fresh = min(fresh, r.maxProvenAge-s.provenAge)
+	}
+	return fresh
+}
+
 func (r *reader) longestWatch() time.Duration {
 	if r.watchWait > 0 {
 		return r.watchWait
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		level.Warn(f.opt.Log).Log("msg", "peer copy unreadable", "peer", from, "err", err)
 	} else if d.Revision > 0 && reply.Proven {
-		f.apply(now, d, began-reply.Age, "peer "+from)
+		f.apply(now, d, began-reply.Age, replyProvesAt(began, reply.ProvenAge), "peer "+from)
 	}
 	if reply.Lost.Key != "" {
 		f.listener.LostConfigurationReceived(reply.Lost, from)
@@ -149,7 +149,7 @@
 		f.listener.QuarantineReceived(reply.Quarantine, from)
 	}
 	f.synced, f.peersVersion = true, max(f.peersVersion, reply.ActiveVersion)
-	f.publishConfirmation()
+	f.publishProof()
 	if args.MembersOnly && f.behindSince > 0 && f.isCarrier(now, from) {
 		f.enqueueSync(now, from) // fetches what a heartbeat has told of
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -107,7 +107,8 @@
 			Capacity: settings.Capacity, Incarnation: uint64(n.started.UnixMilli()),
 		},
 		FirstStart: settings.FirstStart, Seeds: settings.Seeds, DirectoryKey: adapter.Keys.Directory,
-		MaxCopyAge: maxCopyAge(settings), WatchWait: watchWait(settings),
+		MaxCopyAge:   time.Duration(maxCopyAgeShare * float64(settings.MaxChangeDelay)),
+		MaxProvenAge: maxProvenAge(settings), WatchWait: watchWait(settings),
 		Now: n.now, Suspended: suspended, Log: logs.WithPart(l, "fleet"),
 		Guard: n.guard, Metrics: n.registry,
 		OnStoreCall: func(outcome string) {
@@ -121,35 +122,32 @@
 	// maxCopyAgeShare is the share of Settings.MaxChangeDelay at which an instance
 	// whose copy no peer confirms reads the store; the rest is left for the read.
 	maxCopyAgeShare = 0.8
-	// maxKeyCopyAgeShare is the same share of Settings.KeyMaxAge. It is below that from
-	// which the instance is not ready.
-	maxKeyCopyAgeShare = 0.5
-	// confirmationDelay is the time in which a hub's read reaches the other instances: a
-	// heartbeat interval and a margin.
-	confirmationDelay = fleet.HeartbeatInterval + 100*time.Millisecond
+	// maxProvenAgeShare is the share of Settings.KeyMaxAge at which an instance whose copy
+	// is not proven complete reads the store. It is below that from which the instance is
+	// not ready.
+	maxProvenAgeShare = 0.5
+	// proofDelay is the time in which what a hub has read is proven at all other
+	// instances: by two heartbeats, and a margin.
+	proofDelay = 2*fleet.HeartbeatInterval + 100*time.Millisecond
 	// minWatchWait and maxWatchWait bound how long a hub's watch waits for changes.
 	minWatchWait = 200 * time.Millisecond
 	maxWatchWait = time.Second
 )
 
-// maxCopyAge returns the age of the copy from which an instance reads the store itself; 0 if
-// there is no limit.
-func maxCopyAge(s Settings) time.Duration {
-	byChange := time.Duration(maxCopyAgeShare * float64(s.MaxChangeDelay))
-	byKeys := time.Duration(maxKeyCopyAgeShare * float64(s.KeyMaxAge))
-	if byChange == 0 || byKeys == 0 {
-		return max(byChange, byKeys)
-	}
-	return min(byChange, byKeys)
+// maxProvenAge returns the age of the copy from which an instance reads the store itself; 0
+// if there is no limit.
+func maxProvenAge(s Settings) time.Duration {
+	return time.Duration(maxProvenAgeShare * float64(s.KeyMaxAge))
 }
 
-// watchWait returns how long hubs watch, so that the copies of all instances are confirmed
-// before they reach maxCopyAge; 0 stands for the default.
+// watchWait returns how long hubs watch, so that the copies of all instances are proven
+// complete before they reach maxProvenAge; 0 stands for the default. A watch with changes
+// proves what was true when it began, and the next one follows it.
 func watchWait(s Settings) time.Duration {
 	if s.KeyMaxAge == 0 {
 		return 0
 	}
-	return min(maxWatchWait, max(minWatchWait, maxCopyAge(s)-confirmationDelay))
+	return min(maxWatchWait, max(minWatchWait, (maxProvenAge(s)-proofDelay)/2))
 }
 
 // storeSource implements fleet.Source for all keys of the store.
