Hold the rate of cold upstreams over all instances

An upstream that starts cold got its usual load from every instance at once; a whole data centre that returns, as after an evacuation, could be overrun again and again.

While an upstream is cold, by its entry or its last health reply, each instance of its data centre sends at most a part of the allowed requests in any 1.1 s, counted at the moment of sending. The parts are those of positions in a rendezvous order with one position to spare, so that they add up to the allowed number also if every instance misses another one or counts one that is gone. Instances count for three minutes after they were last seen, so that a partition does not make a part grow, and one that has just started has none. Another data centre stands in, within a budget of its own, while the upstream's has no instance.

The rate limit that an upstream names holds beside that. Calls to which only cold upstreams are left are refused at once with upstreams-cold and the time of the next part or of the end of the cold period.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -164,8 +164,8 @@
 }
 
 // hedge sends the call to a second upstream while the first attempt is in
-// flight, if that upstream is not nearly full, names no rate limit and its pace is
-// at most maxHedgePace.
+// flight, if that upstream is not nearly full, names no rate limit, is not cold under a
+// limit and its pace is at most maxHedgePace.
 func (c *call) hedge(timer *time.Timer) {
 	if len(c.inFlight) != 1 || c.sent+len(c.inFlight) >= c.route.MaxAttempts || c.hedgeSearches >= maxHedgeSearches {
 		return
@@ -179,7 +179,7 @@
 	if !ok {
 		return
 	}
-	if ch.report == nil || ch.rateLimit.Named || ch.report.NearlyFull(ch.sentSince) || ch.report.Pace > maxHedgePace || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()) {
+	if ch.report == nil || ch.rateLimit.Named || ch.cold || ch.report.NearlyFull(ch.sentSince) || ch.report.Pace > maxHedgePace || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()) {
 		c.g.releaseChoice(ch)
 		timer.Reset(hedgeRecheckDelay)
 		return
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -17,6 +17,8 @@
 	byID map[string]*evidenceEntry
 	// fleet divides the upstreams' rate limits.
 	fleet quota.FleetView
+	// cold divides the limits of cold upstreams.
+	cold coldLimits
 }
 
 // evidenceEntry is the evidence about one incarnation of an upstream.
@@ -25,6 +27,7 @@
 	evidence    pick.Evidence
 	bucket      quota.Bucket
 	notices     notice.State
+	cold        coldState
 }
 
 func newEvidenceTable() *evidenceTable { return &evidenceTable{byID: map[string]*evidenceEntry{}} }
@@ -58,7 +61,9 @@
 	defer e.mu.Unlock()
 	entry := e.entry(u)
 	p := pick.Prospect{FailureRate: entry.evidence.FailureRate(now), InBackoff: entry.evidence.InBackoff(now)}
-	return p, admission{rate: entry.bucket.Check(now, e.fleet.Division(now), u.ID), notice: entry.notices.Check(now)}
+	return p, admission{
+		rate: entry.bucket.Check(now, e.fleet.Division(now), u.ID), notice: entry.notices.Check(now), cold: entry.checkCold(now, &e.cold, u),
+	}
 }
 
 func (e *evidenceTable) recordOutcome(now time.Duration, u *discovery.Upstream, failed bool, weight float64) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,6 +160,7 @@
 	g.callers.SetTimeouts(callerTimeouts(t.Limits))
 	g.pool.block(snap.evacuatedAddresses())
 	g.evidence.retain(upstreams, snap.evacuated.byService)
+	g.evidence.setColdTable(t)
 	g.probeBudget.setCounts(len(snap.byKey), 0)
 }
 
@@ -244,6 +245,7 @@
 	g.lookupTTL.Store(int64(min(lookupTTL, l.MaxLookupTTL)))
 	g.retryBudgets.setLimits(l.RetryBudget)
 	g.probeBudget.setLimits(l.ProbesPerUpstream)
+	g.evidence.setColdLimit(l.ColdLimit)
 }
 
 // Ready reports whether requests can be served.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,6 +25,10 @@
 	// the attempts sent to an upstream that names one, rateLimited the probed
 	// upstreams that were passed over for it.
 	rateLimitChanges, limitedSends, rateLimited gometrics.Counter
+	// coldSends counts the attempts sent to cold upstreams under a limit, coldPasses the
+	// probed ones that were passed over for it, malformedCold the replies that name no
+	// valid time.
+	coldSends, coldPasses, malformedCold gometrics.Counter
 	// crashes counts the attempts under which an upstream crashed,
 	// crashChecksSkipped the broken ones for which that was not checked.
 	crashes, crashChecksSkipped gometrics.Counter
@@ -48,6 +52,7 @@
 	m := &metricSet{
 		registry: registry, connsOpened: c("upstream_connections_opened_total"), probes: c("probes_total"), probesFailed: c("probes_failed_total"),
 		strayReplies: c("stray_replies_total"), malformedReplies: c("malformed_replies_total"), repeatedIDs: c("repeated_ids_total"),
+		coldSends: c("cold_sends_total"), coldPasses: c("cold_passes_total"), malformedCold: c("cold_malformed_total"),
 		crashes: c("upstream_crashes_total"), crashChecksSkipped: c("crash_checks_skipped_total"),
 		leaving: c("upstreams_leaving_total"), pauses: c("upstream_pauses_total"),
 		crashReports: c("crash_reports_total"), quarantines: c("quarantines_total"), quarantinesLifted: c("quarantines_lifted_total"),
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -29,16 +29,19 @@
 type admission struct {
 	rate   quota.Admission
 	notice notice.Admission
+	cold   quota.Admission
 }
 
 // limited reports whether anything but load may keep a request from the upstream.
-func (a admission) limited() bool { return a.rate.Limited || !a.notice.Admitted }
+func (a admission) limited() bool { return a.rate.Limited || a.cold.Limited || !a.notice.Admitted }
 
 // reason returns why a request is kept from a limited upstream.
 func (a admission) reason() string {
 	switch {
 	case a.notice.Leaving:
 		return reasonLeaving
+	case a.cold.Limited && !a.cold.Admitted && a.cold.Due >= max(a.rate.Due, a.notice.Due):
+		return reasonCold
 	case a.notice.Due > a.rate.Due:
 		return reasonPaused
 	}
@@ -134,31 +137,43 @@
 	return e.entry(u).notices.Leaving()
 }
 
-// admit counts a request to u if it admits one now. It returns the rate limit under
-// which it was counted, or that admitted none.
-func (e *evidenceTable) admit(now time.Duration, u *discovery.Upstream) (limit quota.Limit, admitted bool) {
+// admit counts a request to the chosen upstream if it admits one now. It sets the rate
+// limit under which it was counted, or that admitted none.
+func (e *evidenceTable) admit(now time.Duration, ch *choice) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	entry := e.entry(u)
+	entry := e.entry(ch.upstream)
 	if !entry.notices.Take(now) {
-		return limit, false
+		return
 	}
-	if !entry.bucket.Take(now, e.fleet.Division(now), u.ID) {
+	ch.rateLimit = entry.bucket.Limit()
+	if !entry.bucket.Take(now, e.fleet.Division(now), ch.upstream.ID) {
 		entry.notices.Return()
-		return entry.bucket.Limit(), false
+		return
+	}
+	if !entry.takeCold(now, &e.cold, ch) {
+		entry.returnRate(ch)
+		entry.notices.Return()
+		return
+	}
+	ch.admitted = true
+}
+
+// returnRate gives back a request that the bucket of the rate limit counted.
+func (e *evidenceEntry) returnRate(ch *choice) {
+	if ch.rateLimit.Named {
+		e.bucket.Return()
 	}
-	return entry.bucket.Limit(), true
 }
 
 // withdraw gives back what admit counted for a request that was not sent.
-func (e *evidenceTable) withdraw(u *discovery.Upstream, limit quota.Limit) {
+func (e *evidenceTable) withdraw(ch *choice) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	entry := e.entry(u)
+	entry := e.entry(ch.upstream)
 	entry.notices.Return()
-	if limit.Named {
-		entry.bucket.Return()
-	}
+	entry.returnRate(ch)
+	entry.returnCold(ch)
 }
 
 // admit counts a request to the chosen upstream. It returns false if the upstream
@@ -167,8 +182,12 @@
 	if g.isEvacuated(ch.upstream) {
 		return false
 	}
-	ch.rateLimit, ch.admitted = g.evidence.admit(g.now(), ch.upstream)
-	if !ch.admitted && ch.rateLimit.Named {
+	g.evidence.admit(g.now(), ch)
+	switch {
+	case ch.admitted:
+	case ch.coldRefused:
+		g.metrics.coldPasses.Inc(1)
+	case ch.rateLimit.Named:
 		g.metrics.rateLimited.Inc(1)
 	}
 	return ch.admitted
@@ -177,7 +196,7 @@
 // withdraw gives back what admit counted for a request that was not sent.
 func (g *Gateway) withdraw(ch *choice) {
 	if ch.admitted {
-		g.evidence.withdraw(ch.upstream, ch.rateLimit)
+		g.evidence.withdraw(ch)
 	}
 }
 
@@ -202,7 +221,7 @@
 		if reason = a.reason(); a.notice.Leaving || a.rate.Limited && !a.rate.Held {
 			continue
 		}
-		waiting = append(waiting, quota.Admission{Due: max(a.rate.Due, a.notice.Due), Interval: a.rate.Interval})
+		waiting = append(waiting, quota.Admission{Due: max(a.rate.Due, a.notice.Due, a.cold.Due), Interval: max(a.rate.Interval, a.cold.Interval)})
 		reasons = append(reasons, reason)
 	}
 	if len(waiting) == 0 {
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -44,6 +44,10 @@
 	// rateLimit.
 	admitted  bool
 	rateLimit quota.Limit
+	// cold is set if the choice was counted at coldAt for a cold upstream, coldRefused if
+	// the limit of the cold upstream did not admit it.
+	cold, coldRefused bool
+	coldAt            time.Duration
 }
 
 // releaseChoice returns the connection of an unused choice to the pool, and what was
@@ -140,7 +144,7 @@
 	now := g.now()
 	fullness, paces := g.estimates.fullnessOf(results[0].upstream.Service), g.estimates.pacesOf(results[0].upstream.Service)
 	for _, res := range results {
-		cand := pick.Candidate{Report: res.report, Cold: now < res.upstream.ColdUntil}
+		cand := pick.Candidate{Report: res.report, Cold: now < g.evidence.coldUntil(res.upstream)}
 		g.evidence.update(res.upstream, func(ev *pick.Evidence) {
 			cand.FailureRate, cand.SentSince = ev.FailureRate(now), ev.Since(res.sendMark)
 			switch {
@@ -172,7 +176,7 @@
 
 // candidates returns the upstreams of the call's service, except those to which the
 // call has been sent, those that are leaving or asked for a pause, and those whose rate
-// limit admits no request. Of the last, one whose limit may be out of date is probed last.
+// limit, or limit while cold, admits no request. Of the last, one whose limit may be out of date is probed last.
 func (g *Gateway) candidates(c *call, localFirst bool) candidates {
 	all := c.upstreams()
 	list := make([]*discovery.Upstream, 0, len(all))
@@ -183,10 +187,10 @@
 			continue
 		}
 		p, a := g.evidence.prospect(now, u)
-		if !a.notice.Admitted || !a.rate.Admitted && !a.rate.Recheck {
+		if !a.notice.Admitted || !a.rate.Admitted && !a.rate.Recheck || !a.cold.Admitted && !a.cold.Recheck {
 			continue
 		}
-		p.InBackoff = p.InBackoff || !a.rate.Admitted
+		p.InBackoff = p.InBackoff || !a.rate.Admitted || !a.cold.Admitted
 		p.Local = localFirst && u.DataCentre == g.opt.DataCentre
 		p.IdleConn = localFirst && g.pool.hasIdle(u.Address)
 		if !p.InBackoff {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -90,6 +90,7 @@
 		return false, fmt.Errorf("%w: got %q, want %s", errUpstreamID, id, u.ID)
 	}
 	g.recordRateLimit(u, resp)
+	g.recordCold(u, resp)
 	r, err := g.proto.ParseLoad(string(resp.Header.Peek(g.proto.Load)))
 	if err != nil {
 		// The service sends no load report: assume the load that this instance
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -51,4 +51,5 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fleet.Set(now, f)
+	e.cold.view.Set(now, f)
 }
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -78,6 +78,9 @@
 		if l := res.try.rateLimit; l.Named {
 			kv = append(kv, "rate_limit", l.PerSecond)
 		}
+		if res.try.cold {
+			kv = append(kv, "cold", true)
+		}
 	case resultCallerLeft:
 		httpserve.CloseWithoutResponse(c.ctx)
 	default:
--- a/gateway/testgateway_test.go
+++ b/gateway/testgateway_test.go
@@ -33,7 +33,7 @@
 		RequestID: "Request-Id", Deadline: "Deadline-Ms", ExpectUpstream: "Expect-Upstream", UpstreamID: "Upstream-Id",
 		NotRun: "Not-Run", Signature: "Signature", Load: "Load", LookupDataCentre: "place", LookupPath: "/lookup", ReadyPath: "/ready",
 		EncodeLookup: func(addresses []string, _ time.Duration) ([]byte, error) { return json.Marshal(addresses) },
-		Leaving:      "Leaving", IsLeaving: func(s string) bool { return s == "yes" },
+		Cold:         "Cold-Ms", Leaving: "Leaving", IsLeaving: func(s string) bool { return s == "yes" },
 		RateLimit: "Rate-Limit", ParseRateLimit: func(s string) (float64, error) { return strconv.ParseFloat(s, 64) },
 		ParseLoad: func(s string) (r pick.Report, err error) {
 			var percent float64
@@ -67,6 +67,7 @@
 	load         string
 	rateLimit    string // named in all replies, unless empty
 	leaving      bool   // said in all replies
+	cold         string // said in health replies, unless empty
 	probes       int    // health requests
 	do           behaviour
 	runs         map[string]int
@@ -112,6 +113,9 @@
 			}
 			s.mu.Lock()
 			load := s.load
+			if s.cold != "" {
+				end += "Cold-Ms: " + s.cold + "\r\n"
+			}
 			s.probes++
 			s.mu.Unlock()
 			reply := fmt.Sprintf("HTTP/1.1 200 OK\r\nUpstream-Id: %s\r\nLoad: %s\r\n%s%sContent-Length: 0\r\n\r\n", s.id, load, s.noticeHeaders(), end)
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -91,6 +91,9 @@
 	if t.rateLimit.Named {
 		c.g.metrics.limitedSends.Inc(1)
 	}
+	if t.cold {
+		c.g.metrics.coldSends.Inc(1)
+	}
 	if reason != "" {
 		c.log("additional attempt started", "why", reason, "upstream", t.upstream.ID, "cost", ch.cost, "known", ch.known)
 	}
@@ -131,7 +134,7 @@
 		}
 		return
 	}
-	if g.unwanted(t.upstream) {
+	if g.unwanted(t.upstream) || !g.evidence.confirmCold(g.now(), &t.choice) {
 		t.err = errUnwanted
 		if t.clearConn() {
 			g.pool.put(cn)
