--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -172,6 +172,7 @@
 	g.callers.SetTimeouts(callerTimeouts(t.Limits))
 	g.pool.block(snap.evacuatedAddresses())
 	g.evidence.retain(upstreams, snap.evacuated.byService)
+	g.evidence.setColdTable(t)
 	g.probeBudget.setCounts(len(snap.byKey), 0)
 }
 
@@ -273,6 +274,7 @@
 	g.retryBudgets.setLimits(l.RetryBudget)
 	g.probeBudget.setLimits(l.ProbesPerUpstream)
 	g.keys.maxAge.Store(int64(l.KeyMaxAge))
+	g.evidence.setColdLimit(l.ColdLimit)
 }
 
 // Ready reports whether requests can be served, and those with keys for a while to come.
