Avoid upstreams that lose requests without an answer

An upstream whose queue had no room lost requests without a word: it was picked again at once, since its health checks are answered, and got requests also when its fresh report showed no free slot. In a busy service, which sends no hedges, a lost idempotent request waited until its timeout.

After a silent loss the upstream is in backoff for 250 ms, doubled up to 2 s, until its first reply. For 10 s after one, requests of the service go to no upstream that reports itself full while others are known, and an idempotent attempt that is silent for 3 times its expected time is cancelled if it may be sent again. The decisions are in package pick and apply to affected services only: others take the same paths as before. A connection now notes whether a byte arrived since the last request, which tells a silent attempt from one that is being answered.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/pick"
 )
 
 // Times of a call while no upstream has a free slot.
@@ -92,6 +93,9 @@
 			return false
 		}
 	}
+	if c.losesRequests() && !pick.MayQueue(ch.report, ch.sentSince, ch.known, len(c.upstreams())) {
+		return false
+	}
 	return c.hasRoom(ch) || ch.report == nil || ch.known < minKnownToRefuse
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -60,6 +60,8 @@
 	sent, unsent  int
 	mayHaveRun    bool
 	hedgeSearches int
+	// silence fires when an attempt may count as lost.
+	silence *time.Timer
 	// contentDigest is set once content has computed it.
 	contentDigest quarantine.Content
 	contentKnown  bool
@@ -97,6 +99,8 @@
 	defer callerCheck.Stop()
 	hedge := time.NewTimer(time.Hour)
 	defer hedge.Stop()
+	c.silence = time.NewTimer(time.Hour)
+	defer c.silence.Stop()
 	defer c.cancel()
 	if res, done := c.startAttempt("", hedge); done {
 		return res
@@ -109,6 +113,8 @@
 			}
 		case <-hedge.C:
 			c.hedge(hedge)
+		case <-c.silence.C:
+			c.cancelLost()
 		case <-timeout.C:
 			return c.timeoutResult()
 		case <-callerCheck.C:
@@ -160,6 +166,7 @@
 		hedge.Reset(time.Duration(hedgeDelayFactor * float64(c.expectedTime(ch))))
 	}
 	c.inFlight = append(c.inFlight, t)
+	c.watchSilence()
 	return callResult{}, false
 }
 
@@ -186,6 +193,7 @@
 	}
 	c.g.metrics.hedges.Inc(1)
 	c.inFlight = append(c.inFlight, c.launch(ch, "hedge"))
+	c.watchSilence()
 }
 
 // maxHedgePace is the pace above which an upstream is not used for a hedge.
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -47,6 +47,8 @@
 	sent []uint64
 	// sentHead is set once a HEAD request was sent on it.
 	sentHead bool
+	// heard is set once a byte arrived after the last request.
+	heard atomic.Bool
 	// lastReplyAt is when the last reply arrived on the connection.
 	lastReplyAt time.Time
 	// idleLimit is how long the connection may be idle.
@@ -67,12 +69,22 @@
 // recordSent records that a request, or a health check if id is empty, is sent on c.
 func (c *conn) recordSent(id string, isHead bool) {
 	c.used = true
+	c.heard.Store(false)
 	c.sentHead = c.sentHead || isHead
 	if id != "" {
 		c.sent = append(c.sent, xxhash.Sum64String(id))
 	}
 }
 
+// Read reads what the upstream sent.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard.Store(true)
+	}
+	return n, err
+}
+
 // write sends out and the segments of a body.
 func (c *conn) write(out []byte, body [][]byte) error {
 	if len(body) == 0 {
@@ -137,7 +149,9 @@
 		return nil, err
 	}
 	p.metrics.connsOpened.Inc(1)
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, connBuffer), addr: addr, number: p.dialled.Add(1), idleLimit: defaultIdleLimit}, nil
+	c := &conn{Conn: nc, addr: addr, number: p.dialled.Add(1), idleLimit: defaultIdleLimit}
+	c.r = bufio.NewReaderSize(c, connBuffer)
+	return c, nil
 }
 
 // put returns a connection to the pool after its last reply was read
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,8 +95,9 @@
 	inFlight  atomic.Int64
 	liveCount atomic.Int64
 	// crashChecks is the number of checks for crashed upstreams in progress.
-	crashChecks atomic.Int64
-	quarantine  lockedQuarantine
+	crashChecks  atomic.Int64
+	quarantine   lockedQuarantine
+	silentLosses silentLosses
 	// lookupTTL is the lifetime of lookup responses, in nanoseconds.
 	lookupTTL atomic.Int64
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,13 +34,16 @@
 	// crashReports counts the reports of other instances, quarantines and
 	// quarantinesLifted this instance's own decisions.
 	crashReports, quarantines, quarantinesLifted gometrics.Counter
-	hedges                                       gometrics.Counter
-	handoffs                                     gometrics.Counter
-	lookups                                      gometrics.Counter
-	warnings                                     gometrics.Counter
-	logFailures                                  gometrics.Counter
-	panics                                       gometrics.Counter
-	latency                                      gometrics.Histogram
+	// silentLosses counts the attempts that got no byte of a reply from an upstream that
+	// answers its health checks, silentCancels those cancelled to be sent again.
+	silentLosses, silentCancels gometrics.Counter
+	hedges                      gometrics.Counter
+	handoffs                    gometrics.Counter
+	lookups                     gometrics.Counter
+	warnings                    gometrics.Counter
+	logFailures                 gometrics.Counter
+	panics                      gometrics.Counter
+	latency                     gometrics.Histogram
 }
 
 func newMetricSet(registry gometrics.Registry) *metricSet {
@@ -49,6 +52,7 @@
 		registry: registry, connsOpened: c("upstream_connections_opened_total"), probes: c("probes_total"), probesFailed: c("probes_failed_total"),
 		strayReplies: c("stray_replies_total"), malformedReplies: c("malformed_replies_total"), repeatedIDs: c("repeated_ids_total"),
 		crashes: c("upstream_crashes_total"), crashChecksSkipped: c("crash_checks_skipped_total"),
+		silentLosses: c("silent_losses_total"), silentCancels: c("silent_cancels_total"),
 		leaving: c("upstreams_leaving_total"), pauses: c("upstream_pauses_total"),
 		crashReports: c("crash_reports_total"), quarantines: c("quarantines_total"), quarantinesLifted: c("quarantines_lifted_total"),
 		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"), rateLimited: c("rate_limited_passes_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), warnings: c("warnings_total"),
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -110,6 +110,14 @@
 	return !budget.reservedForUrgent(now, priority) && budget.HasHeadroom(now, maxHedgeShare)
 }
 
+// allowsRetry reports whether take would allow a call of the priority an extra attempt.
+func (b *retryBudgets) allowsRetry(now time.Duration, service string, priority int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.forService(service)
+	return !budget.reservedForUrgent(now, priority) && budget.HasHeadroom(now, 1)
+}
+
 // take uses one extra attempt for a call of the priority. It returns false if
 // none is available to that priority. Priority 0 is the most urgent.
 func (b *retryBudgets) take(now time.Duration, service string, priority int) bool {
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -49,6 +49,8 @@
 	mu        sync.Mutex
 	cn        *conn
 	cancelled bool
+	// sentAt is when the request was written, 0 before.
+	sentAt time.Duration
 	// finished is set once the attempt's goroutine no longer uses memory,
 	// discarded once the call will not use the reply.
 	finished, discarded bool
@@ -56,9 +58,11 @@
 	// connNumber is that of the connection on which the request was written, 0 if none.
 	connNumber uint64
 
-	resp    *fasthttp.Response
-	memory  membudget.Reservation // of the reply's body
-	wrote   bool
+	resp   *fasthttp.Response
+	memory membudget.Reservation // of the reply's body
+	wrote  bool
+	// unheard is set if the attempt was given up before a byte of a reply arrived.
+	unheard bool
 	err     error
 	took    time.Duration
 	outcome outcome
@@ -101,7 +105,7 @@
 			t.wrote, t.err, t.complete = true, err, false // it may have been sent
 			t.cancel()
 		}
-		c.g.evidence.update(t.upstream, (*pick.Evidence).Ended)
+		c.g.recordEnd(c, t)
 		if !t.wrote {
 			c.g.withdraw(&t.choice)
 		}
@@ -142,16 +146,17 @@
 	var body [][]byte
 	cn.writeBuf, body = g.appendRequest(cn.writeBuf[:0], c, t.upstream.ID, timeLeft)
 	sent := g.now()
+	t.recordSent(sent)
 	t.wrote, t.err = g.exchange(cn, t.upstream, cn.writeBuf, body, c.id, c.isHead, time.Now().Add(timeLeft+replyMargin), t.resp, &t.memory)
-	t.took = g.now() - sent
+	t.took, t.unheard = g.now()-sent, cn.heardNothing(t.err)
 	if t.err == nil {
 		g.recordRateLimit(t.upstream, t.resp)
 	}
-	if !t.clearConn() || t.err != nil {
+	kept := t.clearConn()
+	if t.complete = t.err == nil; !kept || !t.complete {
 		cn.Close()
 		return
 	}
-	t.complete = true
 	g.finishExchange(c, t, cn)
 }
 
@@ -198,17 +203,18 @@
 const cancelDelay = 25 * time.Millisecond
 
 // cancel cancels the attempt. An upstream stops running a request when its
-// connection closes.
-func (t *try) cancel() {
+// connection closes. It returns false if the attempt was cancelled before.
+func (t *try) cancel() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.cancelled {
-		return
+		return false
 	}
 	t.cancelled = true
 	if cn := t.cn; cn != nil {
 		time.AfterFunc(cancelDelay, func() { cn.Close() })
 	}
+	return true
 }
 
 // release calls mark, and returns the memory of the reply once its goroutine has
--- a/pick/evidence.go
+++ b/pick/evidence.go
@@ -42,6 +42,7 @@
 	// backoffUntil is the end of the probe backoff: until then another probe
 	// would most likely give the same result.
 	backoffUntil time.Duration
+	silence      Silence
 }
 
 // Probe backoff after a report or a missing answer.
@@ -76,9 +77,17 @@
 // RecordNoAnswer records that the upstream did not answer a probe in time.
 func (e *Evidence) RecordNoAnswer(now time.Duration) { e.backoffUntil = now + noAnswerBackoff }
 
+// RecordSilentLoss records that a request sent at sentAt was lost without an answer.
+func (e *Evidence) RecordSilentLoss(now, sentAt time.Duration) { e.silence.RecordLoss(now, sentAt) }
+
+// RecordReply records a reply to a request.
+func (e *Evidence) RecordReply() { e.silence.RecordReply() }
+
 // InBackoff reports whether the upstream is in probe backoff: it is most likely
-// still full, slow or not answering.
-func (e *Evidence) InBackoff(now time.Duration) bool { return now < e.backoffUntil }
+// still full, slow or not answering, or it has lost requests.
+func (e *Evidence) InBackoff(now time.Duration) bool {
+	return now < e.backoffUntil || e.silence.Active(now)
+}
 
 // Sent counts a request sent to the upstream.
 func (e *Evidence) Sent() { e.inFlight++; e.sent++ }
