Test malformed status lines also with a customer's key

The tests of malformed replies sent no key, so the path of authenticated requests had none. The case sends each malformed status line, status 000 among them, to a request with a key and wants 502.

--- a/gateway/malformedreply_test.go
+++ b/gateway/malformedreply_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/internal/httpreply/replytest"
 )
@@ -25,6 +27,56 @@
 // the caller got it as an answer.
 func TestMalformedStatusLineIsNoAnswer(t *testing.T) { testMalformed(t, replytest.StatusLines) }
 
+// A request with a customer's key got a status line that HTTP does not allow, such as status
+// 000, as its answer.
+func TestMalformedStatusLineWithKeyIsNoAnswer(t *testing.T) {
+	customers := customer.NewSet()
+	customers.Add(customer.Customer{Name: "acme"})
+	customers.AddKey("acme", "k-1")
+	for _, c := range replytest.StatusLines {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			u := newStub(t, "u", malformed(c))
+			tg := newTestGateway(t)
+			tg.configure(time.Second, u)
+			snap := tg.g.snapshot.Load()
+			table := *snap.table
+			table.Customers = customers
+			tg.g.SetRoutes(&table, snap.upstreams)
+			tg.g.proto.Customer = "Customer"
+			for i := range 20 { // a connection may time out on a busy machine
+				id := fmt.Sprint("k-", i)
+				r := tg.callWithKey(id, "k-1")
+				if r.err == nil && r.status == http.StatusServiceUnavailable && u.runCount(id) == 0 {
+					continue
+				}
+				if r.err != nil || r.status != http.StatusBadGateway || u.runCount(id) != 1 {
+					t.Errorf("status %d, body %q, error %v, ran %d times; want 502 after 1 run", r.status, r.body, r.err, u.runCount(id))
+				}
+				return
+			}
+			t.Error("no request ran")
+		})
+	}
+}
+
+// callWithKey sends one purchase with a customer's key.
+func (tg *testGateway) callWithKey(id, key string) reply {
+	c, err := net.Dial("tcp4", tg.addr)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /purchase/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\npack", testHost, key, id)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
 // An upstream answered with a blank in the name of a header, and the caller got it as an
 // answer: with that line, or with another body than the upstream's.
 func TestMalformedFieldNameIsNoAnswer(t *testing.T) { testMalformed(t, replytest.FieldNames) }
