Check a configuration document before it is submitted

Operators learned only from the instances' logs, once a document was in force, that a field could not be read, a route never matched or limits contradicted each other.

catkinctl check decodes the document as the instances do, lists the decoder's problems as errors and the findings of package configcheck as warnings, each with its location and remedy, and the differences from the version in a file or the store.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -96,9 +96,12 @@
 	var refused *operator.Refusal
 	var badUsage usageError
 	var noAnswer *noAnswerError
+	var checked checkExit
 	switch {
 	case err == nil || errors.Is(err, flag.ErrHelp):
 		return ExitOK
+	case errors.As(err, &checked):
+		return int(checked)
 	case errors.Is(err, errUsage):
 		return ExitUsage
 	case errors.As(err, &badUsage):
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -53,6 +53,12 @@
   explain REQUEST [FILE...]
                         print the log lines of one request in order of time,
                         from instances' logs or standard input
+  check [-against FILE | -store IP:PORT] [-upstreams FILE] [-instances N]
+        [-format text|json] FILE
+                        on a platform: check a configuration document before it
+                        is submitted, and list its differences from the version
+                        in force; exit codes 0 clean, 1 warnings, 2 errors,
+                        3 the version in force can't be read
   quarantine -store IP:PORT [lift CONTENT]
                         on a platform: print the requests that are kept from the
                         upstreams since these crashed under them, or lift that
@@ -110,15 +116,15 @@
 func (c *command) run(name string, args []string) error {
 	commands := map[string]func([]string) error{
 		"plan": c.plan, "add": c.add, "confirm": c.confirm, "show": c.show,
-		"history": c.history, "diff": c.diff, "status": c.status, "explain": c.explain, "quarantine": c.quarantine,
+		"history": c.history, "diff": c.diff, "status": c.status, "explain": c.explain, "check": c.check, "quarantine": c.quarantine,
 		"drain": c.intent("drain"), "undrain": c.intent("undrain"), "remove": c.intent("remove"),
 	}
 	f := commands[name]
 	switch {
 	case name == "":
-		return usageError("no command: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain, quarantine; -h shows more")
+		return usageError("no command: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain, check, quarantine; -h shows more")
 	case f == nil:
-		return usageError(fmt.Sprintf("unknown command %q: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain, quarantine", name))
+		return usageError(fmt.Sprintf("unknown command %q: use one of plan, drain, undrain, remove, add, confirm, show, history, diff, status, explain, check, quarantine", name))
 	}
 	return f(args[1:])
 }
