--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,9 +102,10 @@
 	inFlight  atomic.Int64
 	liveCount atomic.Int64
 	// crashChecks is the number of checks for crashed upstreams in progress.
-	crashChecks atomic.Int64
-	quarantine  lockedQuarantine
-	keys        keyGuard
+	crashChecks  atomic.Int64
+	quarantine   lockedQuarantine
+	keys         keyGuard
+	silentLosses silentLosses
 	// lookupTTL is the lifetime of lookup responses, in nanoseconds.
 	lookupTTL atomic.Int64
 
