--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -185,7 +185,7 @@
 		tg.configure(2*time.Second, a, b)
 		tg.setWork(20 * time.Millisecond)
 		for range 40 {
-			tg.g.estimates.updateFullness(testService, func(f *pick.Fullness) { f.RecordReport(true) })
+			tg.g.estimates.updateFullness(testService, func(f *pick.Fullness) { f.RecordReport(false) })
 		}
 		if affected {
 			tg.g.silentLosses.record(tg.g.now(), testService)
