Carry token requests of customers between instances

An account asks the customer's allocator, which may be any leader, for tokens. Two datagrams do so beside warnings: a lost one is covered by a repeated request, so they need no connection. The view names the leaders of all data centres, and also changes when one stops answering, since its customers then have another allocator.

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -165,6 +165,9 @@
 }
 
 func (f *Fleet) handleDatagram(from string, p []byte) {
+	if f.receiveTokens(from, p) {
+		return
+	}
 	if w, ok := decodeWarning(p); ok {
 		f.receiveWarning(from, w)
 		return
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,9 +50,9 @@
 }
 
 // Listener receives updates from a Fleet. Its methods must not call the Fleet.
-// All but WarningReceived and CrashReported are called with the Fleet's lock held,
-// hence one at a time; these two are called without it by the goroutine that
-// receives datagrams.
+// All but WarningReceived, CrashReported, TokensRequested and TokensGranted are called
+// with the Fleet's lock held, hence one at a time; these four are called without it by the
+// goroutine that receives datagrams.
 type Listener interface {
 	// ItemsChanged receives changed items of the store. The source is SourceStore or
 	// "peer" with the peer's address.
@@ -74,6 +74,10 @@
 	// CrashReported receives a crash report that another instance sent. It returns true
 	// if the request was suspected before.
 	CrashReported(now time.Duration, r CrashReport) (suspected bool)
+	// TokensRequested receives a request for tokens from the instance at the peer address
+	// from and returns the reply. TokensGranted receives a reply.
+	TokensRequested(now time.Duration, from string, r TokenRequest) TokenReply
+	TokensGranted(now time.Duration, r TokenReply)
 	// UnstoredQuarantine returns what this instance knows of requests that crash
 	// upstreams if the store lacks some of it, else nil.
 	UnstoredQuarantine() []byte
@@ -136,8 +140,10 @@
 	// which it was queued.
 	syncing         map[string]time.Duration
 	notifiedVersion uint64 // version of the member list last passed to the Listener
-	live            int    // number of live instances
-	loggedRoles     string
+	// notifiedAllocators is the version of the leaders last passed to the Listener.
+	notifiedAllocators uint64
+	live               int // number of live instances
+	loggedRoles        string
 	// storedDirectory is the directory read from the store.
 	storedDirectory directory
 	packed          packedDeltas
@@ -254,10 +260,12 @@
 
 // notifyMembers passes the view of the fleet to the Listener if it changed.
 func (f *Fleet) notifyMembers() {
-	if v := f.table.Version(); v != f.notifiedVersion {
-		f.notifiedVersion = v
+	allocators := f.table.allocatorsVersion(f.opt.Now()) // may change the table's version
+	if v := f.table.Version(); v != f.notifiedVersion || allocators != f.notifiedAllocators {
+		f.notifiedVersion, f.notifiedAllocators = v, allocators
 		view := f.table.View()
 		f.live = view.Live()
+		view.Allocators, view.Stored = f.table.allocators(f.opt.Now()), f.storedDirectory.Live
 		f.listener.MembersChanged(f.opt.Now(), view)
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -23,6 +23,9 @@
 	warned   []Warning
 	// crashReports holds all received reports.
 	crashReports []CrashReport
+	// granted holds all received replies to token requests.
+	granted []TokenReply
+	view    View
 }
 
 func (l *recordingListener) ItemsChanged(_ time.Duration, items []mirror.Item, _ string) {
@@ -46,6 +49,16 @@
 func (l *recordingListener) UnstoredQuarantine() []byte                     { return nil }
 func (l *recordingListener) QuarantineReceived([]byte, string)              {}
 
+func (l *recordingListener) TokensRequested(_ time.Duration, _ string, r TokenRequest) TokenReply {
+	return TokenReply{Number: r.Number, Customer: r.Customer, Granted: r.Want, Backup: r.Backup}
+}
+
+func (l *recordingListener) TokensGranted(_ time.Duration, r TokenReply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.granted = append(l.granted, r)
+}
+
 func (l *recordingListener) CrashReported(_ time.Duration, r CrashReport) (suspected bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -56,7 +69,7 @@
 func (l *recordingListener) MembersChanged(_ time.Duration, v View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.live = v.Live()
+	l.live, l.view = v.Live(), v
 }
 
 func (l *recordingListener) WarningReceived(_ time.Duration, w Warning) {
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -27,6 +27,8 @@
 	f.Add("10.0.0.2:1", heartbeat{Format: heartbeatFormat, Flags: flagReady | flagReply, Incarnation: 1, Revision: 9, AgeMillis: 3}.encode())
 	f.Add("10.0.0.3:1", Warning{Format: warningFormat, Upstream: 7, Weight: 50, Forward: true}.encode())
 	f.Add("10.0.0.3:1", CrashReport{Format: crashReportFormat, Content: [16]byte{7}, Upstream: 7, RanMillis: 50, Forward: true}.encode())
+	f.Add("10.0.0.3:1", TokenRequest{Number: 3, Customer: 7, Want: 2, Waiting: 1}.encode())
+	f.Add("10.0.0.3:1", TokenReply{Number: 3, Customer: 7, Granted: 2}.encode())
 	f.Add("nonsense", []byte{})
 	f.Fuzz(func(t *testing.T, from string, p []byte) {
 		now := 10 * time.Second
--- a/fleet/roles.go
+++ b/fleet/roles.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -54,6 +55,11 @@
 		}
 	}
 	before := t.roles.leaders
+	defer func() {
+		if !maps.EqualFunc(before, t.roles.leaders, slices.Equal) {
+			t.leadersVersion++
+		}
+	}()
 	t.roles = roles{leaders: make(map[string][]string, len(byDataCentre))}
 	for _, dc := range sortedKeys(byDataCentre) {
 		list := byDataCentre[dc]
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -388,6 +388,10 @@
 	l.in.crashReports[r.Content]++
 	return l.in.crashReports[r.Content] > 1
 }
+
+func (l simListener) TokensRequested(time.Duration, string, TokenRequest) (r TokenReply) { return r }
+func (l simListener) TokensGranted(time.Duration, TokenReply)                            {}
+
 func (l simListener) UnstoredQuarantine() []byte        { return nil }
 func (l simListener) QuarantineReceived([]byte, string) {}
 
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -192,6 +192,10 @@
 	// Usable holds the instances that callers may use: all of this data centre
 	// and some of each other one.
 	Usable []Instance
+	// Allocators holds the peer addresses of the leaders of all data centres, sorted.
+	Allocators []string
+	// Stored is the number of live instances that the store's directory names, 0 for none.
+	Stored int
 }
 
 // Live returns the number of live instances of all data centres.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -52,6 +52,8 @@
 	roles           roles
 	rolesValid      bool
 	rolesComputedAt time.Duration
+	// leadersVersion increases with every change of the leaders of any data centre.
+	leadersVersion uint64
 }
 
 // NewTable returns a Table that holds this instance and the seed addresses.
