Enforce customers' limits over all instances

A customer's limit had no effect. The gateway now takes a token for each request of a customer with a limit, after its key was checked and its body was read, so that little time passes between the token and the request. A call that ends unsent gives its token back.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 	"github.com/catkinrouter/catkinrouter/quarantine"
+	"github.com/catkinrouter/catkinrouter/ratelimit"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
@@ -40,8 +41,10 @@
 	route   *route.Route
 	// customer is the one whose key the request carries, nil for none.
 	customer *customer.Customer
-	service  route.Service
-	arrived  time.Duration
+	// token is that of the customer's limit, if there is one.
+	token   ratelimit.Decision
+	service route.Service
+	arrived time.Duration
 	// deadline is the latest time of the response to the caller, as a duration
 	// since the gateway's start.
 	deadline time.Duration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/catkinrouter/catkinrouter/pick"
 	"github.com/catkinrouter/catkinrouter/quarantine"
 	"github.com/catkinrouter/catkinrouter/quota"
+	"github.com/catkinrouter/catkinrouter/ratelimit"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
@@ -26,6 +27,8 @@
 	// Address is the instance's own Instance.Address.
 	Address string
 	Limits  Limits
+	// PeerAddress is the address at which other instances ask this one for tokens.
+	PeerAddress string
 	// MemoryBytes is the memory of the instance; 0 if it is not known.
 	MemoryBytes int64
 	// MaxCallers bounds the open connections of callers; 0 sets no bound.
@@ -100,6 +103,8 @@
 	// lookupTTL is the lifetime of lookup responses, in nanoseconds.
 	lookupTTL atomic.Int64
 
+	customerLimits *customerLimits
+
 	hooks Hooks
 
 	rngMu sync.Mutex
@@ -130,7 +135,7 @@
 		configured: make(chan struct{}), instanceKnown: make(chan struct{}), startupWait: startupWait,
 		hooks: Hooks{
 			UpstreamFailed: func(uint64, float64) {}, UpstreamLeaving: func(uint64) {}, DataNeeded: func() {},
-			CrashFound: func(CrashReport) {}, QuarantineChanged: func() {},
+			CrashFound: func(CrashReport) {}, QuarantineChanged: func() {}, AskTokens: func(string, ratelimit.Question) {},
 		},
 		quarantine: lockedQuarantine{table: quarantine.New()},
 		rng:        rand.New(rand.NewPCG(opt.Seed, 1)),
@@ -140,6 +145,7 @@
 	}, registry)
 	g.callers.SetTimeouts(defaultTimeouts)
 	registerMemory(registry, g.memory)
+	g.customerLimits = newCustomerLimits(opt.Now(), opt.PeerAddress, metrics)
 	g.SetLimits(opt.Limits)
 	return g
 }
@@ -157,6 +163,7 @@
 	}
 	g.callers.SetTimeouts(callerTimeouts(t.Limits))
 	g.evidence.retain(upstreams)
+	g.customerLimits.setCustomers(t.Customers)
 	g.probeBudget.setCounts(len(snap.byKey), 0)
 }
 
@@ -180,6 +187,9 @@
 	// QuarantineChanged is called when this instance has decided that a request
 	// crashes upstreams, or that it does not.
 	QuarantineChanged func()
+	// AskTokens is called with a question for the instance at a peer address. The reply is
+	// passed to ReceiveTokens.
+	AskTokens func(to string, q ratelimit.Question)
 }
 
 // SetHooks sets the callbacks. It must be called before Run.
@@ -210,6 +220,11 @@
 	Usable []Instance
 	// Live is the number of live instances of each data centre.
 	Live map[string]int
+	// Allocators holds the sorted peer addresses of the instances that allocate customers'
+	// tokens.
+	Allocators []string
+	// Stored is the number of live instances that the store's directory names, 0 for none.
+	Stored int
 }
 
 // SetFleet sets the instances that callers may use, and the numbers of instances
@@ -227,6 +242,7 @@
 	g.liveCount.Store(int64(live))
 	g.retryBudgets.setInstances(now, live)
 	g.probeBudget.setCounts(0, live)
+	g.customerLimits.setFleet(now, f, live)
 	own := quota.Fleet{Self: g.opt.Address, DataCentre: g.opt.DataCentre, Live: f.Live}
 	for _, in := range f.Usable {
 		if in.DataCentre == own.DataCentre {
@@ -241,6 +257,7 @@
 	g.lookupTTL.Store(int64(min(lookupTTL, l.MaxLookupTTL)))
 	g.retryBudgets.setLimits(l.RetryBudget)
 	g.probeBudget.setLimits(l.ProbesPerUpstream)
+	g.customerLimits.setQuota(l.CustomerQuota)
 }
 
 // Ready reports whether requests can be served.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -67,12 +67,24 @@
 		return
 	}
 	defer body.release()
-	c := g.newCall(ctx, snap, r, cust, id, g.now(), body)
+	arrived := g.now()
+	token, admitted := g.admitCustomer(ctx, id, cust, r, arrived)
+	if !admitted {
+		return
+	}
+	c := g.newCall(ctx, snap, r, cust, id, arrived, body)
+	c.token = token
 	if !g.stop.Load().admits(c.arrived, c.deadline-c.arrived, c.work()) {
-		g.respond(c, c.failureResult("stopping"))
+		g.finish(c, c.failureResult("stopping"))
 		return
 	}
-	g.respond(c, c.run())
+	g.finish(c, c.run())
+}
+
+// finish ends a call with its result.
+func (g *Gateway) finish(c *call, res callResult) {
+	c.returnToken(res)
+	g.respond(c, res)
 }
 
 // startupWait is how long the first requests after a start wait for data that
@@ -101,20 +113,24 @@
 	}
 }
 
-// newCall creates a call from a request and its route. The call's timeout is
-// the route's, or the caller's deadline if that is shorter.
+// timeoutOf returns the timeout of a request: the route's, or the caller's deadline if that
+// is shorter.
+func (g *Gateway) timeoutOf(ctx *fasthttp.RequestCtx, r *route.Route) time.Duration {
+	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(g.proto.Deadline)), 10, 64)
+	if err == nil && ms > 0 && ms <= r.Timeout.Milliseconds() {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return r.Timeout
+}
+
+// newCall creates a call from a request and its route.
 func (g *Gateway) newCall(ctx *fasthttp.RequestCtx, snap *snapshot, r *route.Route, cust *customer.Customer, id string, arrived time.Duration, body *requestBody) *call {
 	name := r.NextService()
 	svc, _ := snap.table.Service(name)
 	svc.Name = name
-	timeout := r.Timeout
-	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(g.proto.Deadline)), 10, 64)
-	if err == nil && ms > 0 && ms <= timeout.Milliseconds() {
-		timeout = time.Duration(ms) * time.Millisecond
-	}
 	c := &call{
 		g: g, ctx: ctx, id: id, version: snap.table.Version, route: r, customer: cust, service: svc,
-		arrived: arrived, deadline: arrived + timeout,
+		arrived: arrived, deadline: arrived + g.timeoutOf(ctx, r),
 		// Copied, because an attempt can outlive the request, whose buffers
 		// are then reused.
 		head: g.requestHead(ctx, snap.table.Customers != nil), body: body,
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -115,8 +115,14 @@
 
 // refuse rejects a request for which no call was created.
 func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, id string, status int, reason string) {
+	g.refuseUntil(ctx, id, status, reason, 0)
+}
+
+// refuseUntil rejects a request for which no call was created, and which has a chance after
+// retryAfter, 0 if that is not known.
+func (g *Gateway) refuseUntil(ctx *fasthttp.RequestCtx, id string, status int, reason string, retryAfter time.Duration) {
 	g.metrics.recordRefusal(reason)
-	g.writeError(ctx, status, reason, 0)
+	g.writeError(ctx, status, reason, retryAfter)
 	if err := level.Info(g.log).Log("msg", "request refused", "request", id, "host", string(ctx.Request.Header.Host()), "target", string(ctx.Request.Header.RequestURI()),
 		"status", status, "reason", reason); err != nil {
 		g.metrics.logFailures.Inc(1)
@@ -132,7 +138,7 @@
 	ctx.Response.Reset()
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("text/plain; charset=utf-8")
-	if status == fasthttp.StatusServiceUnavailable {
+	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatRetryAfter(retryAfter))
 	}
 	ctx.SetBodyString(reason + "\n")
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -35,6 +35,7 @@
 		case <-n.maintainNow:
 		}
 		n.expireUpstreams()
+		n.gateway.MaintainCustomerLimits()
 		n.updateFleetMetrics()
 		n.fleet.SetState(n.gateway.Ready(), leaving)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -87,7 +87,7 @@
 	}
 	n.guard = panics.Guard{Log: n.log, Count: gometrics.GetOrRegisterCounter("panics_total", n.registry)}
 	n.gateway = gateway.New(gateway.Options{
-		DataCentre: settings.DataCentre, Address: settings.DataAddress, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes,
+		DataCentre: settings.DataCentre, Address: settings.DataAddress, PeerAddress: settings.PeerAddress, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes,
 		MaxCallers: connlimit.MaxCallers(connlimit.Descriptors(settings.MaxDescriptors, n.log)), Now: n.now, Seed: seed,
 	}, adapter.Protocol, logs.WithPart(l, "gateway"), n.registry)
 	n.gateway.SetHooks(gateway.Hooks{
@@ -98,6 +98,7 @@
 		DataNeeded:        func() { n.fleet.RequestCopy() },
 		CrashFound:        n.reportCrash,
 		QuarantineChanged: func() { signal(n.quarantineChanged) },
+		AskTokens:         n.askTokens,
 	})
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Info{
@@ -311,5 +312,5 @@
 		usable[i] = gateway.Instance{Address: in.DataAddress, DataCentre: in.DataCentre}
 	}
 	level.Info(n.log).Log("msg", "members changed", "live", v.Live(), "usable", len(usable))
-	n.gateway.SetFleet(gateway.Fleet{Usable: usable, Live: v.LiveIn})
+	n.gateway.SetFleet(gateway.Fleet{Usable: usable, Live: v.LiveIn, Allocators: v.Allocators, Stored: v.Stored})
 }
--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -48,6 +48,11 @@
 	expires    time.Duration // of the token, if it was granted
 }
 
+// Fallback reports whether the call was decided without the primary allocator.
+func (d Decision) Fallback() bool {
+	return d.Verdict == Unknown || d.Verdict == Admitted && d.source != fromGrant
+}
+
 // source is where a token came from.
 type source uint8
 
@@ -107,8 +112,8 @@
 	a.backup.set(backup)
 }
 
-// Take decides about a call. A call that waited before passes its earlier decision's
-// place back by StopWaiting first. final is set if the call can't wait any longer.
+// Take decides about a call: first is set at its first decision, final if it can't wait any
+// longer. A call that waited calls StopWaiting before the next Take.
 func (a *Account) Take(now time.Duration, first, final bool) Decision {
 	a.usedAt = now
 	if first {
--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -68,7 +68,7 @@
 		return p.address, p.begin(now, a.question(now, false)), true
 	}
 	late := a.primary.suspect || a.primary.pending && a.primary.repeated
-	if a.waiting > 0 && late && a.backup.due(now) {
+	if late && a.missing(now) > 0 && a.backup.due(now) {
 		return a.backup.address, a.backup.begin(now, a.question(now, true)), true
 	}
 	return "", Question{}, false
@@ -80,13 +80,22 @@
 	if a.independent() {
 		return now >= a.primary.askAt
 	}
-	if a.waiting > 0 {
+	if a.missing(now) > 0 {
 		return true
 	}
 	ahead := a.ahead(now)
 	return ahead > 1 && now >= a.aheadAt && 2*a.held() < ahead
 }
 
+// missing returns the number of calls that wait for tokens which are not there yet. Calls
+// that are refused, or for which there are tokens, may not have been woken.
+func (a *Account) missing(now time.Duration) int {
+	if now < a.refusedUntil {
+		return 0
+	}
+	return max(0, a.waiting-a.held())
+}
+
 // ahead returns the number of tokens that are held ahead of need.
 func (a *Account) ahead(now time.Duration) int {
 	lead := min(maxLead, a.quota.lifetime(a.limit)/2)
@@ -95,8 +104,8 @@
 
 func (a *Account) question(now time.Duration, backup bool) Question {
 	a.number++
-	q := Question{Number: a.number, Customer: a.customer, Backup: backup, Waiting: min(a.waiting, maxWant), Refused: min(a.refused, maxWant)}
-	q.Want = min(q.Waiting+max(0, a.ahead(now)-a.held()), maxWant)
+	q := Question{Number: a.number, Customer: a.customer, Backup: backup, Waiting: min(a.missing(now), maxWant), Refused: min(a.refused, maxWant)}
+	q.Want = min(q.Waiting+max(0, a.ahead(now)-max(0, a.held()-a.waiting)), maxWant)
 	if !backup {
 		a.refused = 0
 		q.Lease, q.Spent = a.lease.at(now), a.lease.spent
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -145,10 +145,8 @@
 func (in *simInstance) wake() {
 	now, waiters := in.s.clock.Now, in.waiters
 	in.waiters = nil
-	for range waiters {
-		in.account.StopWaiting()
-	}
 	for _, until := range waiters {
+		in.account.StopWaiting()
 		in.decide(in.account.Take(now, false, now >= until), until)
 	}
 	in.ask()
