Do not blame customers for what a cut-off part can't know

An allocator that sees no majority of the fleet serves a part of each limit and refused the rest with 429, although the customer may be within its limit. Its replies now say so, and the refusals are 503, quota-unknown.

--- a/fleet/tokens.go
+++ b/fleet/tokens.go
@@ -26,8 +26,9 @@
 type TokenReply struct {
 	Format uint8
 	Backup bool
-	// Unknown is set if the sender can't allocate, Warming if it is new to the customer.
-	Unknown, Warming                 bool
+	// Unknown is set if the sender can't allocate, Warming if it is new to the customer,
+	// Partial if it sees no majority of the fleet.
+	Unknown, Warming, Partial        bool
 	Number                           uint32
 	Customer                         uint64
 	Granted                          uint16
--- a/fleet/tokens_test.go
+++ b/fleet/tokens_test.go
@@ -39,7 +39,7 @@
 		t.Error(cmp.Diff(request, got))
 	}
 	reply := TokenReply{
-		Format: tokenReplyFormat, Backup: true, Unknown: true, Warming: true, Number: 1<<32 - 1, Customer: 1<<64 - 1, Granted: 1<<16 - 1,
+		Format: tokenReplyFormat, Backup: true, Unknown: true, Warming: true, Partial: true, Number: 1<<32 - 1, Customer: 1<<64 - 1, Granted: 1<<16 - 1,
 		LeaseMilli: 1<<32 - 2, AskAfterMillis: 1<<16 - 2, RetryAfterMillis: 1<<16 - 3,
 	}
 	if got, ok := decodeTokenReply(reply.encode()); !ok || got != reply {
--- a/node/tokens.go
+++ b/node/tokens.go
@@ -28,7 +28,7 @@
 		Lease: float64(r.LeaseMilli) / leaseScale, Spent: r.LeaseSpent,
 	})
 	return fleet.TokenReply{
-		Backup: reply.Backup, Unknown: reply.Unknown, Warming: reply.Warming, Number: reply.Number, Customer: uint64(reply.Customer),
+		Backup: reply.Backup, Unknown: reply.Unknown, Warming: reply.Warming, Partial: reply.Partial, Number: reply.Number, Customer: uint64(reply.Customer),
 		Granted: toUint16(reply.Granted), LeaseMilli: toMilli(reply.Lease),
 		AskAfterMillis: toUint16(int(reply.AskAfter.Milliseconds())), RetryAfterMillis: toUint16(int(reply.RetryAfter.Milliseconds())),
 	}
@@ -37,7 +37,7 @@
 // TokensGranted implements fleet.Listener.
 func (n *Node) TokensGranted(_ time.Duration, r fleet.TokenReply) {
 	n.gateway.ReceiveTokens(ratelimit.Reply{
-		Number: r.Number, Customer: ratelimit.Key(r.Customer), Backup: r.Backup, Unknown: r.Unknown, Warming: r.Warming,
+		Number: r.Number, Customer: ratelimit.Key(r.Customer), Backup: r.Backup, Unknown: r.Unknown, Warming: r.Warming, Partial: r.Partial,
 		Granted: int(r.Granted), Lease: float64(r.LeaseMilli) / leaseScale,
 		AskAfter: time.Duration(r.AskAfterMillis) * time.Millisecond, RetryAfter: time.Duration(r.RetryAfterMillis) * time.Millisecond,
 	})
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -114,6 +114,7 @@
 	}
 	s.update(now, limit, a.quota, a.size.share(now))
 	r := Reply{Number: q.Number, Customer: q.Customer, Backup: q.Backup, Warming: !q.Backup && now < s.warmUntil}
+	r.Partial = a.size.share(now) <= 0.5
 	switch {
 	case q.Backup:
 		r.Granted = s.asBackup.take(q.Want)
--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -12,6 +12,7 @@
 	// suspect is set after a question without a reply, warming by a reply that said so,
 	// replied by any reply. askAt is when a suspect or warming allocator is asked next.
 	suspect, warming, replied bool
+	partial                   bool // of the last reply
 	askAt                     time.Duration
 }
 
@@ -23,7 +24,7 @@
 }
 
 // authoritative reports whether the allocator's refusals mean that the limit is used up.
-func (e *exchange) authoritative() bool { return e.replied && !e.suspect && !e.warming }
+func (e *exchange) authoritative() bool { return e.replied && !e.suspect && !e.warming && !e.partial }
 
 // expire ends a question without a reply.
 func (e *exchange) expire(now time.Duration) {
@@ -122,7 +123,7 @@
 	if r.Unknown || !e.pending || e.question.Number != r.Number {
 		return false
 	}
-	e.pending, e.suspect, e.replied = false, false, true
+	e.pending, e.suspect, e.replied, e.partial = false, false, true, r.Partial
 	if !r.Backup {
 		e.warming, e.askAt = r.Warming, now+suspectInterval
 		a.lease.renew(e.askedAt, r)
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -66,6 +66,9 @@
 	// Warming is set by an allocator that is new to the customer: a lease of an earlier
 	// one stays in use.
 	Warming bool
+	// Partial is set by an allocator that sees no majority of the fleet: it does not know
+	// whether the customer is over its limit.
+	Partial bool
 	Granted int
 	// Lease is the rate, in tokens per second, at which the receiver may admit calls
 	// if it gets no further reply, for leaseTime from its question on.
--- a/ratelimit/service_test.go
+++ b/ratelimit/service_test.go
@@ -137,6 +137,18 @@
 	}
 }
 
+// A part of the fleet that is cut off does not know what the rest serves: its refusals must
+// not say that the customer is over its limit.
+func TestCutOffAllocatorDoesNotBlameCustomer(t *testing.T) {
+	s := newSimulation(t, 10, customer.Limit{PerSecond: 20, Burst: 1})
+	s.setView(2, "i0", "i1")
+	s.load(100, s.clock.Now+3*time.Second, s.instances[2:4]...)
+	s.clock.RunUntil(s.clock.Now + 3*time.Second)
+	if s.refused > 0 || s.unknown == 0 {
+		t.Errorf("%d refusals as over the limit, %d as unknown", s.refused, s.unknown)
+	}
+}
+
 // Customers and instances that are idle must not use memory for ever.
 func TestIdleStateIsDropped(t *testing.T) {
 	a := NewAllocator(0, "i0", testQuota)
