--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -179,6 +179,9 @@
 
 // handleDatagram handles a datagram that has waited in the socket for at most a time.
 func (f *Fleet) handleDatagram(from string, p []byte, waited time.Duration) {
+	if f.receiveTokens(from, p) {
+		return
+	}
 	if w, ok := decodeWarning(p); ok {
 		f.receiveWarning(from, w)
 		return
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/internal/netpeek"
 	"github.com/catkinrouter/catkinrouter/quarantine"
+	"github.com/catkinrouter/catkinrouter/ratelimit"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
@@ -45,8 +46,10 @@
 	// arrival, identified at its last attempt; nil for none.
 	key                  presentedKey
 	customer, identified *customer.Customer
-	service              route.Service
-	arrived              time.Duration
+	// token is that of the customer's limit, if there is one.
+	token   ratelimit.Decision
+	service route.Service
+	arrived time.Duration
 	// deadline is the latest time of the response to the caller, as a duration
 	// since the gateway's start.
 	deadline time.Duration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/catkinrouter/catkinrouter/pick"
 	"github.com/catkinrouter/catkinrouter/quarantine"
 	"github.com/catkinrouter/catkinrouter/quota"
+	"github.com/catkinrouter/catkinrouter/ratelimit"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
@@ -27,6 +28,8 @@
 	// Address is the instance's own Instance.Address.
 	Address string
 	Limits  Limits
+	// PeerAddress is the address at which other instances ask this one for tokens.
+	PeerAddress string
 	// MemoryBytes is the memory of the instance; 0 if it is not known.
 	MemoryBytes int64
 	// MaxCallers bounds the open connections of callers; 0 sets no bound.
@@ -109,6 +112,8 @@
 	// lookupTTL is the lifetime of lookup responses, in nanoseconds.
 	lookupTTL atomic.Int64
 
+	customerLimits *customerLimits
+
 	hooks Hooks
 
 	rngMu sync.Mutex
@@ -141,6 +146,7 @@
 		hooks: Hooks{
 			UpstreamFailed: func(uint64, float64) {}, UpstreamLeaving: func(uint64) {}, DataNeeded: func() {},
 			CrashFound: func(CrashReport) {}, QuarantineChanged: func() {}, CopyAge: func() time.Duration { return unknownAge },
+			AskTokens: func(string, ratelimit.Question) {},
 		},
 		quarantine: lockedQuarantine{table: quarantine.New()},
 		rng:        rand.New(rand.NewPCG(opt.Seed, 1)),
@@ -153,6 +159,7 @@
 	}, registry)
 	g.callers.SetTimeouts(defaultTimeouts)
 	registerMemory(registry, g.memory)
+	g.customerLimits = newCustomerLimits(opt.Now(), opt.PeerAddress, metrics)
 	g.SetLimits(opt.Limits)
 	g.registerKeysServed(registry)
 	return g
@@ -174,6 +181,7 @@
 	g.pool.block(snap.evacuatedAddresses())
 	g.evidence.retain(upstreams, snap.evacuated.byService)
 	g.evidence.setColdTable(t)
+	g.customerLimits.setCustomers(t.Customers)
 	g.probeBudget.setCounts(len(snap.byKey), 0)
 }
 
@@ -201,6 +209,9 @@
 	// also while the machine was suspended; math.MaxInt64 if it never was. The gateway has
 	// what the confirmation covers.
 	CopyAge func() time.Duration
+	// AskTokens is called with a question for the instance at a peer address. The reply is
+	// passed to ReceiveTokens.
+	AskTokens func(to string, q ratelimit.Question)
 }
 
 // SetHooks sets the callbacks. It must be called before Run.
@@ -233,6 +244,11 @@
 	Unready []Instance
 	// Live is the number of live instances of each data centre.
 	Live map[string]int
+	// Allocators holds the sorted peer addresses of the instances that allocate customers'
+	// tokens.
+	Allocators []string
+	// Stored is the number of live instances that the store's directory names, 0 for none.
+	Stored int
 }
 
 // SetFleet sets the instances that callers may use, and the numbers of instances
@@ -251,6 +267,7 @@
 	g.liveCount.Store(int64(live))
 	g.retryBudgets.setInstances(now, live)
 	g.probeBudget.setCounts(0, live)
+	g.customerLimits.setFleet(now, f, live)
 	own := quota.Fleet{Self: g.opt.Address, DataCentre: g.opt.DataCentre, Live: f.Live, Usable: addressesIn(f.Usable, g.opt.DataCentre)}
 	if len(own.Usable) == 0 && g.keys.maxAge.Load() > 0 {
 		// They still serve: without holders, the upstreams' limits would admit nothing.
@@ -276,6 +293,7 @@
 	g.probeBudget.setLimits(l.ProbesPerUpstream)
 	g.keys.maxAge.Store(int64(l.KeyMaxAge))
 	g.evidence.setColdLimit(l.ColdLimit)
+	g.customerLimits.setQuota(l.CustomerQuota)
 }
 
 // Ready reports whether requests can be served, and those with keys for a while to come.
--- a/node/node.go
+++ b/node/node.go
@@ -88,7 +88,7 @@
 	}
 	n.guard = panics.Guard{Log: n.log, Count: gometrics.GetOrRegisterCounter("panics_total", n.registry)}
 	n.gateway = gateway.New(gateway.Options{
-		DataCentre: settings.DataCentre, Address: settings.DataAddress, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes,
+		DataCentre: settings.DataCentre, Address: settings.DataAddress, PeerAddress: settings.PeerAddress, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes,
 		MaxCallers: connlimit.MaxCallers(connlimit.Descriptors(settings.MaxDescriptors, n.log)), QueueOrder: settings.QueueOrder, Now: n.now, Seed: seed,
 	}, adapter.Protocol, logs.WithPart(l, "gateway"), n.registry)
 	n.gateway.SetHooks(gateway.Hooks{
@@ -100,6 +100,7 @@
 		CrashFound:        n.reportCrash,
 		QuarantineChanged: func() { signal(n.quarantineChanged) },
 		CopyAge:           func() time.Duration { return n.fleet.CopyAge() },
+		AskTokens:         n.askTokens,
 	})
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Info{
@@ -341,7 +342,7 @@
 // MembersChanged implements fleet.Listener.
 func (n *Node) MembersChanged(_ time.Duration, v fleet.View) {
 	level.Info(n.log).Log("msg", "members changed", "live", v.Live(), "usable", len(v.Usable))
-	n.gateway.SetFleet(gateway.Fleet{Usable: gatewayInstances(v.Usable), Unready: gatewayInstances(v.Unready), Live: v.LiveIn})
+	n.gateway.SetFleet(gateway.Fleet{Usable: gatewayInstances(v.Usable), Unready: gatewayInstances(v.Unready), Live: v.LiveIn, Allocators: v.Allocators, Stored: v.Stored})
 }
 
 func gatewayInstances(list []fleet.Instance) []gateway.Instance {
