Serve customers' limits within a second of a restart of all instances

After a restart of the whole fleet, allocators granted nothing for 2 s and only a part of the tolerance for 3 s more: customers within their limits got 503 for 5 s.

A new allocator now grants half of the rate, less the leases that instances name, 0.3 s after its process started. In that time instances find each other or learn their number from the store, by which the limit is divided; two allocators that both take themselves for a customer's grant the limit once. The tests of the bound hold unchanged. Refusals by a limit name the customer in their log line.

--- a/gateway/customerlimit.go
+++ b/gateway/customerlimit.go
@@ -245,9 +245,9 @@
 	case ratelimit.Admitted:
 		return d, true
 	case ratelimit.OverLimit:
-		g.refuseUntil(ctx, id, fasthttp.StatusTooManyRequests, reasonOverQuota, d.RetryAfter)
+		g.refuseUntil(ctx, id, fasthttp.StatusTooManyRequests, reasonOverQuota, d.RetryAfter, "customer", c.Name, "per_second", c.Limit.PerSecond, "retry_after", d.RetryAfter)
 	default:
-		g.refuseUntil(ctx, id, fasthttp.StatusServiceUnavailable, reasonQuotaUnknown, d.RetryAfter)
+		g.refuseUntil(ctx, id, fasthttp.StatusServiceUnavailable, reasonQuotaUnknown, d.RetryAfter, "customer", c.Name, "per_second", c.Limit.PerSecond)
 	}
 	return d, false
 }
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -125,12 +125,15 @@
 }
 
 // refuseUntil rejects a request for which no call was created, and which has a chance after
-// retryAfter, 0 if that is not known.
-func (g *Gateway) refuseUntil(ctx *fasthttp.RequestCtx, id string, status int, reason string, retryAfter time.Duration) {
+// retryAfter, 0 if that is not known. kv is added to the log line.
+func (g *Gateway) refuseUntil(ctx *fasthttp.RequestCtx, id string, status int, reason string, retryAfter time.Duration, kv ...any) {
 	g.metrics.recordRefusal(reason)
 	g.writeError(ctx, status, reason, retryAfter)
-	if err := level.Info(g.log).Log("msg", "request refused", "request", id, "host", string(ctx.Request.Header.Host()), "target", string(ctx.Request.Header.RequestURI()),
-		"status", status, "reason", reason); err != nil {
+	line := append([]any{
+		"msg", "request refused", "request", id, "host", string(ctx.Request.Header.Host()), "target", string(ctx.Request.Header.RequestURI()),
+		"status", status, "reason", reason,
+	}, kv...)
+	if err := level.Info(g.log).Log(line...); err != nil {
 		g.metrics.logFailures.Inc(1)
 	}
 	if g.closesConnections() {
--- a/ratelimit/allocation.go
+++ b/ratelimit/allocation.go
@@ -85,6 +85,10 @@
 	return share * l.Burst
 }
 
+// warmRate is the part of the rate that a new allocator grants. In the first moments of a
+// fleet, while its instances disagree on the allocator, two may do so at a time.
+const warmRate = 0.5
+
 // update refills the buckets. share is the part of the fleet that this instance sees.
 func (s *allocation) update(now time.Duration, limit customer.Limit, q Quota, share float64) {
 	s.limit, s.capacity = limit, capacityFor(limit, share)
@@ -100,9 +104,10 @@
 	}
 	s.full.refill(now, rate, s.capacity)
 	part := share * q.tolerance(limit)
-	for _, b := range []*bucket{&s.asBackup, &s.asNew} {
-		b.refill(now, reserveRate*part/q.window().Seconds(), reserveBurst*part)
-	}
+	reserve, capacity := reserveRate*part/q.window().Seconds(), reserveBurst*part
+	s.asBackup.refill(now, reserve, capacity)
+	// Holders of leases of an earlier allocator spend them beside what this one grants.
+	s.asNew.refill(now, max(reserve, warmRate*share*limit.PerSecond-s.leased), capacity)
 	if now-s.checkedAt >= leaseCheckInterval {
 		s.checkedAt = now
 		s.chargeLeases(now)
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -9,12 +9,15 @@
 
 // Times of an allocator.
 const (
-	// startupQuiet is how long a process that started allocates nothing: it may not yet
-	// know the other instances, and would take itself for the only one.
-	startupQuiet = 2 * time.Second
-	// warmUp is how long an allocator that is new to a customer grants only its share of the
-	// tolerance: until no lease of an earlier one remains.
+	// startupQuiet is how long a process that started allocates nothing: it does not yet
+	// know the other instances, and would take itself for the only one. Instances that start
+	// together find each other within that time, or learn their number from the store.
+	startupQuiet = 300 * time.Millisecond
+	// warmUp is how long an allocator that is new to a customer grants less: until no lease
+	// of an earlier one remains.
 	warmUp = leaseTime
+	// startupTime is how long the number of instances that a process sees may be too low.
+	startupTime = 2 * time.Second
 	// silentAfter is the time without a question after which a lease is charged.
 	silentAfter = 500 * time.Millisecond
 	// repeatTime is how long replies to repeated questions are kept.
@@ -86,7 +89,7 @@
 // off.
 func (a *Allocator) Instances(now time.Duration) int {
 	a.size.expire(now)
-	if now-a.startedAt < startupQuiet {
+	if now-a.startedAt < startupTime {
 		return max(a.size.most, designInstances)
 	}
 	return max(1, a.size.most)
