End an attempt that ends after the deadline as the timeout does

TestTimeout failed once on a busy machine: 502 where 504 was wanted. The connection's deadline is 100 ms after the call's. With both passed when the call's goroutine ran again, it took the attempt's end first, at random, and told the caller 502. Both say that the request may have run; the reason in the log was wrong.

An attempt that ends after the call's deadline without a reply now ends the call as its timeout.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -242,6 +242,10 @@
 	if len(c.inFlight) > 0 {
 		return callResult{}, false
 	}
+	if c.mayHaveRun && c.failedTry == nil && c.timeLeft() <= 0 {
+		// The connection's deadline is shortly after the call's: both may have passed.
+		return c.timeoutResult(), true
+	}
 	if c.callerLeft() {
 		return callerLeftResult, true
 	}
--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -5,11 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/route"
 )
 
 // hang runs the request without replying until its connection closes.
@@ -32,6 +36,25 @@
 	<-u.disconnected // the gateway closes the connection to stop the upstream
 }
 
+// On a busy machine, the connection's deadline may have passed too when the call's is noticed:
+// the attempt that then ends must not make the result another one than at the timeout.
+func TestAttemptThatEndsAfterTheDeadline(t *testing.T) {
+	u := newStub(t, "hangs", hang)
+	tg := newTestGateway(t)
+	tg.configure(300*time.Millisecond, u)
+	up := tg.g.snapshot.Load().upstreams[testService][0]
+	c := &call{
+		g: tg.g, service: route.Service{Name: testService}, deadline: tg.g.now() - time.Millisecond, contentKnown: true,
+		route: &route.Route{Rule: route.Rule{Timeout: 300 * time.Millisecond, MaxAttempts: 1}},
+	}
+	late := &try{upstream: up, resp: fasthttp.AcquireResponse(), wrote: true, err: os.ErrDeadlineExceeded}
+	c.inFlight = []*try{late}
+	res, done := c.handleFinished(late, time.NewTimer(time.Hour))
+	if !done || res.kind != resultUnknown || res.status != fasthttp.StatusGatewayTimeout {
+		t.Errorf("got %+v, finished %v", res, done)
+	}
+}
+
 // When a caller disconnects, its idempotent request is cancelled at the
 // upstream.
 func TestCallerDisconnectCancelsIdempotentCall(t *testing.T) {
