--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -170,14 +170,16 @@
 // or is not yet in charge.
 func (a *Account) independent() bool { return a.primary.suspect || a.primary.warming }
 
-// refuse refuses a call over the limit.
+// refuse refuses a call for which there is no token. Callers are told to come back one after
+// the other, also if it is not known whether the customer is over its limit: a customer who
+// sends many times its limit while an allocator is new would come back at once, all the time.
 func (a *Account) refuse(now time.Duration) Decision {
 	a.refused++
-	if !a.primary.authoritative() {
-		return Decision{Verdict: Unknown, RetryAfter: a.refusedUntil - now}
-	}
 	a.promisedAt = max(a.promisedAt, now)
 	d := Decision{Verdict: OverLimit, RetryAfter: min(a.promisedAt-now, maxRetryAfter)}
+	if !a.primary.authoritative() {
+		d.Verdict = Unknown
+	}
 	a.promisedAt = min(a.promisedAt+seconds(1/a.limit.PerSecond), now+maxRetryAfter)
 	return d
 }
--- a/ratelimit/service_test.go
+++ b/ratelimit/service_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -149,6 +150,25 @@
 	}
 }
 
+// Callers who are refused while the allocator is new must not all be told to come back at once.
+func TestRefusalsOfNewAllocatorAreSpread(t *testing.T) {
+	a := NewAccount(testKey, rand.New(rand.NewPCG(1, 2)))
+	a.SetLimit(customer.Limit{PerSecond: 10, Burst: 10}, testQuota, 10)
+	a.SetAllocators("i0", "i1")
+	now := time.Second
+	a.Take(now, true, false)
+	_, q, _ := a.Ask(now)
+	a.StopWaiting()
+	a.Receive(now, Reply{Number: q.Number, Customer: testKey, Warming: true, AskAfter: 100 * time.Millisecond, RetryAfter: 50 * time.Millisecond})
+	var last Decision
+	for range 20 {
+		last = a.Take(now, true, false)
+	}
+	if last.Verdict != Unknown || last.RetryAfter < time.Second {
+		t.Errorf("the 20th call is told %+v, at 10 calls a second", last)
+	}
+}
+
 // Customers and instances that are idle must not use memory for ever.
 func TestIdleStateIsDropped(t *testing.T) {
 	a := NewAllocator(0, "i0", testQuota)
