Use the least-cost order where a configuration's priorities call for it

The order was in force for all services or for none. With the flag's new value 'configuration', it is for the services whose requests differ in priority, by their routes or their customers; the deploy file sets it.

--- a/admission/queueorder.go
+++ b/admission/queueorder.go
@@ -11,15 +11,18 @@
 	ByPriority QueueOrder = "priority"
 	// LeastCost is the order of Compare.
 	LeastCost QueueOrder = "least-cost"
+	// ByConfiguration is LeastCost for the services whose requests differ in priority by the
+	// operators' configuration, and ByPriority for the others.
+	ByConfiguration QueueOrder = "configuration"
 )
 
 // ParseQueueOrder returns the queue order with the given name.
 func ParseQueueOrder(name string) (QueueOrder, error) {
 	switch o := QueueOrder(name); o {
-	case ByPriority, LeastCost:
+	case ByPriority, LeastCost, ByConfiguration:
 		return o, nil
 	}
-	return "", fmt.Errorf("queue order %q is not known: use %s or %s", name, ByPriority, LeastCost)
+	return "", fmt.Errorf("queue order %q is not known: use %s, %s or %s", name, ByPriority, LeastCost, ByConfiguration)
 }
 
 // PriorityLabel returns the label of a priority in metrics: 0 to 9, or "other".
--- a/cmd/catkin-node/main.go
+++ b/cmd/catkin-node/main.go
@@ -42,7 +42,7 @@
 	showVersion := fs.Bool("version", false, "print the version and exit")
 	minLevel := fs.String("log", "info", "minimum log level: debug, info, warn or error")
 	metricsPort := fs.Int("metrics-port", 0, "port of the metrics endpoint on the instance's IP address; 0 selects the second internal port")
-	orderName := fs.String("queue-order", string(admission.ByPriority), "order in which calls wait for a slot: priority or least-cost")
+	orderName := fs.String("queue-order", string(admission.ByPriority), "order in which calls wait for a slot: priority, least-cost, or configuration for least-cost where requests of a service differ in priority")
 	fs.Usage = func() {
 		fmt.Fprintf(stderr, "%s: runs one instance on a platform; the environment variable %s holds the path of the platform's settings file\n\n", name, platform.SettingsVariable)
 		fs.PrintDefaults()
--- a/customer/set.go
+++ b/customer/set.go
@@ -96,3 +96,18 @@
 	}
 	return out
 }
+
+// Priorities returns the priorities of customers that replace those of the routes. s may be
+// nil.
+func (s *Set) Priorities() map[int]bool {
+	out := map[int]bool{}
+	if s == nil {
+		return out
+	}
+	for _, c := range s.byName {
+		if c.HasPriority {
+			out[c.Priority] = true
+		}
+	}
+	return out
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -71,6 +71,8 @@
 	sent, unsent  int
 	mayHaveRun    bool
 	hedgeSearches int
+	// leastCost is the queue of the call's service, nil with the order by priority.
+	leastCost *leastCostQueue
 	// orderInputs is set once inputs has determined them.
 	orderInputs *leastcost.Call
 	// silence fires when an attempt may count as lost.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 	retryBudgets *retryBudgets
 	probeBudget  *probeBudget
 	queue        *waitQueue
-	// leastCost replaces queue with the least-cost order; nil with the order by priority.
+	// leastCost replaces queue for services with the least-cost order; nil if there are none.
 	leastCost *leastCostQueue
 	instances atomic.Pointer[[]Instance]
 	// unready holds the instances for lookups while no instance is usable.
@@ -151,7 +151,7 @@
 		quarantine: lockedQuarantine{table: quarantine.New()},
 		rng:        rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
-	if opt.QueueOrder == leastcost.LeastCost {
+	if opt.QueueOrder == leastcost.LeastCost || opt.QueueOrder == leastcost.ByConfiguration {
 		g.leastCost = newLeastCostQueue()
 	}
 	g.callers = connlimit.NewLimiter(connlimit.Options{
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -137,7 +137,8 @@
 		// are then reused.
 		head: g.requestHead(ctx, snap.table.Customers != nil), hasCustomers: snap.table.Customers != nil, body: body,
 		hasBody: ctx.Request.Header.ContentLength() != 0 && !ctx.IsGet() && !ctx.IsHead(), isHead: ctx.IsHead(),
-		tried: map[string]bool{}, finished: make(chan *try, maxUnsent+r.MaxAttempts+1),
+		leastCost: g.leastCostFor(snap.table, name),
+		tried:     map[string]bool{}, finished: make(chan *try, maxUnsent+r.MaxAttempts+1),
 	}
 	g.estimates.init(c.workKey(), r.TargetLatency)
 	g.retryBudgets.recordCall(arrived, name)
--- a/gateway/queueorder.go
+++ b/gateway/queueorder.go
@@ -7,6 +7,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/route"
 )
 
 // Reasons of calls that the queue turns away.
@@ -20,18 +21,27 @@
 	reasonDisplaced = "displaced"
 )
 
+// leastCostFor returns the queue of the least-cost order if it is in force for a service, or
+// nil. With the order by configuration it is where requests of the service differ in priority.
+func (g *Gateway) leastCostFor(t *route.Table, service string) *leastCostQueue {
+	if g.opt.QueueOrder == leastcost.ByConfiguration && !t.PrioritiesDiffer(service) {
+		return nil
+	}
+	return g.leastCost
+}
+
 // inputs returns the inputs of the least-cost order. Whether the call is a retry is
 // decided when it is first asked for, at its arrival.
 func (c *call) inputs() leastcost.Call {
 	if c.orderInputs == nil {
 		left := cmp.Or(c.callerTime, c.deadline-c.arrived)
 		timing := leastcost.Timing{
-			Arrived: c.arrived, Left: left, Usual: c.g.leastCost.usualDeadline(c.arrived, c.route.Name, left), Target: c.route.TargetLatency,
+			Arrived: c.arrived, Left: left, Usual: c.leastCost.usualDeadline(c.arrived, c.route.Name, left), Target: c.route.TargetLatency,
 		}
 		c.orderInputs = &leastcost.Call{
 			Priority: c.priority(), Arrived: c.arrived, Target: min(timing.TargetTime(), c.deadline), Deadline: c.deadline, Retrying: timing.IsRetry(),
 		}
-		c.g.leastCost.recordTarget(c.arrived, c.service.Name, cmp.Or(c.route.TargetLatency, left))
+		c.leastCost.recordTarget(c.arrived, c.service.Name, cmp.Or(c.route.TargetLatency, left))
 	}
 	in := *c.orderInputs
 	in.Work = c.work()
@@ -41,16 +51,16 @@
 // tooLate reports whether the call is rejected since it can't meet its deadline. Only
 // measured work rejects a call.
 func (c *call) tooLate() bool {
-	if c.g.leastCost == nil {
+	if c.leastCost == nil {
 		return false
 	}
 	now, in := c.g.now(), c.inputs()
-	return in.TooLate(now) && c.g.estimates.measured(c.workKey()) && !c.g.leastCost.trial(now, c.service.Name)
+	return in.TooLate(now) && c.g.estimates.measured(c.workKey()) && !c.leastCost.trial(now, c.service.Name)
 }
 
 // waitLimit returns until when the call waits for a slot.
 func (c *call) waitLimit() time.Duration {
-	if c.g.leastCost != nil {
+	if c.leastCost != nil {
 		return c.inputs().WaitUntil()
 	}
 	return c.arrived + time.Duration(queueTargetShare*float64(c.route.TargetLatency))
@@ -58,24 +68,24 @@
 
 // mustWait reports whether the call must wait behind others.
 func (c *call) mustWait() bool {
-	if c.g.leastCost != nil {
-		return c.g.leastCost.mustWait(c.g.now(), c.service.Name, c.inputs())
+	if c.leastCost != nil {
+		return c.leastCost.mustWait(c.g.now(), c.service.Name, c.inputs())
 	}
 	return c.g.queue.mustWait(c.service.Name, c.priority())
 }
 
 // callsAhead returns the number of waiting calls that go before the call.
 func (c *call) callsAhead() int {
-	if c.g.leastCost != nil {
-		return c.g.leastCost.ahead(c.g.now(), c.service.Name, c.inputs())
+	if c.leastCost != nil {
+		return c.leastCost.ahead(c.g.now(), c.service.Name, c.inputs())
 	}
 	return c.g.queue.ahead(c.service.Name, c.priority())
 }
 
 // enqueue adds the call to the queue of its service. It returns false if the queue is full.
 func (c *call) enqueue() (*waiter, bool) {
-	if c.g.leastCost != nil {
-		return c.g.leastCost.enqueue(c.g.now(), c.service.Name, c.inputs(), len(c.upstreams()))
+	if c.leastCost != nil {
+		return c.leastCost.enqueue(c.g.now(), c.service.Name, c.inputs(), len(c.upstreams()))
 	}
 	return c.g.queue.enqueue(c.service.Name, c.priority()), true
 }
@@ -83,33 +93,30 @@
 // dequeue takes the call out of the queue. If it has already been given a choice, dequeue
 // returns it.
 func (c *call) dequeue(w *waiter) (choice, bool) {
-	if c.g.leastCost != nil {
-		return c.g.leastCost.remove(c.service.Name, w)
+	if c.leastCost != nil {
+		return c.leastCost.remove(c.service.Name, w)
 	}
 	return c.g.queue.remove(c.service.Name, w)
 }
 
 // isFirst reports whether the call is the next to get a slot.
 func (c *call) isFirst(w *waiter) bool {
-	if c.g.leastCost != nil {
-		return c.g.leastCost.isFirst(c.g.now(), c.service.Name, w)
+	if c.leastCost != nil {
+		return c.leastCost.isFirst(c.g.now(), c.service.Name, w)
 	}
 	return c.g.queue.isFirst(c.service.Name, w)
 }
 
 // queueEmpty reports whether no call of the service waits.
 func (g *Gateway) queueEmpty(service string) bool {
-	if g.leastCost != nil {
-		return g.leastCost.empty(service)
-	}
-	return g.queue.empty(service)
+	return g.queue.empty(service) && (g.leastCost == nil || g.leastCost.empty(service))
 }
 
 // giveToFirst gives a choice to the first call in the queue. It returns false if the queue
 // is empty.
 func (g *Gateway) giveToFirst(service string, ch choice) bool {
-	if g.leastCost != nil {
-		return g.leastCost.handOff(g.now(), service, ch)
+	if g.leastCost != nil && g.leastCost.handOff(g.now(), service, ch) {
+		return true
 	}
 	return g.queue.handOff(service, ch)
 }
@@ -124,16 +131,16 @@
 // returnAfter returns after how long a rejected caller has a chance, 0 if that is not
 // known. An instance in a planned stop promises no slot: others serve the caller at once.
 func (c *call) returnAfter() time.Duration {
-	if c.g.leastCost == nil || c.g.phase.Load() != serving {
+	if c.leastCost == nil || c.g.phase.Load() != serving {
 		return 0
 	}
-	after := c.g.leastCost.promise(c.g.now(), c.service.Name, c.inputs())
+	after := c.leastCost.promise(c.g.now(), c.service.Name, c.inputs())
 	return min(after, leastcost.MaxRetryAfter(c.timeLeft())-retryAfterJitter)
 }
 
 // reject returns the result of a call that the queue turns away.
 func (c *call) reject(reason string) callResult {
-	if c.g.leastCost != nil {
+	if c.leastCost != nil {
 		in := c.inputs()
 		c.g.metrics.recordRejection(reason, in.Priority)
 		c.log("rejected by the queue order", "reason", reason, "priority", in.Priority, "waited", c.g.now()-c.arrived,
--- a/route/route.go
+++ b/route/route.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -95,6 +96,8 @@
 	Customers *customer.Set
 	hosts     map[string][]*Route // longest prefix first
 	services  map[string]Service
+	// mixed holds the services whose requests differ in priority.
+	mixed map[string]bool
 }
 
 // Route is a Rule in use, with the state of its traffic split.
@@ -118,6 +121,7 @@
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], newRoute(r, rng))
 	}
+	t.mixed = mixedServices(doc)
 	for _, routes := range t.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
@@ -142,6 +146,26 @@
 	return nil
 }
 
+// mixedServices returns the services whose requests differ in priority, by their routes or
+// their customers.
+func mixedServices(doc *Document) map[string]bool {
+	byCustomer := doc.Customers.Priorities()
+	seen, mixed := map[string]map[int]bool{}, map[string]bool{}
+	for _, r := range doc.Rules {
+		for _, p := range r.Parts {
+			if seen[p.Service] == nil {
+				seen[p.Service] = maps.Clone(byCustomer)
+			}
+			seen[p.Service][r.Priority] = true
+			mixed[p.Service] = len(seen[p.Service]) > 1
+		}
+	}
+	return mixed
+}
+
+// PrioritiesDiffer reports whether the requests of a service differ in priority.
+func (t *Table) PrioritiesDiffer(service string) bool { return t.mixed[service] }
+
 // Service returns the service with the given name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/catkinrouter/catkinrouter/internal/fixedseed"
+
+	"github.com/catkinrouter/catkinrouter/customer"
 )
 
 func TestMain(m *testing.M) { fixedseed.Main(m) }
@@ -144,3 +146,22 @@
 		}
 	})
 }
+
+// The least-cost order was in force for all services or for none: it is for those whose requests
+// differ in priority, by routes or by customers.
+func TestPrioritiesDiffer(t *testing.T) {
+	doc := &Document{Rules: []Rule{
+		{Host: "a", Prefix: "/1/", Priority: 1, Parts: []Part{{Service: "one", Weight: 1}}},
+		{Host: "a", Prefix: "/2/", Priority: 1, Parts: []Part{{Service: "one", Weight: 1}, {Service: "both", Weight: 1}}},
+		{Host: "a", Prefix: "/3/", Priority: 2, Parts: []Part{{Service: "both", Weight: 1}}},
+	}}
+	table := NewTable(doc, rng(1))
+	if table.PrioritiesDiffer("one") || !table.PrioritiesDiffer("both") || table.PrioritiesDiffer("none") {
+		t.Error("want the service with routes of two priorities, and no other")
+	}
+	doc.Customers = customer.NewSet()
+	doc.Customers.Add(customer.Customer{Name: "c", Priority: 3, HasPriority: true})
+	if !NewTable(doc, rng(1)).PrioritiesDiffer("one") {
+		t.Error("a customer with a priority of its own makes no difference")
+	}
+}
