Ask an allocator again only after a pause if it granted too little

Ruled out: a lock order (one goroutine ran, the others waited for it). A reply that grants too little now sets when the allocator is asked again; the primary's did before.

--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -14,6 +14,8 @@
 	suspect, warming, replied bool
 	partial                   bool // of the last reply
 	askAt                     time.Duration
+	// notBefore is when the allocator is asked again after it granted too few tokens.
+	notBefore time.Duration
 }
 
 // set changes the allocator.
@@ -35,7 +37,7 @@
 
 // due reports whether a question may be sent now.
 func (e *exchange) due(now time.Duration) bool {
-	return e.address != "" && !e.pending && (!e.suspect || now >= e.askAt)
+	return e.address != "" && !e.pending && now >= e.notBefore && (!e.suspect || now >= e.askAt)
 }
 
 func (e *exchange) begin(now time.Duration, q Question) Question {
@@ -131,6 +133,9 @@
 	if expires := e.askedAt + a.quota.lifetime(a.limit); r.Granted > 0 && now < expires {
 		a.insert(lot{min(r.Granted, maxWant), expires})
 	}
+	if r.Backup && r.Granted < e.question.Waiting {
+		e.notBefore = now + min(r.AskAfter, maxAskAfter)
+	}
 	if r.Granted < e.question.Want {
 		a.aheadAt = now + min(r.AskAfter, maxAskAfter)
 	}
--- a/ratelimit/service_test.go
+++ b/ratelimit/service_test.go
@@ -150,6 +150,30 @@
 	}
 }
 
+// An instance that is the backup allocator itself asked itself without end, with its lock held,
+// while the primary had not answered and the backup's reserve was used up.
+func TestEmptyBackupIsNotAskedAtOnce(t *testing.T) {
+	a := NewAccount(testKey, rand.New(rand.NewPCG(1, 2)))
+	a.SetLimit(customer.Limit{PerSecond: 10, Burst: 10}, testQuota, 10)
+	a.SetAllocators("i0", "i1")
+	now := time.Second
+	a.Take(now, true, false)
+	a.Ask(now)
+	now += RepeatAfter
+	a.Ask(now) // repeated; the backup is next
+	to, q, ok := a.Ask(now)
+	if !ok || to != "i1" || !q.Backup {
+		t.Fatalf("asked %q: %+v, %v", to, q, ok)
+	}
+	a.Receive(now, Reply{Number: q.Number, Customer: testKey, Backup: true, AskAfter: minAskAfter})
+	if to, q, ok := a.Ask(now); ok {
+		t.Errorf("asked %q again at once: %+v", to, q)
+	}
+	if _, _, ok := a.Ask(now + minAskAfter); !ok {
+		t.Error("not asked again later")
+	}
+}
+
 // Callers who are refused while the allocator is new must not all be told to come back at once.
 func TestRefusalsOfNewAllocatorAreSpread(t *testing.T) {
 	a := NewAccount(testKey, rand.New(rand.NewPCG(1, 2)))
