Check customers' keys in the soak

Each new configuration withdraws one key. The upstreams check that no request, also none for their health, holds a key; that the customer's name is the one of the caller's key; that no request without a known key runs; and that none runs that was sent more than revokeMs after the store accepted the withdrawal. That holds through restarts, cut and silent stores, and stores that come back from an older copy.

--- /dev/null
+++ b/internal/soak/customers_test.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// keyMark begins every API key, so that a key is found wherever an upstream sees one.
+	keyMark = "soak-key-"
+	// revokeBound is revokeMs of settingsText.
+	revokeBound = 3 * time.Second
+	// unlimited is a customer whose requests no limit refuses.
+	unlimited = "alder"
+)
+
+// customerNames are the names of the customers.
+var customerNames = []string{unlimited, "birch", "cedar"}
+
+// customers are the customers of a run. Those of a run that is off send no keys, and the
+// configuration has none.
+type customers struct {
+	on bool
+
+	mu  sync.Mutex
+	rng *rand.Rand
+	// keys holds the key in force by customer, old the ones withdrawn by customer.
+	keys, old map[string]string
+	issued    int
+}
+
+// credentials are what a caller sends to say who it is.
+type credentials struct {
+	headers string
+	key     string
+	// customer is the owner of the key. Callers of none may not be served: unknown says why.
+	customer, unknown string
+}
+
+// newCustomers returns the customers of a seed, which are on in half of the seeds. Seeds that
+// failed without customers stay without: refused callers would thin out their requests.
+func newCustomers(seed uint64) *customers {
+	c := &customers{rng: rand.New(rand.NewPCG(seed, 1003)), keys: map[string]string{}, old: map[string]string{}}
+	c.on = c.rng.IntN(2) == 0 && !slices.Contains(regressionSeeds, seed)
+	for _, name := range customerNames {
+		c.issue(name)
+	}
+	return c
+}
+
+// issue gives the customer a new key. The caller holds the lock, or is the only one.
+func (c *customers) issue(name string) {
+	c.issued++
+	c.keys[name] = fmt.Sprintf("%s%d-%d", keyMark, c.issued, c.rng.Uint64())
+}
+
+// replaceKey gives one customer a new key in place of its old one, which it returns. It
+// is withdrawn with the next configuration.
+func (c *customers) replaceKey() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := customerNames[c.rng.IntN(len(customerNames))]
+	c.old[name] = c.keys[name]
+	c.issue(name)
+	return c.old[name]
+}
+
+// table returns the configuration's table of customers with the comma before it.
+func (c *customers) table() string {
+	if !c.on {
+		return ""
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var rows []string
+	for _, name := range slices.Sorted(maps.Keys(c.keys)) {
+		rows = append(rows, fmt.Sprintf("[%q,[%q]]", name, c.keys[name]))
+	}
+	return `,"tenants":{"columns":["name","apiKeys"],"rows":[` + strings.Join(rows, ",") + "]}"
+}
+
+// pick returns what the next caller sends: mostly a key in force or one withdrawn, beside the
+// name of another customer, which no upstream may see.
+func (c *customers) pick() credentials {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	const forged = "x-catkinrouter-Tenant: forged\r\n"
+	if !c.on {
+		return credentials{headers: forged}
+	}
+	name := customerNames[c.rng.IntN(len(customerNames))]
+	switch c.rng.IntN(10) {
+	case 0:
+		return credentials{headers: forged, unknown: "no key"}
+	case 1:
+		return credentials{headers: authorization(keyMark+"0") + forged, unknown: "a key that never existed"}
+	case 2:
+		return credentials{headers: authorization(c.keys[name]) + authorization(c.keys[unlimited]), unknown: "two keys"}
+	case 3, 4, 5:
+		if old, ok := c.old[name]; ok {
+			return credentials{headers: authorization(old) + forged, key: old, customer: name}
+		}
+	}
+	return c.current(name)
+}
+
+// current returns the credentials in force of a customer. The caller holds the lock, or is the only one.
+func (c *customers) current(name string) credentials {
+	if !c.on {
+		return credentials{}
+	}
+	return credentials{headers: authorization(c.keys[name]), key: c.keys[name], customer: name}
+}
+
+func authorization(key string) string { return "Authorization: Bearer " + key + "\r\n" }
+
+// checkNoKey checks that a request to an upstream, also one for its health, holds no key.
+func (u *upstream) checkNoKey(r *http.Request) {
+	for name, values := range r.Header {
+		if strings.Contains(name+strings.Join(values, "\n"), keyMark) {
+			u.ledger.addViolation("upstream %s saw a key in the header %s of %s", u.id, name, r.URL.Path)
+		}
+	}
+	if strings.Contains(r.RequestURI, keyMark) {
+		u.ledger.addViolation("upstream %s saw a key in %s", u.id, r.RequestURI)
+	}
+}
+
+// checkCustomer checks that a request that an upstream is about to run names the customer whose
+// key the caller sent, and that the key was in force. The caller holds the ledger's lock.
+func (l *ledger) checkCustomer(r *http.Request, id string) {
+	sent := l.sentTo[id]
+	if sent.from.unknown != "" {
+		l.violations = append(l.violations, fmt.Sprintf("request %s ran by %s, sent with %s", id, sent.key, sent.from.unknown))
+	}
+	got := strings.Join(r.Header.Values("X-Catkinrouter-Tenant"), ",")
+	if got != sent.from.customer {
+		l.violations = append(l.violations, fmt.Sprintf("request %s of the customer %q came with the name %q by %s", id, sent.from.customer, got, sent.key))
+	}
+	at, withdrawn := l.withdrawn[sent.from.key]
+	if late := sent.at.Sub(at); withdrawn && late > revokeBound {
+		l.violations = append(l.violations, fmt.Sprintf("request %s ran by %s, sent %v after its key was withdrawn", id, sent.key, late))
+	}
+}
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -37,19 +37,22 @@
 	// bodySizes holds the sizes of large bodies by request, in bytes.
 	bodySizes map[string]int
 	// sentTo is the instance incarnation to which each request was sent, and when.
-	sentTo     map[string]sending
+	sentTo map[string]sending
+	// withdrawn is when each key was withdrawn.
+	withdrawn  map[string]time.Time
 	violations []string
 }
 
-// sending is when a request was sent, and the instance incarnation that got it.
+// sending is when and by whom a request was sent, and the instance incarnation that got it.
 type sending struct {
-	key string
-	at  time.Time
+	key  string
+	at   time.Time
+	from credentials
 }
 
 // newLedger returns an empty ledger.
 func newLedger() *ledger {
-	return &ledger{runs: map[string]int{}, reportedNotRun: map[string]string{}, servedBy: map[string]int{}, bodySizes: map[string]int{}, sentTo: map[string]sending{}}
+	return &ledger{runs: map[string]int{}, reportedNotRun: map[string]string{}, servedBy: map[string]int{}, bodySizes: map[string]int{}, sentTo: map[string]sending{}, withdrawn: map[string]time.Time{}}
 }
 
 func (l *ledger) addViolation(format string, args ...any) {
@@ -93,6 +96,7 @@
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Catkinrouter-Backend-Load", "0,0,6,100")
 	u.sayLeaving(w)
+	u.checkNoKey(r)
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Catkinrouter-Instance-Id", u.id)
 		return
@@ -114,6 +118,7 @@
 	u.ledger.mu.Lock()
 	u.ledger.runs[id]++
 	u.ledger.servedBy[id] = u.version
+	u.ledger.checkCustomer(r, id)
 	if want, large := u.ledger.bodySizes[id]; large && int64(want) != size {
 		u.ledger.violations = append(u.ledger.violations, fmt.Sprintf("request %s came with %d bytes of %d", id, size, want))
 	}
@@ -145,14 +150,14 @@
 }
 
 // configure writes a configuration version to the store. Its routes lead to the
-// service with the same number.
-func configure(kv *standin.KV, version int) {
+// service with the same number. The further tables begin with a comma.
+func configure(kv *standin.KV, version int, further string) {
 	kv.Put("op/config", fmt.Appendf(nil, `{"version":%[1]d,
 "routes":{"columns":["name","host","prefix","routeKind","timeoutMs","targetLatencyMs","priority","maxAttempts","service","trafficSplit"],
 "rows":[["buy",%[2]q,"/buy/","unsafe",1500,800,1,2,"s%[1]d"],["read",%[2]q,"/read/","safe",1.5e3,800,1.5,3.0,null,[{"service":"s%[1]d","weight":0.75}]],
 ["odd",%[2]q,"/odd/","unsafe",1500,800,1,2,{"name":"s%[1]d"}],%[1]d]},
-"services":{"columns":["name","healthPath","maxConns"],"rows":[["s%[1]d","/health",260],[%[1]d]]},"limits":{"idleTimeoutMs":"long"}}`,
-		version, host))
+"services":{"columns":["name","healthPath","maxConns"],"rows":[["s%[1]d","/health",260],[%[1]d]]},"limits":{"idleTimeoutMs":"long"}%[3]s}`,
+		version, host, further))
 }
 
 // instance is a catkin-node instance on its own loopback address, restarted when
@@ -184,7 +189,8 @@
   internalPorts: [20110, 20115]
   seeds: ["%[2]s:20104"]
 platform: {platform: {address: "%[3]s"}}
-terms: {bounds: {graceS: 3, retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetSlack: 64, ttl_max_s: 5, probesPerS: 60}}
+terms: {bounds: {graceS: 3, retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetSlack: 64, ttl_max_s: 5, probesPerS: 60,
+  failClosed: true, revokeMs: 3000}}
 `
 
 func newInstance(t *testing.T, dir, ip, seed, kv string) *instance {
@@ -289,8 +295,8 @@
 	leaving string
 }
 
-// call sends one request with a body of the given size on a new connection.
-func (in *instance) call(path, id string, size int) response {
+// call sends one request with further headers and a body of the given size on a new connection.
+func (in *instance) call(path, id, headers string, size int) response {
 	c, err := net.DialTimeout("tcp4", net.JoinHostPort(in.ip, fmt.Sprint(frontPort)), time.Second)
 	if err != nil {
 		return response{}
@@ -299,7 +305,7 @@
 	if err := c.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
 		return response{}
 	}
-	fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Catkinrouter-Attempt-Id: %s\r\nX-Catkinrouter-Deadline-Ms: 2000\r\nContent-Length: %d\r\n\r\n", path, id, host, id, size)
+	fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Catkinrouter-Attempt-Id: %s\r\nX-Catkinrouter-Deadline-Ms: 2000\r\n%sContent-Length: %d\r\n\r\n", path, id, host, id, headers, size)
 	_, _ = io.CopyN(c, zeros{}, int64(size)) // a refusal may come before the end
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -87,7 +87,8 @@
 	noticeRNG *rand.Rand
 	// oddRNG decides about odd entries, repeated and malformed replies, addresses used
 	// again and large bodies.
-	oddRNG *rand.Rand
+	oddRNG    *rand.Rand
+	customers *customers
 
 	mu            sync.Mutex
 	upstreams     []*upstream
@@ -105,6 +106,8 @@
 	s.restoreRNG = rand.New(rand.NewPCG(seed, 1000))
 	s.noticeRNG = rand.New(rand.NewPCG(seed, 1001))
 	s.oddRNG = rand.New(rand.NewPCG(seed, 1002))
+	s.customers = newCustomers(seed)
+	t.Logf("customers: %v", s.customers.on)
 	kv := serveKV(t, s.kv)
 	s.changeConfiguration()
 	s.backup = s.kv.Backup()
@@ -153,7 +156,11 @@
 	for range 2 {
 		s.addUpstream()
 	}
-	configure(s.kv, s.version)
+	key := s.customers.replaceKey()
+	configure(s.kv, s.version, s.customers.table())
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	s.ledger.withdrawn[key] = time.Now()
 }
 
 // addUpstream adds an upstream to the newest service. The caller holds the lock.
@@ -232,7 +239,7 @@
 			for _, u := range s.upstreams {
 				u.registerAgain(s.kv)
 			}
-			configure(s.kv, s.version)
+			configure(s.kv, s.version, s.customers.table())
 		})
 	}
 }
@@ -274,10 +281,11 @@
 	s.mu.Lock()
 	minVersion := s.newestServed[key]
 	s.mu.Unlock()
+	from := s.customers.pick()
 	s.ledger.mu.Lock()
-	s.ledger.sentTo[id] = sending{key, time.Now()}
+	s.ledger.sentTo[id] = sending{key, time.Now(), from}
 	s.ledger.mu.Unlock()
-	resp := in.call("/"+kind+"/", id, size)
+	resp := in.call("/"+kind+"/", id, from.headers, size)
 	s.recordResponse(key, resp)
 	if resp.fault != "" {
 		s.ledger.addViolation("request %s got a response with status %d and %s", id, resp.status, resp.fault)
@@ -285,7 +293,7 @@
 	switch {
 	case resp.status == 200:
 		s.checkResponse(key, minVersion, id, resp)
-	case resp.status == 503 || resp.status == 429 || resp.status == 421 || resp.status == 408:
+	case resp.status == 401 || resp.status == 503 || resp.status == 429 || resp.status == 421 || resp.status == 408:
 		s.ledger.mu.Lock()
 		s.ledger.reportedNotRun[id] = fmt.Sprint(resp.status, " from ", key)
 		s.ledger.mu.Unlock()
@@ -315,7 +323,11 @@
 func (s *soak) checkLedger() {
 	for i, in := range s.instances {
 		id := fmt.Sprint("last-", i)
-		resp := in.call("/buy/", id, 0)
+		from := s.customers.current(unlimited)
+		s.ledger.mu.Lock()
+		s.ledger.sentTo[id] = sending{in.ip, time.Now(), from}
+		s.ledger.mu.Unlock()
+		resp := in.call("/buy/", id, from.headers, 0)
 		if want := fmt.Sprintf("%s by version %d", id, s.version); resp.status != 200 || resp.body != want {
 			s.ledger.addViolation("%s answered status %d body %q after all faults ended, want status 200 body %q", in.ip, resp.status, resp.body, want)
 		}
