--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,7 +51,7 @@
 		t.Fatalf("%v: %s", err, out)
 	}
 	checkNetIsFree(t)
-	seedList := append([]uint64{}, regressionSeeds...)
+	seedList := append([]uint64{7}, regressionSeeds...) // with customers, limits and an evacuation
 	for i := range *seeds {
 		seedList = append(seedList, *firstSeed+uint64(i))
 	}
@@ -87,7 +87,9 @@
 	noticeRNG *rand.Rand
 	// oddRNG decides about odd entries, repeated and malformed replies, addresses used
 	// again and large bodies.
-	oddRNG *rand.Rand
+	oddRNG     *rand.Rand
+	customers  *customers
+	evacuation *evacuation
 
 	mu            sync.Mutex
 	upstreams     []*upstream
@@ -105,6 +107,9 @@
 	s.restoreRNG = rand.New(rand.NewPCG(seed, 1000))
 	s.noticeRNG = rand.New(rand.NewPCG(seed, 1001))
 	s.oddRNG = rand.New(rand.NewPCG(seed, 1002))
+	s.customers = newCustomers(seed)
+	s.evacuation = newEvacuation(seed)
+	t.Logf("customers: %v with the limits %v", s.customers.on, s.customers.limits)
 	kv := serveKV(t, s.kv)
 	s.changeConfiguration()
 	s.backup = s.kv.Backup()
@@ -124,7 +129,8 @@
 		rng := rand.New(rand.NewPCG(seed, uint64(i)+2))
 		wg.Go(func() { s.caller(i, rng, stop) })
 	}
-	for range *steps {
+	for step := range *steps {
+		s.evacuation.start(s, step)
 		s.injectFault()
 		s.restoreStore()
 		s.injectNotice()
@@ -132,6 +138,7 @@
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond)
 	}
 	s.clearFaults()
+	s.evacuation.end(s.kv)
 	time.Sleep(settleTime)
 	close(stop)
 	wg.Wait()
@@ -153,13 +160,17 @@
 	for range 2 {
 		s.addUpstream()
 	}
-	configure(s.kv, s.version)
+	key := s.customers.replaceKey()
+	configure(s.kv, s.version, s.customers.table())
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	s.ledger.withdrawn[key] = time.Now()
 }
 
 // addUpstream adds an upstream to the newest service. The caller holds the lock.
 func (s *soak) addUpstream() {
 	s.upstreamCount++
-	u := newUpstream(s.t, s.ledger, fmt.Sprintf("i-%d", s.upstreamCount), s.version)
+	u := newUpstream(s.t, s.ledger, fmt.Sprintf("i-%d", s.upstreamCount), s.version, s.evacuation, s.evacuation.dataCentres[s.upstreamCount%len(s.evacuation.dataCentres)])
 	u.register(s.kv, "ready")
 	s.upstreams = append(s.upstreams, u)
 }
@@ -223,7 +234,7 @@
 		b := s.backup
 		s.kv.SetFaults(standin.KVFaults{Reset: true})
 		time.AfterFunc(duration, func() {
-			s.kv.Restore(b)
+			s.evacuation.restore(s.kv, b)
 			s.kv.SetFaults(standin.KVFaults{})
 		})
 		time.AfterFunc(duration+200*time.Millisecond, func() {
@@ -232,7 +243,8 @@
 			for _, u := range s.upstreams {
 				u.registerAgain(s.kv)
 			}
-			configure(s.kv, s.version)
+			configure(s.kv, s.version, s.customers.table())
+			s.evacuation.rewrite(s.kv)
 		})
 	}
 }
@@ -274,10 +286,7 @@
 	s.mu.Lock()
 	minVersion := s.newestServed[key]
 	s.mu.Unlock()
-	s.ledger.mu.Lock()
-	s.ledger.sentTo[id] = sending{key, time.Now()}
-	s.ledger.mu.Unlock()
-	resp := in.call("/"+kind+"/", id, size)
+	resp := s.send(in, key, "/"+kind+"/", id, s.customers.pick(), size)
 	s.recordResponse(key, resp)
 	if resp.fault != "" {
 		s.ledger.addViolation("request %s got a response with status %d and %s", id, resp.status, resp.fault)
@@ -285,13 +294,21 @@
 	switch {
 	case resp.status == 200:
 		s.checkResponse(key, minVersion, id, resp)
-	case resp.status == 503 || resp.status == 429 || resp.status == 421 || resp.status == 408:
+	case resp.status == 401 || resp.status == 503 || resp.status == 429 || resp.status == 421 || resp.status == 408:
 		s.ledger.mu.Lock()
 		s.ledger.reportedNotRun[id] = fmt.Sprint(resp.status, " from ", key)
 		s.ledger.mu.Unlock()
 	}
 }
 
+// send records a request in the ledger and sends it to the instance incarnation with the key.
+func (s *soak) send(in *instance, key, path, id string, from credentials, size int) response {
+	s.ledger.mu.Lock()
+	s.ledger.sentTo[id] = sending{key, time.Now(), from}
+	s.ledger.mu.Unlock()
+	return in.call(path, id, from.headers, size)
+}
+
 // checkResponse checks that a successful response is complete, belongs to the
 // request, and comes from a version no older than the same incarnation had served
 // before the request began.
@@ -315,13 +332,14 @@
 func (s *soak) checkLedger() {
 	for i, in := range s.instances {
 		id := fmt.Sprint("last-", i)
-		resp := in.call("/buy/", id, 0)
+		resp := s.send(in, in.ip, "/buy/", id, s.customers.current(unlimited), 0)
 		if want := fmt.Sprintf("%s by version %d", id, s.version); resp.status != 200 || resp.body != want {
 			s.ledger.addViolation("%s answered status %d body %q after all faults ended, want status 200 body %q", in.ip, resp.status, resp.body, want)
 		}
 	}
 	s.ledger.mu.Lock()
 	defer s.ledger.mu.Unlock()
+	s.customers.checkLimits(s.ledger)
 	for id, n := range s.ledger.runs {
 		if n > 1 && id[:3] == "buy" {
 			s.ledger.violations = append(s.ledger.violations, fmt.Sprintf("request %s ran %d times, want at most 1", id, n))
