Name the gateway's decisions about keys and admissions plainly

The import of package admission needs no alias once the gateway's own type is upstreamAdmission. The checks before a request is written share one way out.

--- a/gateway/auth.go
+++ b/gateway/auth.go
@@ -9,13 +9,13 @@
 	"github.com/catkinrouter/catkinrouter/customer"
 )
 
-// keyRefusal is why a request is refused by its key. It has not run.
+// keyRefusal is why a request is refused for its API key. It has not run.
 type keyRefusal struct {
 	status int
 	reason string
 }
 
-// Refusals of a request by its key.
+// Refusals of a request for its API key.
 var (
 	refusedNoKey         = &keyRefusal{fasthttp.StatusUnauthorized, "missing-key"}
 	refusedMalformedKey  = &keyRefusal{fasthttp.StatusUnauthorized, "malformed-key"}
@@ -29,37 +29,37 @@
 // authScheme is the scheme of the Authorization header, in lower case, with the space after it.
 var authScheme = []byte("bearer ")
 
-// presentedKey is the key that a request carries, or why it carries none. The key stays in
-// the memory of the request's header.
+// presentedKey is the API key that a request carries, or why it carries none. The key stays
+// in the memory of the request's header.
 type presentedKey struct {
-	key   []byte
-	fault *keyRefusal
+	key     []byte
+	refusal *keyRefusal
 }
 
-// keyOf returns the key in the Authorization header, which must be the only one.
-func keyOf(h *fasthttp.RequestHeader) presentedKey {
+// presentedKeyOf returns the API key in the Authorization header, which must be the only one.
+func presentedKeyOf(h *fasthttp.RequestHeader) presentedKey {
 	values := h.PeekAll(fasthttp.HeaderAuthorization)
 	switch {
 	case len(values) == 0:
-		return presentedKey{fault: refusedNoKey}
+		return presentedKey{refusal: refusedNoKey}
 	case len(values) > 1 || len(values[0]) < len(authScheme) || !bytes.EqualFold(values[0][:len(authScheme)], authScheme):
-		return presentedKey{fault: refusedMalformedKey}
+		return presentedKey{refusal: refusedMalformedKey}
 	}
 	key := bytes.Trim(values[0][len(authScheme):], " ")
 	if len(key) == 0 || len(key) > customer.MaxKeyBytes {
-		return presentedKey{fault: refusedMalformedKey}
+		return presentedKey{refusal: refusedMalformedKey}
 	}
 	return presentedKey{key: key}
 }
 
-// identify returns the customer that holds the key: nil if there are no customers, and on a
+// customerOf returns the customer that holds the key: nil if there are no customers, and on a
 // public route without a known key. fresh is set if the copy of the store is new enough to
 // tell; if it is not, a key that is not known may be a new one.
-func identify(p presentedKey, customers *customer.Set, fresh, public bool) (*customer.Customer, *keyRefusal) {
+func customerOf(p presentedKey, customers *customer.Set, fresh, public bool) (*customer.Customer, *keyRefusal) {
 	if customers == nil {
 		return nil, nil
 	}
-	refusal := p.fault
+	refusal := p.refusal
 	switch {
 	case refusal != nil:
 	case !fresh:
@@ -76,23 +76,23 @@
 	return nil, refusal
 }
 
-// authenticate is identify by the customers in force. It reads the age of the copy first: the
+// authenticate is customerOf by the customers in force. It reads the age of the copy first: the
 // customers are then at least as new as the age says.
 func (g *Gateway) authenticate(p presentedKey, public bool) (*customer.Customer, *keyRefusal) {
 	fresh := g.keys.freshness().serves(g.keyCopyAge())
-	c, refusal := identify(p, g.snapshot.Load().table.Customers, fresh, public)
+	c, refusal := customerOf(p, g.snapshot.Load().table.Customers, fresh, public)
 	if refusal == refusedKeysOutOfDate {
 		g.CheckKeys()
 	}
 	return c, refusal
 }
 
-// identify records which customer holds the call's key now: it may have been withdrawn since
-// the call arrived. It returns a refusal if the call must not be sent. If the first customers
-// came into force meanwhile, the key must not be forwarded.
-func (c *call) identify() *keyRefusal {
+// recheckKey looks the call's key up again before an attempt: it may have been withdrawn
+// since the call arrived. It returns a refusal if the call must not be sent. If the first
+// customers came into force meanwhile, it removes the key from the forwarded headers.
+func (c *call) recheckKey() *keyRefusal {
 	var refusal *keyRefusal
-	c.identified, refusal = c.g.authenticate(c.key, c.route.Public)
+	c.attemptCustomer, refusal = c.g.authenticate(c.key, c.route.Public)
 	if !c.hasCustomers && c.g.snapshot.Load().table.Customers != nil {
 		c.hasCustomers, c.head = true, c.g.requestHead(c.ctx, true)
 	}
--- a/gateway/auth_test.go
+++ b/gateway/auth_test.go
@@ -373,9 +373,9 @@
 		if m := plain.FindStringSubmatch(stored); m != nil && !repeated && len(m[1]) <= customer.MaxKeyBytes {
 			want = m[1]
 		}
-		got := keyOf(&h)
-		if string(got.key) != want || (got.fault == nil) != (want != "") {
-			t.Errorf("%q, repeated %v: key %q, fault %v; want %q", value, repeated, got.key, got.fault, want)
+		got := presentedKeyOf(&h)
+		if string(got.key) != want || (got.refusal == nil) != (want != "") {
+			t.Errorf("%q, repeated %v: key %q, refusal %v; want %q", value, repeated, got.key, got.refusal, want)
 		}
 	})
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,7 +6,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/internal/netpeek"
@@ -43,10 +43,10 @@
 	// hasCustomers is set if the configuration has customers.
 	hasCustomers bool
 	// key is what the request carries. customer is the one that held it at the call's
-	// arrival, identified at its last attempt; nil for none.
-	key                  presentedKey
-	customer, identified *customer.Customer
-	// token is that of the customer's limit, if there is one.
+	// arrival, attemptCustomer the one at its last attempt; nil for none.
+	key                       presentedKey
+	customer, attemptCustomer *customer.Customer
+	// token was taken for the call if its customer has a limit.
 	token   ratelimit.Decision
 	service route.Service
 	arrived time.Duration
@@ -72,7 +72,7 @@
 	mayHaveRun    bool
 	hedgeSearches int
 	// orderInputs is set once inputs has determined them.
-	orderInputs *leastcost.Call
+	orderInputs *admission.Call
 	// silence fires when an attempt may count as lost.
 	silence *time.Timer
 	// contentDigest is set once content has computed it.
@@ -174,7 +174,7 @@
 		c.g.releaseChoice(ch)
 		return c.failureResult(reasonQuarantined), true
 	}
-	if refusal := c.identify(); refusal != nil {
+	if refusal := c.recheckKey(); refusal != nil {
 		c.g.releaseChoice(ch)
 		return c.keyRefusalResult(refusal), true
 	}
@@ -203,7 +203,7 @@
 	if !ok {
 		return
 	}
-	if c.identify() != nil {
+	if c.recheckKey() != nil {
 		c.g.releaseChoice(ch)
 		return
 	}
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -132,7 +132,7 @@
 	left, err := parseCold(resp.Header.PeekAll(g.proto.Cold))
 	if err != nil {
 		g.metrics.malformedCold.Inc(1)
-		g.logEvent("cold time ignored", "upstream", u.ID, "service", u.Service, "err", err)
+		g.logEvent("malformed cold time in health reply ignored", "upstream", u.ID, "service", u.Service, "err", err)
 		return
 	}
 	if g.evidence.observeCold(g.now(), u, left) {
--- a/gateway/customerlimit.go
+++ b/gateway/customerlimit.go
@@ -54,12 +54,13 @@
 	wake chan struct{}
 }
 
-// tokenQuestion is a question to another instance.
+// tokenQuestion is a question and the peer address of the instance that gets it.
 type tokenQuestion struct {
 	to       string
 	question ratelimit.Question
 }
 
+// newCustomerLimits returns the limits of an instance at the peer address self.
 func newCustomerLimits(now time.Duration, self string, m *metricSet) *customerLimits {
 	return &customerLimits{
 		self: self, metrics: newCustomerMetrics(m.registry), allocator: ratelimit.NewAllocator(now, self, ratelimit.Quota{}),
@@ -173,6 +174,7 @@
 	}
 }
 
+// wakeAll makes all calls that wait for a token decide again.
 func (a *customerAccount) wakeAll() {
 	if a.wake != nil {
 		close(a.wake)
@@ -227,6 +229,8 @@
 	return d
 }
 
+// sendQuestions sends questions to other instances. The caller must not hold the lock of the
+// customerLimits: the hook takes the fleet's lock, under which the configuration is applied.
 func (g *Gateway) sendQuestions(questions []tokenQuestion) {
 	for _, q := range questions {
 		g.customerLimits.metrics.requests.Inc(1)
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -56,12 +56,12 @@
 
 // prospect returns the evidence about u before it is probed, and whether it admits a
 // request.
-func (e *evidenceTable) prospect(now time.Duration, u *discovery.Upstream) (pick.Prospect, admission) {
+func (e *evidenceTable) prospect(now time.Duration, u *discovery.Upstream) (pick.Prospect, upstreamAdmission) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	entry := e.entry(u)
 	p := pick.Prospect{FailureRate: entry.evidence.FailureRate(now), InBackoff: entry.evidence.InBackoff(now)}
-	return p, admission{
+	return p, upstreamAdmission{
 		rate: entry.bucket.Check(now, e.fleet.Division(now), u.ID), notice: entry.notices.Check(now), cold: entry.checkCold(now, &e.cold, u),
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log"
 	gometrics "github.com/rcrowley/go-metrics"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/discovery"
 	"github.com/catkinrouter/catkinrouter/internal/connlimit"
 	"github.com/catkinrouter/catkinrouter/internal/membudget"
@@ -35,7 +35,7 @@
 	// MaxCallers bounds the open connections of callers; 0 sets no bound.
 	MaxCallers int
 	// QueueOrder is the order in which calls wait for a slot.
-	QueueOrder leastcost.QueueOrder
+	QueueOrder admission.QueueOrder
 	Now        func() time.Duration
 	Seed       uint64
 }
@@ -151,7 +151,7 @@
 		quarantine: lockedQuarantine{table: quarantine.New()},
 		rng:        rand.New(rand.NewPCG(opt.Seed, 1)),
 	}
-	if opt.QueueOrder == leastcost.LeastCost {
+	if opt.QueueOrder == admission.LeastCost {
 		g.leastCost = newLeastCostQueue()
 	}
 	g.callers = connlimit.NewLimiter(connlimit.Options{
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -51,8 +51,8 @@
 		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, reasonRouteUnreadable)
 		return
 	}
-	key := keyOf(h)
-	if key.fault == nil {
+	key := presentedKeyOf(h)
+	if key.refusal == nil {
 		g.waitForConfirmation()
 	}
 	cust, refusal := g.authenticate(key, r.Public)
--- a/gateway/keyfreshness.go
+++ b/gateway/keyfreshness.go
@@ -41,19 +41,20 @@
 // concurrent use.
 type keyStates struct{ unready, refusing stateSince }
 
+// stateSince is whether an instance is in a state, and when it last entered or left it.
 type stateSince struct {
 	in    bool
 	since time.Duration
 }
 
-// keyStateChange is the begin of a state, or its end after it lasted for a time.
+// keyStateChange is the start of a state, or its end after it lasted for a time.
 type keyStateChange struct {
 	state  string
 	began  bool
 	lasted time.Duration
 }
 
-// update records the age of the copy at a time, and returns the states that begin or end.
+// update records the age of the copy now, and returns the states that begin or end.
 func (s *keyStates) update(now, age time.Duration, k keyFreshness) (changes []keyStateChange) {
 	for _, c := range []struct {
 		name  string
--- a/gateway/keystate.go
+++ b/gateway/keyguard.go
@@ -10,7 +10,8 @@
 	gometrics "github.com/rcrowley/go-metrics"
 )
 
-// keyGuard holds the limit of the copy's age for keys, and the states that it leads to.
+// keyGuard holds the age of the copy of the store from which API keys are refused, and the
+// states that the present age leads to.
 type keyGuard struct {
 	// maxAge is Limits.KeyMaxAge, in nanoseconds.
 	maxAge atomic.Int64
@@ -18,11 +19,12 @@
 	states keyStates
 }
 
+// freshness returns the decision for the limit in force.
 func (k *keyGuard) freshness() keyFreshness {
 	return keyFreshness{maxAge: time.Duration(k.maxAge.Load())}
 }
 
-// keyCopyAge returns the age of the copy of the store, 0 if there is no limit.
+// keyCopyAge returns the age of the copy of the store, 0 if no age refuses keys.
 func (g *Gateway) keyCopyAge() time.Duration {
 	if g.keys.maxAge.Load() == 0 {
 		return 0
@@ -30,7 +32,7 @@
 	return g.hooks.CopyAge()
 }
 
-// copyAge is keyCopyAge, 0 if there are no customers in force.
+// copyAge is keyCopyAge, and 0 if the configuration in force has no customers.
 func (g *Gateway) copyAge() time.Duration {
 	if snap := g.snapshot.Load(); snap == nil || snap.table.Customers == nil {
 		return 0
@@ -42,7 +44,7 @@
 const confirmationPoll = 2 * time.Millisecond
 
 // waitForConfirmation waits until the first copy of the store is confirmed, for at most
-// startupWait. That follows at once on the first configuration, for which requests wait.
+// startupWait. The confirmation follows the first configuration at once.
 func (g *Gateway) waitForConfirmation() {
 	for end := time.Now().Add(g.startupWait); g.copyAge() == unknownAge && time.Now().Before(end); {
 		time.Sleep(confirmationPoll)
@@ -55,8 +57,8 @@
 // servesKeys reports whether the copy of the store is new enough for requests with keys.
 func (g *Gateway) servesKeys() bool { return g.keys.freshness().serves(g.copyAge()) }
 
-// CheckKeys logs and counts what the age of the copy of the store has changed for keys since
-// the last check. It must be called from time to time.
+// CheckKeys logs and counts the key states that began or ended since the last check. It must
+// be called from time to time.
 func (g *Gateway) CheckKeys() {
 	g.keys.mu.Lock()
 	defer g.keys.mu.Unlock()
--- a/gateway/leastcost.go
+++ b/gateway/leastcost.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 )
 
 // leastCostQueue holds the calls that wait for a free slot in the least-cost order, and
@@ -15,7 +15,7 @@
 	mu        sync.Mutex
 	byService map[string]*costQueue
 	// usual holds the deadlines of the requests of each route.
-	usual map[string]*leastcost.Longest
+	usual map[string]*admission.Longest
 }
 
 // costQueue is the queue of one service.
@@ -25,9 +25,9 @@
 	first   *waiter
 	firstAt time.Duration
 
-	freed   leastcost.Rate
-	targets leastcost.Longest
-	returns leastcost.Returns
+	freed   admission.Rate
+	targets admission.Longest
+	returns admission.Returns
 	// nextTrial is when a call that seems too late is sent again.
 	nextTrial time.Duration
 }
@@ -42,7 +42,7 @@
 )
 
 func newLeastCostQueue() *leastCostQueue {
-	return &leastCostQueue{byService: map[string]*costQueue{}, usual: map[string]*leastcost.Longest{}}
+	return &leastCostQueue{byService: map[string]*costQueue{}, usual: map[string]*admission.Longest{}}
 }
 
 // withService calls fn with the queue of a service.
@@ -64,7 +64,7 @@
 	defer q.mu.Unlock()
 	l := q.usual[route]
 	if l == nil {
-		l = new(leastcost.Longest)
+		l = new(admission.Longest)
 		q.usual[route] = l
 	}
 	l.Add(now, left)
@@ -93,11 +93,11 @@
 
 // enqueue adds a call. While the queue holds more calls than the bound allows, the last in
 // the order is turned away; enqueue returns false if that is the new one.
-func (q *leastCostQueue) enqueue(now time.Duration, service string, call leastcost.Call, upstreams int) (w *waiter, ok bool) {
+func (q *leastCostQueue) enqueue(now time.Duration, service string, call admission.Call, upstreams int) (w *waiter, ok bool) {
 	w = &waiter{slot: make(chan choice, 1), priority: call.Priority, call: call, turnedAway: make(chan struct{})}
 	q.withService(service, func(s *costQueue) {
 		s.waiters, s.first = append(s.waiters, w), nil
-		bound := leastcost.Bound(s.freed.Expected(now), s.targets.Value(now), upstreams)
+		bound := admission.Bound(s.freed.Expected(now), s.targets.Value(now), upstreams)
 		for len(s.waiters) > max(1, bound) {
 			last := s.last(now)
 			s.delete(last)
@@ -109,10 +109,10 @@
 }
 
 // mustWait reports whether a waiting call goes before the given one.
-func (q *leastCostQueue) mustWait(now time.Duration, service string, call leastcost.Call) (must bool) {
+func (q *leastCostQueue) mustWait(now time.Duration, service string, call admission.Call) (must bool) {
 	q.withService(service, func(s *costQueue) {
 		first := s.firstAfter(now, firstMaxAge)
-		must = first != nil && leastcost.Compare(now, first.call, call) <= 0
+		must = first != nil && admission.Compare(now, first.call, call) <= 0
 	})
 	return must
 }
@@ -157,13 +157,13 @@
 }
 
 // ahead returns the number of waiting calls that go before the given one.
-func (q *leastCostQueue) ahead(now time.Duration, service string, call leastcost.Call) (n int) {
+func (q *leastCostQueue) ahead(now time.Duration, service string, call admission.Call) (n int) {
 	q.withService(service, func(s *costQueue) { n = s.ahead(now, call) })
 	return n
 }
 
 // promise returns after how long the caller of a rejected call has a chance.
-func (q *leastCostQueue) promise(now time.Duration, service string, call leastcost.Call) (after time.Duration) {
+func (q *leastCostQueue) promise(now time.Duration, service string, call admission.Call) (after time.Duration) {
 	call.Retrying = true // as it will be when it returns
 	q.withService(service, func(s *costQueue) {
 		after = s.returns.Promise(now, call.Priority, s.freed.PerSecond(now), s.ahead(now, call), call.Deadline-now)
@@ -171,9 +171,9 @@
 	return after
 }
 
-func (s *costQueue) ahead(now time.Duration, call leastcost.Call) (n int) {
+func (s *costQueue) ahead(now time.Duration, call admission.Call) (n int) {
 	for _, w := range s.waiters {
-		if leastcost.Compare(now, w.call, call) < 0 {
+		if admission.Compare(now, w.call, call) < 0 {
 			n++
 		}
 	}
@@ -195,7 +195,7 @@
 func (s *costQueue) last(now time.Duration) *waiter { return slices.MaxFunc(s.waiters, orderAt(now)) }
 
 func orderAt(now time.Duration) func(a, b *waiter) int {
-	return func(a, b *waiter) int { return leastcost.Compare(now, a.call, b.call) }
+	return func(a, b *waiter) int { return admission.Compare(now, a.call, b.call) }
 }
 
 // delete takes w out of the queue if it is there.
--- a/gateway/leastcost_loads_test.go
+++ b/gateway/leastcost_loads_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 )
 
 // Each load is answered well with the least-cost order, and not with the order by
@@ -18,8 +18,8 @@
 			on, off := map[int]tally{}, map[int]tally{}
 			for seed := range replaySeeds {
 				arrivals := l.arrivals(rand.New(rand.NewPCG(3, uint64(seed))))
-				addTallies(on, (&replay{paces: l.paces, down: l.down}).run(leastcost.LeastCost, arrivals))
-				addTallies(off, (&replay{paces: l.paces, down: l.down}).run(leastcost.ByPriority, arrivals))
+				addTallies(on, (&replay{paces: l.paces, down: l.down}).run(admission.LeastCost, arrivals))
+				addTallies(off, (&replay{paces: l.paces, down: l.down}).run(admission.ByPriority, arrivals))
 			}
 			logTally(t, l.name, on, off)
 			if !l.good(on) {
--- a/gateway/leastcost_replay_test.go
+++ b/gateway/leastcost_replay_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 )
 
 // replayStep is the resolution of a replay's clock.
@@ -35,7 +35,7 @@
 type replayCall struct {
 	arrival
 	first time.Duration // arrival of the first try
-	order leastcost.Call
+	order admission.Call
 	w     *waiter
 }
 
@@ -61,9 +61,9 @@
 }
 
 // run replays the arrivals and returns what their callers got, by priority.
-func (r *replay) run(order leastcost.QueueOrder, arrivals []arrival) map[int]tally {
+func (r *replay) run(order admission.QueueOrder, arrivals []arrival) map[int]tally {
 	r.rng, r.result, r.queue = rand.New(rand.NewPCG(1, 2)), map[int]tally{}, newWaitQueue()
-	if order == leastcost.LeastCost {
+	if order == admission.LeastCost {
 		r.leastCost = newLeastCostQueue()
 	}
 	r.running, r.ends = make([]*replayCall, len(r.paces)), make([]time.Duration, len(r.paces))
@@ -126,13 +126,13 @@
 
 func (r *replay) enqueue(c *replayCall) {
 	left := c.first + c.deadline - c.at
-	c.order = leastcost.Call{Priority: c.priority, Arrived: c.at, Deadline: c.at + left, Work: c.work}
+	c.order = admission.Call{Priority: c.priority, Arrived: c.at, Deadline: c.at + left, Work: c.work}
 	if r.leastCost == nil {
 		c.w = r.queue.enqueue(testService, c.priority)
 		r.waiting = append(r.waiting, c)
 		return
 	}
-	timing := leastcost.Timing{Arrived: c.at, Left: left, Target: c.target}
+	timing := admission.Timing{Arrived: c.at, Left: left, Target: c.target}
 	timing.Usual = r.leastCost.usualDeadline(r.now, time.Duration(c.target+c.deadline).String(), left)
 	c.order.Target, c.order.Retrying = timing.TargetTime(), timing.IsRetry()
 	r.leastCost.recordTarget(r.now, testService, c.target)
@@ -206,7 +206,7 @@
 	left := c.first + c.deadline - r.now
 	after := minRetryAfter
 	if r.leastCost != nil {
-		after = max(after, min(r.leastCost.promise(r.now, testService, c.order), leastcost.MaxRetryAfter(left)-retryAfterJitter))
+		after = max(after, min(r.leastCost.promise(r.now, testService, c.order), admission.MaxRetryAfter(left)-retryAfterJitter))
 	}
 	after = min(after+time.Duration(r.rng.Int64N(int64(retryAfterJitter))), left/3)
 	if c.retries == 0 || left <= 0 {
--- a/gateway/leastcost_test.go
+++ b/gateway/leastcost_test.go
@@ -8,13 +8,13 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/pick"
 )
 
 // queuedCall returns a call of the given priority and work that arrived at 0.
-func queuedCall(priority int, work time.Duration) leastcost.Call {
-	return leastcost.Call{Priority: priority, Target: time.Second, Deadline: 4 * time.Second, Work: work}
+func queuedCall(priority int, work time.Duration) admission.Call {
+	return admission.Call{Priority: priority, Target: time.Second, Deadline: 4 * time.Second, Work: work}
 }
 
 // Guards against a full queue that turns away an urgent newcomer instead of the last call
@@ -74,7 +74,7 @@
 // are all full.
 func newLeastCostGateway(t *testing.T) *testGateway {
 	t.Helper()
-	tg := newTestGatewayWith(t, func(o *Options) { o.QueueOrder = leastcost.LeastCost })
+	tg := newTestGatewayWith(t, func(o *Options) { o.QueueOrder = admission.LeastCost })
 	var stubs []*stub
 	for i := range minKnownToRefuse + 2 {
 		u := newStub(t, fmt.Sprintf("u-%d", i), answerOK)
@@ -128,7 +128,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	for range minKnownToRefuse + 2 {
-		tg.g.leastCost.enqueue(tg.g.now(), testService, leastcost.Call{Target: never, Deadline: never}, minKnownToRefuse+2)
+		tg.g.leastCost.enqueue(tg.g.now(), testService, admission.Call{Target: never, Deadline: never}, minKnownToRefuse+2)
 	}
 	wantStatus(t, <-got, 503)
 	tg.wantRejection("displaced.0")
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -25,18 +25,21 @@
 // never is later than any time.
 const never = time.Duration(math.MaxInt64)
 
-// admission is whether an upstream admits a request, by what it has said of itself.
-type admission struct {
+// upstreamAdmission is whether an upstream admits a request, by what it has said of itself
+// and by the limit while it is cold.
+type upstreamAdmission struct {
 	rate   quota.Admission
 	notice notice.Admission
 	cold   quota.Admission
 }
 
 // limited reports whether anything but load may keep a request from the upstream.
-func (a admission) limited() bool { return a.rate.Limited || a.cold.Limited || !a.notice.Admitted }
+func (a upstreamAdmission) limited() bool {
+	return a.rate.Limited || a.cold.Limited || !a.notice.Admitted
+}
 
 // reason returns why a request is kept from a limited upstream.
-func (a admission) reason() string {
+func (a upstreamAdmission) reason() string {
 	switch {
 	case a.notice.Leaving:
 		return reasonLeaving
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -176,7 +176,8 @@
 
 // candidates returns the upstreams of the call's service, except those to which the
 // call has been sent, those that are leaving or asked for a pause, and those whose rate
-// limit, or limit while cold, admits no request. Of the last, one whose limit may be out of date is probed last.
+// limit, or limit while cold, admits no request. Of the last, one whose limit may be out of
+// date is probed last.
 func (g *Gateway) candidates(c *call, localFirst bool) candidates {
 	all := c.upstreams()
 	list := make([]*discovery.Upstream, 0, len(all))
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/pick"
 )
 
@@ -25,7 +25,7 @@
 	priority int
 	// call holds the inputs of the least-cost order. turnedAway is closed if the call
 	// is turned away while it waits; nil with the order by priority.
-	call       leastcost.Call
+	call       admission.Call
 	turnedAway chan struct{}
 }
 
--- a/gateway/queueorder.go
+++ b/gateway/queueorder.go
@@ -6,7 +6,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 )
 
 // Reasons of calls that the queue turns away.
@@ -22,13 +22,13 @@
 
 // inputs returns the inputs of the least-cost order. Whether the call is a retry is
 // decided when it is first asked for, at its arrival.
-func (c *call) inputs() leastcost.Call {
+func (c *call) inputs() admission.Call {
 	if c.orderInputs == nil {
 		left := cmp.Or(c.callerTime, c.deadline-c.arrived)
-		timing := leastcost.Timing{
+		timing := admission.Timing{
 			Arrived: c.arrived, Left: left, Usual: c.g.leastCost.usualDeadline(c.arrived, c.route.Name, left), Target: c.route.TargetLatency,
 		}
-		c.orderInputs = &leastcost.Call{
+		c.orderInputs = &admission.Call{
 			Priority: c.priority(), Arrived: c.arrived, Target: min(timing.TargetTime(), c.deadline), Deadline: c.deadline, Retrying: timing.IsRetry(),
 		}
 		c.g.leastCost.recordTarget(c.arrived, c.service.Name, cmp.Or(c.route.TargetLatency, left))
@@ -128,7 +128,7 @@
 		return 0
 	}
 	after := c.g.leastCost.promise(c.g.now(), c.service.Name, c.inputs())
-	return min(after, leastcost.MaxRetryAfter(c.timeLeft())-retryAfterJitter)
+	return min(after, admission.MaxRetryAfter(c.timeLeft())-retryAfterJitter)
 }
 
 // reject returns the result of a call that the queue turns away.
@@ -143,5 +143,5 @@
 }
 
 func (m *metricSet) recordRejection(reason string, priority int) {
-	gometrics.GetOrRegisterCounter("queue_rejections_total."+reason+"."+leastcost.PriorityLabel(priority), m.registry).Inc(1)
+	gometrics.GetOrRegisterCounter("queue_rejections_total."+reason+"."+admission.PriorityLabel(priority), m.registry).Inc(1)
 }
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -9,7 +9,7 @@
 	"github.com/catkinrouter/catkinrouter/pick"
 )
 
-// silentLosses tells the services at whose upstreams silent losses were seen. It is safe for
+// silentLosses holds the services at whose upstreams silent losses were seen. It is safe for
 // concurrent use.
 type silentLosses struct {
 	mu    sync.Mutex
@@ -34,7 +34,7 @@
 	return !c.heard.Load() && (isTimeout(err) || errors.Is(err, net.ErrClosed))
 }
 
-// recordSent records that the request is about to be written.
+// recordSent records when the request is written.
 func (t *try) recordSent(now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -91,7 +91,7 @@
 // launch starts an attempt at the chosen upstream.
 func (c *call) launch(ch choice, reason string) *try {
 	t := &try{
-		choice: ch, upstream: ch.probeResult.upstream, reason: reason, startedAt: c.g.now(), customer: c.identified, head: c.head,
+		choice: ch, upstream: ch.probeResult.upstream, reason: reason, startedAt: c.g.now(), customer: c.attemptCustomer, head: c.head,
 		resp: fasthttp.AcquireResponse(), memory: c.g.memory.Begin(membudget.Replies, 0),
 	}
 	c.tries = append(c.tries, t)
@@ -136,22 +136,8 @@
 		t.err = errCancelled
 		return
 	}
-	if timeLeft = c.deadline - g.now(); timeLeft < minSendTime {
-		t.err = errNoTime
-		if t.clearConn() {
-			g.pool.put(cn)
-		}
-		return
-	}
-	if g.unwanted(t.upstream) || !g.evidence.confirmCold(g.now(), &t.choice) {
-		t.err = errUnwanted
-		if t.clearConn() {
-			g.pool.put(cn)
-		}
-		return
-	}
-	if t.customer != nil && !g.servesKeys() {
-		t.err = errKeysOutOfDate
+	timeLeft = c.deadline - g.now()
+	if t.err = g.checkBeforeSend(t, timeLeft); t.err != nil {
 		if t.clearConn() {
 			g.pool.put(cn)
 		}
@@ -175,6 +161,20 @@
 	g.finishExchange(c, t, cn)
 }
 
+// checkBeforeSend returns why the request must not be written now, or nil: the call may have
+// waited since its upstream was picked and its key was looked up.
+func (g *Gateway) checkBeforeSend(t *try, timeLeft time.Duration) error {
+	switch {
+	case timeLeft < minSendTime:
+		return errNoTime
+	case g.unwanted(t.upstream) || !g.evidence.confirmCold(g.now(), &t.choice):
+		return errUnwanted
+	case t.customer != nil && !g.servesKeys():
+		return errKeysOutOfDate
+	}
+	return nil
+}
+
 // connFor returns the choice's connection, or a new one if it has none or one that may not
 // carry the call.
 func (g *Gateway) connFor(c *call, ch *choice, timeout time.Duration) (*conn, error) {
--- a/pick/silence.go
+++ b/pick/silence.go
@@ -79,8 +79,9 @@
 }
 
 // MayQueue reports whether a request may be sent to an upstream of an affected service after
-// its report, nil for none. One that reports no free slot may lose the request, so it gets one only if
-// nothing is known of the others: known upstreams of total were probed or are in backoff.
+// its report, nil for none. One that reports no free slot may lose the request, so it gets
+// one only if nothing is known of the others: known upstreams of total were probed or are in
+// backoff.
 func MayQueue(r *Report, sentSince, known, total int) bool {
 	return r == nil || r.Free(sentSince) || known <= 1 && total > 1
 }
