--- a/quota/coldview.go
+++ b/quota/coldview.go
@@ -33,16 +33,19 @@
 	// grownAt are when the first view was set and an instance was last added.
 	set, met       bool
 	setAt, grownAt time.Duration
-	// instances are those of this data centre that take requests.
+	// instances are those of this data centre that take requests, dataCentres those with a
+	// live instance.
 	instances, dataCentres presence
 
-	// version increases with each change of the fields below, which hold until changesAt.
+	// version increases whenever the fields below are computed; they hold until changesAt.
 	version   uint64
 	changesAt time.Duration
-	holds     bool
-	known     []string // instances
-	// nearAndFar are the data centres that have had an instance within coldHold.
-	nearAndFar []string
+	// mayHold is set if this instance may hold parts.
+	mayHold bool
+	// knownInstances are those of this data centre that count within coldHold, sorted.
+	knownInstances []string
+	// knownCentres are the data centres, sorted, that have had an instance within coldHold.
+	knownCentres []string
 }
 
 // Set replaces the view of the fleet.
@@ -54,24 +57,24 @@
 	if v.instances.set(now, f.Usable) {
 		v.grownAt = now
 	}
-	var centres []string
-	live := 0
+	var live []string
+	total := 0
 	for dc, n := range f.Live {
-		if live += n; n > 0 {
-			centres = append(centres, dc)
+		if total += n; n > 0 {
+			live = append(live, dc)
 		}
 	}
-	v.dataCentres.set(now, centres)
-	v.met = v.met || live > 1
+	v.dataCentres.set(now, live)
+	v.met = v.met || total > 1
 	v.update(now)
 }
 
-// update computes what holds now.
+// update computes the fields that hold until changesAt.
 func (v *ColdView) update(now time.Duration) {
 	v.version++
 	v.changesAt = never
-	v.known = v.instances.within(now, coldHold, &v.changesAt)
-	v.nearAndFar = v.dataCentres.within(now, coldHold, &v.changesAt)
+	v.knownInstances = v.instances.within(now, coldHold, &v.changesAt)
+	v.knownCentres = v.dataCentres.within(now, coldHold, &v.changesAt)
 	v.dataCentres.within(now, standInDelay, &v.changesAt)
 	settled := v.settledAt()
 	for _, at := range [...]time.Duration{settled, v.setAt + standInDelay} {
@@ -79,7 +82,7 @@
 			v.changesAt = min(v.changesAt, at)
 		}
 	}
-	v.holds = v.set && now >= settled && slices.Contains(v.latest.Usable, v.latest.Self)
+	v.mayHold = v.set && now >= settled && slices.Contains(v.latest.Usable, v.latest.Self)
 }
 
 // settledAt returns from when this instance may hold parts.
@@ -92,7 +95,7 @@
 
 // share returns this instance's part of the limit of a cold upstream.
 func (v *ColdView) share(now time.Duration, upstream, dataCentre string, l ColdLimit) coldShare {
-	if !v.holds {
+	if !v.mayHold {
 		return coldShare{}
 	}
 	budget, standIn := l.budgets()
@@ -101,11 +104,11 @@
 		return coldShare{}
 	case holder != dataCentre:
 		budget = standIn
-	case len(v.nearAndFar) == 1:
+	case len(v.knownCentres) == 1:
 		budget += standIn
 	}
-	rank := rendezvous.Rank(v.latest.Self, v.known, upstream, budget)
-	return l.newColdShare(budget, len(v.known), rank, fraction(rendezvous.Hash(upstream, v.latest.Self)))
+	rank := rendezvous.Rank(v.latest.Self, v.knownInstances, upstream, budget)
+	return l.newColdShare(budget, len(v.knownInstances), rank, fraction(rendezvous.Hash(upstream, v.latest.Self)))
 }
 
 // holderCentre returns the data centre whose instances may send to a cold upstream: its own,
@@ -118,7 +121,7 @@
 		return "" // it may not have heard of that data centre yet
 	}
 	most := uint64(0)
-	for _, dc := range v.nearAndFar { // sorted
+	for _, dc := range v.knownCentres { // sorted
 		if h := rendezvous.Hash(dc, upstream); dc != dataCentre && (holder == "" || h > most) {
 			holder, most = dc, h
 		}
@@ -126,7 +129,8 @@
 	return holder
 }
 
-// presence tells when names were last present: never for those that are now.
+// presence holds when each name was last present; the value is never for those that are
+// present now.
 type presence map[string]time.Duration
 
 // never is later than any time.
