--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -74,13 +74,13 @@
 	customer Key
 	quota    Quota
 	limit    customer.Limit
-	lots     []lot
+	lots     []lot // those that expire first in front
 	demand   meter
 	usedAt   time.Duration
 	// waiting counts the calls that wait for a reply, refused those refused since the last
 	// question.
 	waiting, refused int
-	number           uint32
+	number           uint32 // of the last question
 	primary, backup  exchange
 	lease            heldLease
 	own              ownTokens
@@ -149,7 +149,7 @@
 		}
 		return d, true
 	}
-	if a.independent() && a.lease.take(now, a.limit) {
+	if a.usesLease() && a.lease.take(now, a.limit) {
 		return Decision{Verdict: Admitted, source: fromLease}, true
 	}
 	return Decision{}, false
@@ -166,9 +166,9 @@
 	}
 }
 
-// independent reports whether the lease is in use: the primary allocator does not answer,
+// usesLease reports whether the lease is in use: the primary allocator does not answer,
 // or is not yet in charge.
-func (a *Account) independent() bool { return a.primary.suspect || a.primary.warming }
+func (a *Account) usesLease() bool { return a.primary.suspect || a.primary.warming }
 
 // refuse refuses a call over the limit.
 func (a *Account) refuse(now time.Duration) Decision {
@@ -203,7 +203,7 @@
 	}
 }
 
-// held returns the number of tokens.
+// held returns the number of granted tokens.
 func (a *Account) held() (n int) {
 	for _, l := range a.lots {
 		n += l.count
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -116,27 +116,8 @@
 		return h.reply
 	}
 	s.update(now, limit, a.quota, a.size.share(now))
-	r := Reply{Number: q.Number, Customer: q.Customer, Backup: q.Backup, Warming: !q.Backup && now < s.warmUntil}
-	r.Partial = a.size.share(now) <= 0.5
-	switch {
-	case q.Backup:
-		r.Granted = s.asBackup.take(q.Want)
-	case r.Warming:
-		r.Granted = s.asNew.take(q.Want)
-		h.spent, h.spentKnown = q.Spent, true
-		s.lease(now, h, q.Lease)
-	default:
-		s.settle(h, q.Spent)
-		r.Granted = s.grant(q)
-		h.rate.add(now, float64(r.Granted), rateWindow)
-		s.lease(now, h, s.leaseFor(now, h, a.quota))
-	}
-	if !q.Backup {
-		r.Lease = h.lease
-	}
-	if r.Granted < q.Want {
-		r.AskAfter, r.RetryAfter = s.postpone(now, q, r.Granted)
-	}
+	r := s.answer(now, h, q, a.quota)
+	r.Partial = a.size.share(now) <= majority
 	h.number, h.reply, h.repliedAt = q.Number, r, now
 	return r
 }
@@ -148,7 +129,7 @@
 	if s == nil {
 		s = &allocation{holders: map[string]*holder{}, leases: map[*holder]struct{}{}}
 		s.asBackup = bucket{tokens: reserveBurst * a.quota.tolerance(limit) * a.size.share(now), at: now}
-		s.asNew, s.full.at = s.asBackup, now
+		s.asNew, s.regular.at = s.asBackup, now
 		a.customers[q.Customer] = s
 	}
 	switch {
@@ -158,9 +139,9 @@
 	default:
 		s.primary, s.warmUntil = true, a.changedAt+warmUp
 		if now >= s.warmUntil {
-			s.full = bucket{tokens: capacityFor(limit, a.size.share(now)), at: now}
+			s.regular = bucket{tokens: capacityFor(limit, a.size.share(now)), at: now}
 		} else {
-			s.full = bucket{at: now}
+			s.regular = bucket{at: now}
 		}
 	}
 	s.askedAt = now
--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// exchange is the questions to one allocator.
+// exchange is the state of the questions to one allocator.
 type exchange struct {
 	address string
 	// pending is set while a question awaits its reply; askedAt is when it was first sent.
@@ -16,7 +16,7 @@
 	askAt                     time.Duration
 }
 
-// set changes the allocator.
+// set sets the allocator's address, and forgets what is known of another one.
 func (e *exchange) set(address string) {
 	if e.address != address {
 		*e = exchange{address: address}
@@ -38,11 +38,13 @@
 	return e.address != "" && !e.pending && (!e.suspect || now >= e.askAt)
 }
 
+// begin records that a question is sent.
 func (e *exchange) begin(now time.Duration, q Question) Question {
 	e.pending, e.repeated, e.question, e.askedAt = true, false, q, now
 	return q
 }
 
+// expireExchanges ends the questions that had no reply in time.
 func (a *Account) expireExchanges(now time.Duration) {
 	a.primary.expire(now)
 	a.backup.expire(now)
@@ -78,7 +80,7 @@
 // wantsPrimary reports whether the primary allocator is asked now: for calls that wait,
 // ahead of need, and to learn that it answers again.
 func (a *Account) wantsPrimary(now time.Duration) bool {
-	if a.independent() {
+	if a.usesLease() {
 		return now >= a.primary.askAt
 	}
 	if a.missing(now) > 0 {
@@ -97,12 +99,14 @@
 	return max(0, a.waiting-a.held())
 }
 
-// ahead returns the number of tokens that are held ahead of need.
+// ahead returns how many tokens are to be held ahead of need.
 func (a *Account) ahead(now time.Duration) int {
 	lead := min(maxLead, a.quota.lifetime(a.limit)/2)
 	return int(min(a.demand.rate(now, demandWindow), a.limit.PerSecond) * lead.Seconds())
 }
 
+// question returns a new question to the primary or the backup allocator. Refused calls and
+// the lease are reported to the primary only.
 func (a *Account) question(now time.Duration, backup bool) Question {
 	a.number++
 	q := Question{Number: a.number, Customer: a.customer, Backup: backup, Waiting: min(a.missing(now), maxWant), Refused: min(a.refused, maxWant)}
--- a/ratelimit/fallback.go
+++ b/ratelimit/fallback.go
@@ -16,7 +16,7 @@
 	spent uint32
 }
 
-// at returns the rate now.
+// at returns the leased rate, 0 once the lease has ended.
 func (l *heldLease) at(now time.Duration) float64 {
 	if now >= l.until {
 		return 0
@@ -36,6 +36,7 @@
 	return true
 }
 
+// giveBack returns the token of a call that was not sent.
 func (l *heldLease) giveBack() {
 	l.tokens.tokens++
 	l.spent--
@@ -60,10 +61,12 @@
 	tokens int
 }
 
+// set sets the limit and the number of instances.
 func (o *ownTokens) set(l customer.Limit, q Quota, instances int) {
 	o.mean, o.length = ownShare*q.tolerance(l)/float64(instances), q.window()
 }
 
+// take takes a token of the present period.
 func (o *ownTokens) take(now time.Duration) bool {
 	if period := 1 + now/o.length; period != o.period {
 		o.period, o.tokens = period, int(o.mean+o.rng.Float64())
--- a/ratelimit/fleetsize.go
+++ b/ratelimit/fleetsize.go
@@ -10,12 +10,18 @@
 	minorityHold = 10 * time.Minute
 )
 
+// majority is the share of the fleet above which an instance sees a majority.
+const majority = 0.5
+
 // fleetSize tracks which part of the fleet this instance sees.
 type fleetSize struct {
+	// live is the number of live instances, most the largest number that still counts.
 	live, most int
-	fellAt     time.Duration
+	// fellAt is when live fell below most.
+	fellAt time.Duration
 }
 
+// set records the number of live instances, and the number known by other means, 0 for none.
 func (s *fleetSize) set(now time.Duration, live, known int) {
 	s.expire(now)
 	if s.live >= s.most {
@@ -24,6 +30,7 @@
 	s.live, s.most = live, max(s.most, live, known)
 }
 
+// expire lowers most to live once live has been lower for the hold time.
 func (s *fleetSize) expire(now time.Duration) {
 	hold := minorityHold
 	if 2*s.live > s.most {
--- a/ratelimit/rate.go
+++ b/ratelimit/rate.go
@@ -17,6 +17,7 @@
 	m.at = now
 }
 
+// rate returns the rate of events per second now.
 func (m *meter) rate(now, window time.Duration) float64 {
 	return m.perSecond * math.Exp(-(now-m.at).Seconds()/window.Seconds())
 }
