--- a/configcheck/configcheck.go
+++ b/configcheck/configcheck.go
@@ -15,7 +15,7 @@
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
-// Severity says how a finding bears on the document.
+// Severity is the severity of a finding.
 type Severity string
 
 // Severities.
@@ -90,7 +90,7 @@
 	return f
 }
 
-// position returns the line and column of the last of offset bytes read.
+// position returns the line and column of the last of the first offset bytes.
 func position(value []byte, offset int64) string {
 	line, column := 1, 0
 	for _, b := range value[:min(max(offset, 0), int64(len(value)))] {
--- a/configcheck/differences.go
+++ b/configcheck/differences.go
@@ -14,7 +14,7 @@
 // Kind is the kind of a difference.
 type Kind string
 
-// Kinds.
+// Kinds of differences.
 const (
 	Added   Kind = "added"
 	Removed Kind = "removed"
@@ -38,47 +38,71 @@
 // entries are the entries of a section by name.
 type entries map[string][]field
 
-// section is a section of a document.
+// section is a section of a document, and how its entries are read.
 type section struct {
-	name string
-	of   func(*View) entries
+	name    string
+	entries func(*View) entries
 }
 
 // sections are the sections of a document in the order of the differences.
-var sections = []section{{"document", documentEntry}, {platform.SectionRoutes, routeEntries}, {platform.SectionServices, serviceEntries}, {platform.SectionCustomers, customerEntries}}
+var sections = []section{
+	{"document", documentEntry},
+	{platform.SectionRoutes, routeEntries},
+	{platform.SectionServices, serviceEntries},
+	{platform.SectionCustomers, customerEntries},
+}
 
 // Compare returns the differences of a document from the one in force. Keys are shown by the
 // beginning of their SHA-256.
 func Compare(inForce, v *View) (out []Difference) {
 	for _, s := range sections {
-		from, to := s.of(inForce), s.of(v)
-		for _, name := range sortedKeys(from) {
-			if _, kept := to[name]; !kept {
-				out = append(out, Difference{Kind: Removed, Section: s.name, Name: name})
-			}
-		}
+		from, to := s.entries(inForce), s.entries(v)
+		out = append(out, s.removed(from, to)...)
 		for _, name := range sortedKeys(to) {
-			before, known := from[name]
-			if !known {
-				out = append(out, Difference{Kind: Added, Section: s.name, Name: name})
-			}
-			for i, f := range to[name] {
-				d := Difference{Kind: Changed, Section: s.name, Name: name, Field: f.name, To: f.value}
-				if known {
-					d.From = before[i].value
-				} else {
-					d.Kind = Added
-				}
-				if d.From != d.To {
-					out = append(out, d)
-				}
+			if before, known := from[name]; known {
+				out = append(out, s.changed(name, before, to[name])...)
+			} else {
+				out = append(out, s.added(name, to[name])...)
 			}
 		}
 	}
 	return out
 }
 
-// documentEntry returns the fields of the document as a whole, under the empty name.
+// removed returns a difference for each entry that is missing in to.
+func (s section) removed(from, to entries) (out []Difference) {
+	for _, name := range sortedKeys(from) {
+		if _, kept := to[name]; !kept {
+			out = append(out, Difference{Kind: Removed, Section: s.name, Name: name})
+		}
+	}
+	return out
+}
+
+// added returns the differences for an entry that was added: one for the entry, and one for
+// each field with a value.
+func (s section) added(name string, fields []field) []Difference {
+	out := []Difference{{Kind: Added, Section: s.name, Name: name}}
+	for _, f := range fields {
+		if f.value != "" {
+			out = append(out, Difference{Kind: Added, Section: s.name, Name: name, Field: f.name, To: f.value})
+		}
+	}
+	return out
+}
+
+// changed returns a difference for each field whose value changed. The fields of a section
+// stand in the same order in all its entries.
+func (s section) changed(name string, before, after []field) (out []Difference) {
+	for i, f := range after {
+		if from := before[i].value; from != f.value {
+			out = append(out, Difference{Kind: Changed, Section: s.name, Name: name, Field: f.name, From: from, To: f.value})
+		}
+	}
+	return out
+}
+
+// documentEntry returns the fields of the document as a whole as an entry without a name.
 func documentEntry(v *View) entries {
 	d := v.Document
 	needsKey := "no"
@@ -95,6 +119,7 @@
 	}}
 }
 
+// routeEntries returns the routes by name.
 func routeEntries(v *View) entries {
 	out := entries{}
 	for i := range v.Document.Rules {
@@ -145,6 +170,7 @@
 	return strings.Join(parts, " ")
 }
 
+// serviceEntries returns the services by name.
 func serviceEntries(v *View) entries {
 	out := entries{}
 	for _, s := range v.Document.Services {
@@ -159,6 +185,7 @@
 	return out
 }
 
+// customerEntries returns the customers by name.
 func customerEntries(v *View) entries {
 	out := entries{}
 	for _, name := range customersOf(v) {
@@ -177,6 +204,7 @@
 	return out
 }
 
+// formatNumber returns a number without trailing zeros.
 func formatNumber(x float64) string { return strconv.FormatFloat(x, 'g', -1, 64) }
 
 // shownKeyBytes is how many bytes of a key's digest are shown.
--- a/configcheck/rules.go
+++ b/configcheck/rules.go
@@ -31,11 +31,12 @@
 	targetsAboveTimeout, customerLimits, ratesAboveCapacity, connectionsBelowInstances, coldRates,
 }
 
+// warn returns a warning that is not about a row of a table by its position.
 func warn(section, name, field, what, remedy string) Finding {
 	return Finding{Severity: Warning, Section: section, Row: NoRow, Name: name, Field: field, What: what, Remedy: remedy}
 }
 
-// nameOf names a route also if it has no name.
+// nameOf returns the name of a route, or its host and prefix if it has none.
 func nameOf(r *route.Rule) string {
 	if r.Name != "" {
 		return r.Name
@@ -52,7 +53,9 @@
 		r := &v.Document.Rules[i]
 		p := place{strings.ToLower(r.Host), r.Prefix}
 		if by, taken := first[p]; taken {
-			out = append(out, warn(platform.SectionRoutes, nameOf(r), platform.FieldPrefix, fmt.Sprintf("never matches: route %q has the same host and prefix", by), "remove one of the two, or change its prefix"))
+			out = append(out, warn(platform.SectionRoutes, nameOf(r), platform.FieldPrefix,
+				fmt.Sprintf("never matches: route %q has the same host and prefix", by),
+				"remove one of the two, or change its prefix"))
 			continue
 		}
 		first[p] = nameOf(r)
@@ -65,7 +68,9 @@
 func unreachableHosts(v *View, _ Site) (out []Finding) {
 	for i := range v.Document.Rules {
 		if r := &v.Document.Rules[i]; strings.Contains(r.Host, ":") {
-			out = append(out, warn(platform.SectionRoutes, nameOf(r), platform.FieldHost, fmt.Sprintf("%q never matches: hosts are compared without a port", r.Host), "write the host without a port"))
+			out = append(out, warn(platform.SectionRoutes, nameOf(r), platform.FieldHost,
+				fmt.Sprintf("%q never matches: hosts are compared without a port", r.Host),
+				"write the host without a port"))
 		}
 	}
 	return out
@@ -85,7 +90,9 @@
 	}
 	for _, s := range v.Document.Services {
 		if !used[s.Name] {
-			out = append(out, warn(platform.SectionServices, s.Name, "", "no route sends requests to it", "add a route, or remove the service"))
+			out = append(out, warn(platform.SectionServices, s.Name, "",
+				"no route sends requests to it",
+				"add a route, or remove the service"))
 		}
 	}
 	return out
@@ -101,32 +108,44 @@
 	return names
 }
 
+// customersWithoutKey finds customers to whom no request can belong.
 func customersWithoutKey(v *View, _ Site) (out []Finding) {
 	for _, name := range customersOf(v) {
 		if len(v.Keys[name]) == 0 {
-			out = append(out, warn(platform.SectionCustomers, name, platform.FieldKeys, "has no key: no request can be the customer's", "add a key, or remove the customer"))
+			out = append(out, warn(platform.SectionCustomers, name, platform.FieldKeys,
+				"has no key: no request can be the customer's",
+				"add a key, or remove the customer"))
 		}
 	}
 	return out
 }
 
+// targetsAboveTimeout finds routes whose answers may come later than their target without a
+// timeout.
 func targetsAboveTimeout(v *View, _ Site) (out []Finding) {
 	for i := range v.Document.Rules {
 		if r := &v.Document.Rules[i]; r.TargetLatency > r.Timeout {
-			out = append(out, warn(platform.SectionRoutes, nameOf(r), platform.FieldTarget, fmt.Sprintf("the target of %v is above the timeout of %v", r.TargetLatency, r.Timeout), "lower the target, or raise the timeout"))
+			out = append(out, warn(platform.SectionRoutes, nameOf(r), platform.FieldTarget,
+				fmt.Sprintf("the target of %v is above the timeout of %v", r.TargetLatency, r.Timeout),
+				"lower the target, or raise the timeout"))
 		}
 	}
 	return out
 }
 
+// customerLimits finds limits with which a customer can hardly send anything.
 func customerLimits(v *View, _ Site) (out []Finding) {
 	for _, name := range customersOf(v) {
 		l := v.Document.Customers.ByName(name).Limit
 		if l.Burst > 0 && l.Burst < minBurst {
-			out = append(out, warn(platform.SectionCustomers, name, platform.FieldBurst, fmt.Sprintf("a burst of %g is below one request", l.Burst), "write a burst of at least 1"))
+			out = append(out, warn(platform.SectionCustomers, name, platform.FieldBurst,
+				fmt.Sprintf("a burst of %g is below one request", l.Burst),
+				"write a burst of at least 1"))
 		}
 		if l.Limited() && l.PerSecond < minRatePerSecond {
-			out = append(out, warn(platform.SectionCustomers, name, platform.FieldRate, fmt.Sprintf("%g requests a second are fewer than one a minute", l.PerSecond), "write a rate of at least 1/60, or 0 for no limit"))
+			out = append(out, warn(platform.SectionCustomers, name, platform.FieldRate,
+				fmt.Sprintf("%g requests a second are fewer than one a minute", l.PerSecond),
+				"write a rate of at least 1/60, or 0 for no limit"))
 		}
 	}
 	return out
@@ -146,12 +165,27 @@
 	if sum <= capacity {
 		return nil
 	}
-	return []Finding{warn(platform.SectionCustomers, "", platform.FieldRate, fmt.Sprintf("the customers' rates are %.4g requests a second in all, above the %.4g that the upstreams' slots can serve if each request takes a third of its route's target", sum, capacity), "lower the rates, or add upstreams")}
+	return []Finding{warn(platform.SectionCustomers, "", platform.FieldRate,
+		fmt.Sprintf("the customers' rates are %.4g requests a second in all, above the %.4g that "+
+			"the upstreams' slots can serve if each request takes a third of its route's target", sum, capacity),
+		"lower the rates, or add upstreams")}
 }
 
 // capacityOf returns the requests per second that the upstreams' slots can serve, each of
 // the least work that the routes of its service expect. A service without a route serves none.
 func capacityOf(v *View, site Site) float64 {
+	work := leastWork(v)
+	capacity := 0.0
+	for _, u := range site.Upstreams {
+		if w := work[u.Service]; w > 0 && !u.Draining {
+			capacity += float64(u.Slots) / w.Seconds()
+		}
+	}
+	return capacity
+}
+
+// leastWork returns the least time that the routes of each service expect a request to take.
+func leastWork(v *View) map[string]time.Duration {
 	work := map[string]time.Duration{}
 	for _, r := range v.Document.Rules {
 		w := pick.DefaultWork
@@ -164,28 +198,29 @@
 			}
 		}
 	}
-	capacity := 0.0
-	for _, u := range site.Upstreams {
-		if w := work[u.Service]; w > 0 && !u.Draining {
-			capacity += float64(u.Slots) / w.Seconds()
-		}
-	}
-	return capacity
+	return work
 }
 
+// connectionsBelowInstances finds services whose upstreams accept too few connections for all
+// instances, if their number is known.
 func connectionsBelowInstances(v *View, site Site) (out []Finding) {
 	for _, s := range v.Document.Services {
 		if s.MaxConns > 0 && s.MaxConns < site.Instances {
-			out = append(out, warn(platform.SectionServices, s.Name, platform.FieldMaxConns, fmt.Sprintf("each upstream accepts %d connections, fewer than the %d instances", s.MaxConns, site.Instances), "allow at least one connection for each instance"))
+			out = append(out, warn(platform.SectionServices, s.Name, platform.FieldMaxConns,
+				fmt.Sprintf("each upstream accepts %d connections, fewer than the %d instances", s.MaxConns, site.Instances),
+				"allow at least one connection for each instance"))
 		}
 	}
 	return out
 }
 
+// coldRates finds rates of cold upstreams below what one instance sends.
 func coldRates(v *View, _ Site) (out []Finding) {
 	for _, s := range v.Document.Services {
 		if s.ColdPerSecond > 0 && s.ColdPerSecond < minColdPerSecond {
-			out = append(out, warn(platform.SectionServices, s.Name, platform.FieldColdRate, fmt.Sprintf("%g requests a second are below the %g that one instance sends at least", s.ColdPerSecond, minColdPerSecond), fmt.Sprintf("write at least %g, or 0 for no limit", minColdPerSecond)))
+			out = append(out, warn(platform.SectionServices, s.Name, platform.FieldColdRate,
+				fmt.Sprintf("%g requests a second are below the %g that one instance sends at least", s.ColdPerSecond, minColdPerSecond),
+				fmt.Sprintf("write at least %g, or 0 for no limit", minColdPerSecond)))
 		}
 	}
 	return out
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 
 	"github.com/catkinrouter/catkinrouter/configcheck"
 	"github.com/catkinrouter/catkinrouter/discovery"
+	"github.com/catkinrouter/catkinrouter/mirror"
 	"github.com/catkinrouter/catkinrouter/platform"
 )
 
@@ -71,15 +71,9 @@
 		return usageError(err.Error())
 	}
 	r := &checkReport{File: o.file, Findings: invalid, Differences: []configcheck.Difference{}}
-	var inForce *inForceVersion
-	if o.against != "" || o.store != "" {
-		r.Against = o.against + o.store
-		inForce, err = o.readInForce()
-		if err != nil {
-			r.NotCompared = err.Error()
-		} else if site.Upstreams == nil {
-			site.Upstreams = inForce.upstreams
-		}
+	inForce := r.readInForce(&o)
+	if inForce != nil && site.Upstreams == nil {
+		site.Upstreams = inForce.upstreams
 	}
 	r.examine(value, site, inForce)
 	if err := c.print(r, func() { c.printCheck(r) }); err != nil {
@@ -88,6 +82,7 @@
 	return checkExit(r.exitCode())
 }
 
+// parseCheck parses the flags and the argument of check.
 func (c *command) parseCheck(args []string) (o checkOptions, err error) {
 	fs := c.flags("check")
 	fs.StringVar(&o.against, "against", "", "file with the version in force, to list the differences")
@@ -164,6 +159,21 @@
 	upstreams []*discovery.Upstream
 }
 
+// readInForce reads the version in force if it was asked for, and returns nil if it was not or
+// can't be read.
+func (r *checkReport) readInForce(o *checkOptions) *inForceVersion {
+	if o.against == "" && o.store == "" {
+		return nil
+	}
+	r.Against = o.against + o.store // one of them is empty
+	inForce, err := o.readInForce()
+	if err != nil {
+		r.NotCompared = err.Error()
+		return nil
+	}
+	return inForce
+}
+
 // readInForce reads the version in force from the file or the store.
 func (o *checkOptions) readInForce() (*inForceVersion, error) {
 	if o.store != "" {
@@ -176,6 +186,7 @@
 	return decodeInForce(value)
 }
 
+// decodeInForce decodes the document of the version in force.
 func decodeInForce(value []byte) (*inForceVersion, error) {
 	view, invalid := configcheck.Decode(value)
 	if invalid != nil {
@@ -184,6 +195,8 @@
 	return &inForceVersion{view: view}, nil
 }
 
+// readInForceFromStore reads the version in force and the upstreams from the store at an
+// address.
 func readInForceFromStore(address string) (*inForceVersion, error) {
 	client, err := newStore(address)
 	if err != nil {
@@ -204,20 +217,16 @@
 	if err != nil {
 		return nil, err
 	}
-	entries := map[string]json.RawMessage{}
-	for _, it := range all.Items {
-		entries[it.Key] = it.Value
-	}
-	in.upstreams = decodeEntries(entries)
+	in.upstreams = decodeEntries(all.Items)
 	return in, nil
 }
 
-// decodeEntries decodes upstreams' entries and leaves out those that can't be, as instances
-// do.
-func decodeEntries(entries map[string]json.RawMessage) []*discovery.Upstream {
+// decodeEntries decodes upstreams' entries and leaves out those that can't be decoded, as
+// instances do. The result is not nil, since the upstreams are known.
+func decodeEntries(items []mirror.Item) []*discovery.Upstream {
 	list := []*discovery.Upstream{}
-	for key, value := range entries {
-		if u, err := platform.DecodeUpstream(key, value, 0); err == nil {
+	for _, it := range items {
+		if u, err := platform.DecodeUpstream(it.Key, it.Value, 0); err == nil {
 			list = append(list, u)
 		}
 	}
@@ -239,25 +248,26 @@
 }
 
 // count returns the numbers of errors and warnings.
-func (r *checkReport) count() (faults, warnings int) {
+func (r *checkReport) count() (errorCount, warningCount int) {
 	for _, f := range r.Findings {
 		if f.Severity == configcheck.Error {
-			faults++
+			errorCount++
 		} else {
-			warnings++
+			warningCount++
 		}
 	}
-	return faults, warnings
+	return errorCount, warningCount
 }
 
+// exitCode returns the exit code of check for the report.
 func (r *checkReport) exitCode() int {
-	faults, warnings := r.count()
+	errorCount, warningCount := r.count()
 	switch {
 	case r.NotCompared != "":
 		return CheckNotCompared
-	case faults > 0:
+	case errorCount > 0:
 		return CheckErrors
-	case warnings > 0:
+	case warningCount > 0:
 		return CheckWarnings
 	}
 	return CheckClean
--- a/ctl/printcheck.go
+++ b/ctl/printcheck.go
@@ -10,12 +10,12 @@
 
 // printCheck prints the report of check as text.
 func (c *command) printCheck(r *checkReport) {
-	faults, warnings := r.count()
+	errorCount, warningCount := r.count()
 	version := "unreadable"
 	if r.readable {
 		version = fmt.Sprintf("version %d", r.Version)
 	}
-	fmt.Fprintf(c.stdout, "%s, %s: %d errors, %d warnings\n", r.File, version, faults, warnings)
+	fmt.Fprintf(c.stdout, "%s, %s: %d errors, %d warnings\n", r.File, version, errorCount, warningCount)
 	for _, f := range r.Findings {
 		fmt.Fprintf(c.stdout, "%s: %s: %s\n  remedy: %s\n", f.Severity, locationOf(&f), f.What, f.Remedy)
 	}
