--- a/fleet/copyage.go
+++ b/fleet/copyage.go
@@ -8,23 +8,23 @@
 // AgeUnknown is the age of a copy of the store that was never proven complete.
 const AgeUnknown = time.Duration(math.MaxInt64)
 
-// proof is when the copy was last proven complete. The reader takes a message as of its
-// arrival at this process, which decides when the store is read. A process that stood
-// still finds old messages in its sockets: they prove nothing about the time for which
-// they waited.
+// proof is when the copy was last proven complete. It is stricter than reader.confirmedAt,
+// which decides when the store is read and counts a message as of the time at which this
+// process read it. A process that was stopped finds old messages in its sockets: they prove
+// nothing about the time for which they waited there.
 type proof struct {
-	known bool
+	known bool // false if the copy was never proven complete
 	at    time.Duration
-	// suspended is the time since at for which the machine was suspended, and
-	// suspensionSeenAt when that was last noticed.
+	// suspended is the time since at for which the machine was suspended, suspensionSeenAt
+	// when that was last noticed.
 	suspended, suspensionSeenAt time.Duration
 }
 
 // provenNever is the time at which a copy was proven complete that never was.
 const provenNever = time.Duration(math.MinInt64)
 
-// prove records that the copy was complete at a time, or provenNever. A time before a suspension was noticed
-// may be one before the suspension.
+// prove records that the copy was complete at a time, or provenNever. A time before a
+// suspension was noticed may be one before the suspension.
 func (p *proof) prove(at time.Duration) {
 	if at == provenNever || p.known && at <= p.at {
 		return
@@ -49,7 +49,7 @@
 	return now - p.at + p.suspended
 }
 
-// publishedProof is the last proof, for CopyAge.
+// publishedProof is a copy of the last proof that CopyAge reads without the lock.
 type publishedProof struct {
 	proof
 	// suspendedTotal is what Options.Suspended had returned when proof.suspended was counted.
@@ -57,9 +57,10 @@
 }
 
 // CopyAge returns the time since the copy was last proven complete, with the time for
-// which the machine was suspended until now, or AgeUnknown, also at a start while a peer
-// may have a newer configuration. The Listener has received all changes that the proof
-// covers. It takes no lock: the lock is held while a configuration is decoded.
+// which the machine was suspended until now. It returns AgeUnknown if the copy never was,
+// and at a start while a peer may have a newer configuration. The Listener has received all
+// changes that the proof covers. It takes no lock: the lock is held while a configuration is
+// decoded.
 func (f *Fleet) CopyAge() time.Duration {
 	p := f.published.Load()
 	if p == nil {
@@ -78,14 +79,15 @@
 	return age + f.suspendedSince(f.suspended)
 }
 
-// soloStart is how long an instance that starts waits for the end of a first sync before it
-// takes itself for alone. A sync takes a few initial heartbeats.
-const soloStart = time.Second
+// firstSyncWait is how long an instance that starts waits for the end of a first sync before
+// it counts its copy without one. A sync takes a few initial heartbeats.
+const firstSyncWait = time.Second
 
-// firstCopyCounts reports whether the first copy of the store can be taken for complete. A store
-// that came back from an older copy lacks the newest configuration, of which peers tell.
+// firstCopyCounts reports whether the first copy of the store can be taken for complete. A
+// store that came back from an older copy lacks the newest configuration; peers say which
+// version is in force. It is called with the lock held.
 func (f *Fleet) firstCopyCounts() bool {
-	return (f.synced || f.opt.Now() >= soloStart) && f.listener.ActiveVersion() >= f.peersVersion
+	return (f.synced || f.opt.Now() >= firstSyncWait) && f.listener.ActiveVersion() >= f.peersVersion
 }
 
 // publishProof makes the last proof known to CopyAge. It is called with the lock held, after
@@ -111,7 +113,7 @@
 }
 
 // replyProvesAt returns the time as of which the reply to a sync that began at a time proves
-// the copy complete, if the peer's was proven an age ago.
+// the copy complete, if the peer's copy had the given age.
 func replyProvesAt(began, age time.Duration) time.Duration {
 	if age == AgeUnknown {
 		return provenNever
@@ -120,8 +122,8 @@
 }
 
 // watchProvesAt returns the time as of which a watch proves the copy complete. Its reply may
-// have waited in the socket of a process that stood still. One with changes may have been
-// written at any time since the call began; one without them was not before the wait was over.
+// have waited in the socket of a process that was stopped. The store may have written a reply
+// with changes at any time since the call began, one without them only when the wait was over.
 func watchProvesAt(now time.Duration, c dueRead, changes int) time.Duration {
 	if changes > 0 {
 		return c.began
--- a/fleet/copyage_test.go
+++ b/fleet/copyage_test.go
@@ -79,7 +79,7 @@
 		a.now = 100 * time.Millisecond
 		a.read(50*time.Millisecond, 5)
 		a.wantAge(t, "before a sync", AgeUnknown)
-		want := soloStart
+		want := firstSyncWait
 		if synced {
 			want = 300 * time.Millisecond
 			a.now = want
@@ -87,7 +87,7 @@
 		} else {
 			a.now = want - 1
 			a.tick()
-			a.wantAge(t, "alone, before soloStart", AgeUnknown)
+			a.wantAge(t, "alone, before firstSyncWait", AgeUnknown)
 			a.now = want
 			a.tick()
 		}
@@ -118,7 +118,7 @@
 func TestWaitOfDatagrams(t *testing.T) {
 	sockets := listen(t)
 	defer sockets.Close()
-	if err := stampArrivals(sockets.udp); err != nil {
+	if err := enableTimestamps(sockets.udp); err != nil {
 		t.Fatal(err)
 	}
 	out, err := net.Dial("udp4", sockets.Address())
@@ -136,10 +136,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if waited, ok := waitedSince(time.Now(), control[:n]); !ok || waited < pause || waited > pause+10*time.Second {
+	if waited, ok := socketWait(time.Now(), control[:n]); !ok || waited < pause || waited > pause+10*time.Second {
 		t.Errorf("waited %v, known %v; want %v", waited, ok, pause)
 	}
-	if _, ok := waitedSince(time.Now(), nil); ok {
+	if _, ok := socketWait(time.Now(), nil); ok {
 		t.Error("a wait is known without a control message")
 	}
 }
--- a/fleet/datagramage.go
+++ b/fleet/datagramage.go
@@ -15,8 +15,8 @@
 // timestampBytes is the size of the control message that holds a time of arrival.
 var timestampBytes = unix.CmsgSpace(timespecBytes)
 
-// stampArrivals makes the kernel note when each datagram arrives at conn.
-func stampArrivals(conn *net.UDPConn) error {
+// enableTimestamps makes the kernel record when each datagram arrives at conn.
+func enableTimestamps(conn *net.UDPConn) error {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return err
@@ -30,9 +30,9 @@
 	return failed
 }
 
-// waitedSince returns for how long a datagram waited in its socket, by the control message
-// that was read with it at the wall-clock time now, and false if that does not tell.
-func waitedSince(now time.Time, control []byte) (waited time.Duration, ok bool) {
+// socketWait returns for how long a datagram waited in its socket, by the control messages
+// that were read with it at the wall-clock time now, and false if they hold no timestamp.
+func socketWait(now time.Time, control []byte) (waited time.Duration, ok bool) {
 	messages, err := unix.ParseSocketControlMessage(control)
 	if err != nil {
 		return 0, false
--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -151,8 +151,8 @@
 
 // receive handles heartbeats and warnings until the socket is closed.
 func (f *Fleet) receive(conn *net.UDPConn) error {
-	if err := stampArrivals(conn); err != nil {
-		level.Info(f.opt.Log).Log("msg", "times of arrival of datagrams unknown", "err", err)
+	if err := enableTimestamps(conn); err != nil {
+		level.Info(f.opt.Log).Log("msg", "no kernel timestamps for datagrams: heartbeats that waited confirm less", "err", err)
 	}
 	buf, control := make([]byte, maxDatagramBytes), make([]byte, timestampBytes)
 	lastRead := f.opt.Now()
@@ -166,9 +166,9 @@
 		}
 		// A panic is logged; the sender sends its state again.
 		_ = f.opt.Guard.Run("datagram", func() {
-			// It arrived after the last one was read, as far as the process was idle since.
+			// The datagram may have arrived as early as the last one was read.
 			waited := f.opt.Now() - lastRead
-			if exact, known := waitedSince(time.Now(), control[:controlled]); known {
+			if exact, known := socketWait(time.Now(), control[:controlled]); known {
 				waited = min(waited, exact)
 			}
 			f.handleDatagram(from.String(), buf[:n], waited)
@@ -177,7 +177,7 @@
 	}
 }
 
-// handleDatagram handles a datagram that has waited in the socket for at most a time.
+// handleDatagram handles a datagram that has waited in the socket for at most the given time.
 func (f *Fleet) handleDatagram(from string, p []byte, waited time.Duration) {
 	if f.receiveTokens(from, p) {
 		return
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -161,8 +161,8 @@
 	// a configuration that a peer has said to be in force there.
 	synced       bool
 	peersVersion uint64
-	// proof is when the copy was last proven complete, published the same for CopyAge; nil
-	// until the copy was proven complete.
+	// proof is when the copy was last proven complete, published its copy for CopyAge, nil
+	// until the first copy counts.
 	proof     proof
 	published atomic.Pointer[publishedProof]
 
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -66,7 +66,8 @@
 	return b, binary.Read(bytes.NewReader(p), binary.BigEndian, &b)
 }
 
-// delayed returns the heartbeat with what it proves after it has waited in the socket.
+// delayed returns the heartbeat with its proven age increased by the time for which it waited
+// in the socket.
 func (b heartbeat) delayed(waited time.Duration) heartbeat {
 	if b.ProvenAgeMillis != ageUnknown {
 		b.ProvenAgeMillis = ageMillis(time.Duration(b.ProvenAgeMillis)*time.Millisecond + waited)
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -41,7 +41,8 @@
 	Packed []byte
 	Proven bool
 	Age    time.Duration
-	// ProvenAge is the time since the copy was last proven complete, or AgeUnknown.
+	// ProvenAge is the time since the copy was last proven complete, or AgeUnknown. It is
+	// the stricter age, by which keys are served; Age decides when the store is read.
 	ProvenAge time.Duration
 	// ActiveVersion is the version of the configuration in force at the peer, 0 for none.
 	ActiveVersion uint64
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -172,7 +172,7 @@
 	return callWatch, r.longestWatch()
 }
 
-// freshFor returns for how long the copy is not old yet.
+// freshFor returns for how long the copy needs no read yet, 0 or less if it is too old.
 func (r *reader) freshFor(now time.Duration, s readState) time.Duration {
 	fresh := r.maxAge - r.age(now)
 	if r.maxProvenAge > 0 {
@@ -181,6 +181,7 @@
 	return fresh
 }
 
+// longestWatch returns how long a watch waits for changes at most.
 func (r *reader) longestWatch() time.Duration {
 	if r.watchWait > 0 {
 		return r.watchWait
--- a/fleet/tokens.go
+++ b/fleet/tokens.go
@@ -28,11 +28,14 @@
 	Backup bool
 	// Unknown is set if the sender can't allocate, Warming if it is new to the customer,
 	// Partial if it sees no majority of the fleet.
-	Unknown, Warming, Partial        bool
-	Number                           uint32
-	Customer                         uint64
-	Granted                          uint16
-	LeaseMilli                       uint32
+	Unknown, Warming, Partial bool
+	Number                    uint32
+	Customer                  uint64
+	Granted                   uint16
+	// LeaseMilli is the lease granted, in thousandths of a token per second.
+	LeaseMilli uint32
+	// AskAfterMillis is when to ask again, RetryAfterMillis when the first call that got no
+	// token has a chance.
 	AskAfterMillis, RetryAfterMillis uint16
 }
 
@@ -81,7 +84,8 @@
 // there is one, is passed to Listener.TokensGranted.
 func (f *Fleet) RequestTokens(to string, r TokenRequest) { f.sendDatagram(to, r.encode()) }
 
-// sendDatagram sends p without the Fleet's lock: nobody must wait for the socket.
+// sendDatagram sends p after it has released the Fleet's lock, so that no one waits for the
+// socket.
 func (f *Fleet) sendDatagram(to string, p []byte) {
 	f.mu.Lock()
 	send := f.send
