--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -14,6 +14,7 @@
 // Rate measures at which rate the slots of a service become free for this instance. The
 // zero value is ready for use.
 type Rate struct {
+	// buckets is a ring: a bucket whose number is too old counts as empty.
 	buckets [longWindow / bucketWidth]struct {
 		number int64 // of the bucket since the clock's start, plus 1
 		count  float64
@@ -41,6 +42,7 @@
 	return max(r.over(now, shortWindow), r.over(now, longWindow))
 }
 
+// over returns the slots freed per second in the last window.
 func (r *Rate) over(now, window time.Duration) float64 {
 	newest := int64(now/bucketWidth) + 1
 	oldest := newest - int64(window/bucketWidth) + 1
@@ -57,6 +59,7 @@
 // route's first requests, and the targets of a service's routes. The zero value is ready
 // for use.
 type Longest struct {
+	// buckets is a ring: a bucket whose number is too old counts as empty.
 	buckets [longestBuckets]struct {
 		number int64 // of the bucket since the clock's start, plus 1
 		value  time.Duration
--- a/admission/order.go
+++ b/admission/order.go
@@ -56,9 +56,9 @@
 	return max(min(c.Priority, 0), c.Priority-steps)
 }
 
-// Compare returns a negative number if a goes before b, and a positive one if b goes before a. The
-// call that is last costs its caller least to delay or to reject: it is less urgent, will
-// miss its target anyway, has another try, or would take a slot for longer. It answers
+// Compare returns a negative number if a goes before b, and a positive one if b goes before
+// a. The call that is last costs its caller least to delay or to reject: it is less urgent,
+// will miss its target anyway, has another try, or would take a slot for longer. It answers
 // bursts above the capacity, in which first come, first served makes most answers late.
 func Compare(now time.Duration, a, b Call) int {
 	return cmp.Or(
@@ -91,11 +91,11 @@
 	return min(c.Target, c.Deadline) - c.Work
 }
 
-// retryShare is the share of its route's usual deadline below which a call is a retry. First
-// requests lose up to a few percent on the way.
+// retryShare is the share of its route's usual deadline below which a call is a retry. A
+// first request has up to a few percent less than that when it arrives.
 const retryShare = 0.97
 
-// Timing is what a request says of its time, by which retries are recognised.
+// Timing holds the times of a request by which retries are recognised.
 type Timing struct {
 	Arrived time.Duration
 	// Left is the time until the deadline, Usual that of a first request of the route.
--- a/admission/queueorder.go
+++ b/admission/queueorder.go
@@ -5,7 +5,7 @@
 // QueueOrder names the order in which calls wait for a slot. The zero value is ByPriority.
 type QueueOrder string
 
-// Queue orders.
+// Orders in which calls wait.
 const (
 	// ByPriority is the order of priority, and among equals of arrival.
 	ByPriority QueueOrder = "priority"
--- a/admission/retryafter.go
+++ b/admission/retryafter.go
@@ -14,15 +14,16 @@
 // priorityClasses is the number of priorities that are told apart: 0 to 9 and the rest.
 const priorityClasses = 11
 
-// class returns the index of a priority among the priorityClasses.
-func class(priority int) int { return min(max(priority, 0), priorityClasses-1) }
+// classOf returns the index of a priority among the priorityClasses.
+func classOf(priority int) int { return min(max(priority, 0), priorityClasses-1) }
 
 // Returns holds the returns promised to the rejected callers of a service. Each is given
 // the next place after the calls that wait and the callers that were told to return
 // before, so that they return at the rate at which slots become free. It answers the
 // return of all callers after an outage, and bursts. The zero value is ready for use.
 type Returns struct {
-	// next is the time of the next free place, by class of priority.
+	// next is the time of the next free place, by class of priority. A caller also comes
+	// after the places of more urgent classes.
 	next [priorityClasses]time.Duration
 }
 
@@ -35,7 +36,7 @@
 		return limit
 	}
 	place := now + toDuration(float64(ahead)/slotsPerSecond)
-	own := class(priority)
+	own := classOf(priority)
 	for _, t := range r.next[:own+1] {
 		place = max(place, t)
 	}
--- a/customer/customer.go
+++ b/customer/customer.go
@@ -2,7 +2,7 @@
 // holds an API key. It does no I/O.
 package customer
 
-// Customer is one customer of the operators' configuration.
+// Customer is one customer of the configuration.
 type Customer struct {
 	Name string
 	// Priority replaces that of the routes if HasPriority is set; 0 is the most urgent.
@@ -14,8 +14,10 @@
 // Limit bounds the requests of a customer, summed over all instances. The zero value
 // sets no limit.
 type Limit struct {
+	// PerSecond is the sustained rate; 0 sets no limit.
 	PerSecond float64
-	Burst     float64
+	// Burst is the number of requests that may come at once.
+	Burst float64
 }
 
 // Limited reports whether there is a limit.
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -157,8 +157,8 @@
 }
 
 // Usable returns the upstreams that may get new requests, by service: those that are
-// neither draining nor in an evacuated data centre. The
-// Registry does not change the result or the upstreams in it afterwards.
+// neither draining nor in an evacuated data centre. The Registry does not change the result
+// or the upstreams in it afterwards.
 func (r *Registry) Usable() map[string][]*Upstream {
 	out := map[string][]*Upstream{}
 	for _, u := range r.upstreams {
--- a/node/evacuation.go
+++ b/node/evacuation.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// recordEvacuation logs an evacuation once, and again when the first upstream of a data
-// centre registers that was unknown until then.
+// recordEvacuation logs an evacuation once, and again when the first upstream of a data centre
+// registers that had none before.
 func (n *Node) recordEvacuation(e discovery.Evacuation, source string) {
 	known, logged := n.evacuations[e.DataCentre]
 	switch {
--- a/node/node.go
+++ b/node/node.go
@@ -128,7 +128,7 @@
 	// not ready.
 	maxProvenAgeShare = 0.5
 	// proofDelay is the time in which what a hub has read is proven at all other
-	// instances: by two heartbeats, and a margin.
+	// instances: two heartbeats and a margin.
 	proofDelay = 2*fleet.HeartbeatInterval + 100*time.Millisecond
 	// minWatchWait and maxWatchWait bound how long a hub's watch waits for changes.
 	minWatchWait = 200 * time.Millisecond
@@ -141,9 +141,9 @@
 	return time.Duration(maxProvenAgeShare * float64(s.KeyMaxAge))
 }
 
-// watchWait returns how long hubs watch, so that the copies of all instances are proven
-// complete before they reach maxProvenAge; 0 stands for the default. A watch with changes
-// proves what was true when it began, and the next one follows it.
+// watchWait returns how long the watch of a hub waits for changes, so that the copies of all
+// instances are proven complete before they reach maxProvenAge; 0 stands for the default. A
+// watch with changes proves what was true when it began, and the next one follows it.
 func watchWait(s Settings) time.Duration {
 	if s.KeyMaxAge == 0 {
 		return 0
@@ -345,6 +345,7 @@
 	n.gateway.SetFleet(gateway.Fleet{Usable: gatewayInstances(v.Usable), Unready: gatewayInstances(v.Unready), Live: v.LiveIn, Allocators: v.Allocators, Stored: v.Stored})
 }
 
+// gatewayInstances converts instances of the fleet to those of the gateway.
 func gatewayInstances(list []fleet.Instance) []gateway.Instance {
 	out := make([]gateway.Instance, len(list))
 	for i, in := range list {
--- a/node/settings.go
+++ b/node/settings.go
@@ -55,13 +55,13 @@
 	ProbesPerUpstream float64
 	// MaxLookupTTL is the upper limit of the TTL of lookup answers.
 	MaxLookupTTL time.Duration
-	// KeyMaxAge is the age of the copy of the store from which keys of customers are
-	// refused, since they may have been taken away; 0 if there is no such limit.
+	// KeyMaxAge is the age of the copy of the store from which customers' API keys are
+	// refused, since they may have been withdrawn; 0 sets no limit.
 	KeyMaxAge time.Duration
 	// QueueOrder is the order in which calls wait for a slot.
 	QueueOrder admission.QueueOrder
-	// CustomerQuota bounds what customers may get beyond their limits, ColdLimit what
-	// cold upstreams may get beyond the rate that they bear.
+	// CustomerQuota bounds the requests of customers beyond their limits, ColdLimit those to
+	// cold upstreams beyond the rate that they sustain.
 	CustomerQuota gateway.CustomerQuota
 	ColdLimit     gateway.ColdLimit
 }
--- a/node/tokens.go
+++ b/node/tokens.go
@@ -11,7 +11,7 @@
 // leaseScale converts between tokens per second and the thousandths in datagrams.
 const leaseScale = 1000
 
-// askTokens sends a question to the instance at the peer address to.
+// askTokens implements gateway.Hooks.AskTokens: it sends a question to another instance.
 func (n *Node) askTokens(to string, q ratelimit.Question) {
 	n.fleet.RequestTokens(to, fleet.TokenRequest{
 		Backup: q.Backup, Number: q.Number, Customer: uint64(q.Customer),
@@ -43,7 +43,7 @@
 	})
 }
 
-// toUint16 converts n to the nearest value of a field.
+// toUint16 converts n to the nearest value of a field of a datagram.
 func toUint16(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
 
 // toMilli converts a rate, rounded down: more than was granted must not be leased.
--- a/route/route.go
+++ b/route/route.go
@@ -37,7 +37,7 @@
 	MaxAttempts int
 	// Parts holds a single service or the weighted parts of a traffic split.
 	Parts []Part
-	// Public is set if requests need no key of a customer.
+	// Public is set if requests need no API key.
 	Public bool
 	// Unreadable is set if the operators' row could not be read: its requests are refused,
 	// since neither an older row nor another route may serve them.
@@ -62,7 +62,7 @@
 	// all instances together.
 	MaxConns int
 	// ColdTime is how long an upstream is cold after its start, ColdPerSecond the rate of
-	// requests that it bears while it is, from all instances together; 0 sets no limit.
+	// requests from all instances together that it sustains while cold; 0 sets no limit.
 	ColdTime      time.Duration
 	ColdPerSecond float64
 }
@@ -81,7 +81,7 @@
 	Rules    []Rule
 	Services []Service
 	Limits   Limits
-	// Customers is nil if requests need no key.
+	// Customers is nil if requests need no API key.
 	Customers *customer.Set
 	// Problems lists what could not be read as written.
 	Problems []Problem
@@ -91,7 +91,7 @@
 type Table struct {
 	Version uint64
 	Limits  Limits
-	// Customers is nil if requests need no key.
+	// Customers is nil if requests need no API key.
 	Customers *customer.Set
 	hosts     map[string][]*Route // longest prefix first
 	services  map[string]Service
