--- a/gateway/call.go
+++ b/gateway/call.go
@@ -196,7 +196,10 @@
 	}
 	c.hedgeSearches++
 	work := c.work()
-	if c.quarantinedFor() > 0 || c.timeLeft() < work || c.g.estimates.fullnessOf(c.service.Name).Busy() || !c.g.retryBudgets.allowsHedge(c.g.now(), c.service.Name, c.priority()) {
+	if c.quarantinedFor() > 0 || c.timeLeft() < work || c.g.estimates.fullnessOf(c.service.Name).Busy() {
+		return
+	}
+	if !c.g.retryBudgets.allowsHedge(c.g.now(), c.service.Name, c.priority()) {
 		return
 	}
 	ch, ok := c.g.pickUpstream(c)
@@ -207,7 +210,7 @@
 		c.g.releaseChoice(ch)
 		return
 	}
-	if ch.report == nil || ch.rateLimit.Named || ch.cold || ch.report.NearlyFull(ch.sentSince) || ch.report.Pace > maxHedgePace || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()) {
+	if !suitsHedge(&ch) || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()) {
 		c.g.releaseChoice(ch)
 		timer.Reset(hedgeRecheckDelay)
 		return
@@ -217,6 +220,14 @@
 	c.watchSilence()
 }
 
+// suitsHedge reports whether a hedge may be sent to the chosen upstream.
+func suitsHedge(ch *choice) bool {
+	if ch.report == nil || ch.rateLimit.Named || ch.cold {
+		return false
+	}
+	return !ch.report.NearlyFull(ch.sentSince) && ch.report.Pace <= maxHedgePace
+}
+
 // maxHedgePace is the pace above which an upstream is not used for a hedge.
 const maxHedgePace = 1.3
 
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -50,12 +50,14 @@
 	bucket        quota.ColdBucket
 }
 
+// setColdTable sets the routing table that holds the services' rates while cold.
 func (e *evidenceTable) setColdTable(t *route.Table) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cold.table = t
 }
 
+// setColdLimit sets the bound that turns these rates into limits.
 func (e *evidenceTable) setColdLimit(l ColdLimit) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/gateway/customerlimit.go
+++ b/gateway/customerlimit.go
@@ -6,18 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/ratelimit"
-	"github.com/catkinrouter/catkinrouter/route"
-)
-
-// Reasons of refusals by a customer's limit.
-const (
-	reasonOverQuota = "over-quota"
-	// reasonQuotaUnknown: the customer's allocator can't be reached.
-	reasonQuotaUnknown = "quota-unknown"
 )
 
 // customerLimits holds what this instance spends and allocates of customers' limits.
@@ -36,7 +26,7 @@
 	sweptAt     time.Duration
 	// limits holds the customers with a limit of the set they were taken from.
 	limits map[ratelimit.Key]customer.Limit
-	set    *customer.Set
+	set    *customer.Set // nil if there are no customers
 }
 
 // customerAccount is the account of one customer.
@@ -76,7 +66,7 @@
 	l.allocator.SetQuota(l.quota)
 }
 
-// setCustomers replaces the customers' limits.
+// setCustomers replaces the customers' limits; set is nil if there are no customers.
 func (l *customerLimits) setCustomers(set *customer.Set) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -94,7 +84,7 @@
 	}
 }
 
-// setFleet sets the allocators and the numbers of instances.
+// setFleet sets the allocators and the numbers of instances. live is the number of live ones.
 func (l *customerLimits) setFleet(now time.Duration, f Fleet, live int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -103,15 +93,15 @@
 	l.allocator.SetFleet(now, l.allocators, live, f.Stored)
 }
 
-// accountIdleCheck is the time between two searches for idle accounts.
-const accountIdleCheck = 10 * time.Second
+// accountSweepInterval is the time between two searches for idle accounts.
+const accountSweepInterval = 10 * time.Second
 
 // maintain tells the allocator that the process runs, and drops idle accounts.
 func (l *customerLimits) maintain(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.allocator.Alive(now)
-	if now-l.sweptAt < accountIdleCheck {
+	if now-l.sweptAt < accountSweepInterval {
 		return
 	}
 	l.sweptAt = now
@@ -122,7 +112,8 @@
 	}
 }
 
-// accountOf returns the customer's account, set to the limit and the view in force.
+// accountOf returns the customer's account, set to the limit and the view in force. The caller
+// holds the lock.
 func (l *customerLimits) accountOf(now time.Duration, c *customer.Customer) *customerAccount {
 	key := ratelimit.KeyOf(c.Name)
 	a := l.accounts[key]
@@ -143,7 +134,7 @@
 }
 
 // questions returns the questions of the account that are due to other instances.
-// This instance answers its own at once.
+// This instance answers its own at once. The caller holds the lock.
 func (l *customerLimits) questions(now time.Duration, a *customerAccount) (out []tokenQuestion) {
 	for {
 		to, q, ok := a.account.Ask(now)
@@ -162,12 +153,14 @@
 	}
 }
 
-// grant answers a question with the limit of the configuration in force.
+// grant answers a question with the limit of the configuration in force. The caller holds the
+// lock.
 func (l *customerLimits) grant(now time.Duration, from string, q ratelimit.Question) ratelimit.Reply {
 	return l.allocator.Grant(now, from, l.limits[q.Customer], q)
 }
 
-// receive passes a reply to the account, and wakes the calls that wait for it.
+// receive passes a reply to the account, and wakes the calls that wait for it. The caller
+// holds the lock.
 func (l *customerLimits) receive(now time.Duration, a *customerAccount, r ratelimit.Reply) {
 	if a.account.Receive(now, r) {
 		a.wakeAll()
@@ -204,91 +197,28 @@
 	return d, questions, wake
 }
 
-// takeToken takes a token for a call of the customer, which must be answered by deadline.
-// It waits for the customer's allocator for at most ratelimit.ReplyTimeout.
-func (g *Gateway) takeToken(c *customer.Customer, deadline time.Duration) ratelimit.Decision {
-	now := g.now()
-	until := min(now+ratelimit.ReplyTimeout, deadline)
-	d, questions, wake := g.customerLimits.take(now, c, true, now >= until)
-	g.sendQuestions(questions)
-	if d.Verdict != ratelimit.Wait {
-		return d
-	}
-	t := time.NewTimer(min(ratelimit.RepeatAfter, until-now))
-	defer t.Stop()
-	for d.Verdict == ratelimit.Wait {
-		select {
-		case <-wake:
-		case <-t.C:
-			t.Reset(max(0, min(ratelimit.RepeatAfter, until-g.now())))
-		}
-		now = g.now()
-		d, questions, wake = g.customerLimits.take(now, c, false, now >= until)
-		g.sendQuestions(questions)
-	}
-	return d
-}
-
-// sendQuestions sends questions to other instances. The caller must not hold the lock of the
-// customerLimits: the hook takes the fleet's lock, under which the configuration is applied.
-func (g *Gateway) sendQuestions(questions []tokenQuestion) {
-	for _, q := range questions {
-		g.customerLimits.metrics.requests.Inc(1)
-		g.hooks.AskTokens(q.to, q.question)
-	}
-}
-
-// admitCustomer takes a token for the request if its customer has a limit. It refuses the
-// request and returns false if there is none.
-func (g *Gateway) admitCustomer(ctx *fasthttp.RequestCtx, id string, c *customer.Customer, r *route.Route, arrived time.Duration) (ratelimit.Decision, bool) {
-	if c == nil || !c.Limit.Limited() {
-		return ratelimit.Decision{}, true
-	}
-	d := g.takeToken(c, arrived+g.timeoutOf(ctx, r))
-	switch d.Verdict {
-	case ratelimit.Admitted:
-		return d, true
-	case ratelimit.OverLimit:
-		g.refuseUntil(ctx, id, fasthttp.StatusTooManyRequests, reasonOverQuota, d.RetryAfter, "customer", c.Name, "per_second", c.Limit.PerSecond, "retry_after", d.RetryAfter)
-	default:
-		g.refuseUntil(ctx, id, fasthttp.StatusServiceUnavailable, reasonQuotaUnknown, d.RetryAfter, "customer", c.Name, "per_second", c.Limit.PerSecond)
-	}
-	return d, false
-}
-
-// returnToken gives back the token of a call that ended without having been sent.
-func (c *call) returnToken(res callResult) {
-	unsent := c.sent == 0 && len(c.inFlight) == 0 && (res.kind == resultRefused || res.kind == resultCallerLeft)
-	if c.token.Verdict != ratelimit.Admitted || !unsent {
-		return
-	}
-	l := c.g.customerLimits
+// giveBack returns the token of a call that was not sent to the customer's account.
+func (l *customerLimits) giveBack(now time.Duration, name string, d ratelimit.Decision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a := l.accounts[ratelimit.KeyOf(c.customer.Name)]; a != nil {
-		a.account.Return(c.g.now(), c.token)
+	if a := l.accounts[ratelimit.KeyOf(name)]; a != nil {
+		a.account.Return(now, d)
 		l.metrics.returned.Inc(1)
 	}
 }
 
-// AnswerTokens answers a question of the instance at the peer address from.
-func (g *Gateway) AnswerTokens(from string, q ratelimit.Question) ratelimit.Reply {
-	l := g.customerLimits
+// answer answers a question of the instance at the peer address from.
+func (l *customerLimits) answer(now time.Duration, from string, q ratelimit.Question) ratelimit.Reply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.grant(g.now(), from, q)
+	return l.grant(now, from, q)
 }
 
-// ReceiveTokens takes a reply of another instance.
-func (g *Gateway) ReceiveTokens(r ratelimit.Reply) {
-	l := g.customerLimits
+// receiveFromPeer takes a reply of another instance.
+func (l *customerLimits) receiveFromPeer(now time.Duration, r ratelimit.Reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if a := l.accounts[r.Customer]; a != nil {
-		l.receive(g.now(), a, r)
+		l.receive(now, a, r)
 	}
 }
-
-// MaintainCustomerLimits must be called at least twice a second: an instance that was
-// stopped for longer may have been replaced as an allocator.
-func (g *Gateway) MaintainCustomerLimits() { g.customerLimits.maintain(g.now()) }
--- a/gateway/customermetrics.go
+++ b/gateway/customermetrics.go
@@ -51,6 +51,7 @@
 	return m.byName[name]
 }
 
+// counts returns the counters registered under a name.
 func (m *customerMetrics) counts(name string) customerCounts {
 	return customerCounts{
 		admitted:  gometrics.GetOrRegisterCounter("customer_admitted_total."+name, m.registry),
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -20,6 +20,7 @@
 	byService   map[string][]*discovery.Upstream
 }
 
+// newEvacuated groups the evacuated upstreams by service.
 func newEvacuated(list []discovery.Evacuation) evacuated {
 	e := evacuated{dataCentres: map[string]bool{}, byService: map[string][]*discovery.Upstream{}}
 	for _, dc := range list {
@@ -53,7 +54,7 @@
 	return snap != nil && snap.evacuated.dataCentres[u.DataCentre]
 }
 
-// unwanted reports whether nothing may be sent to u, also not what picked it before.
+// unwanted reports whether nothing may be sent to u, not even a request that picked it before.
 func (g *Gateway) unwanted(u *discovery.Upstream) bool {
 	return g.isEvacuated(u) || g.evidence.unwanted(g.now(), u)
 }
@@ -73,8 +74,8 @@
 	return reason
 }
 
-// block closes the idle connections to the addresses, and makes put close further ones
-// until the next call.
+// block closes the idle connections to the addresses, and makes put close further ones until
+// block is called again.
 func (p *pool) block(addresses map[string]bool) {
 	p.mu.Lock()
 	p.blocked = addresses
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -29,6 +29,7 @@
 	reasonRouteUnreadable = "route-unreadable"
 )
 
+// serveRequest checks a request, creates a call from it and runs the call.
 func (g *Gateway) serveRequest(ctx *fasthttp.RequestCtx) {
 	snap := g.waitForSnapshot()
 	id := string(ctx.Request.Header.Peek(g.proto.RequestID))
@@ -37,18 +38,8 @@
 		return
 	}
 	h := &ctx.Request.Header
-	target, err := reqtarget.Parse(h.RequestURI(), h.Host())
-	if err != nil {
-		g.refuse(ctx, id, fasthttp.StatusBadRequest, reasonBadTarget)
-		return
-	}
-	r := snap.table.Match(string(target.Host), string(target.Path))
+	r := g.findRoute(ctx, id, snap)
 	if r == nil {
-		g.refuse(ctx, id, fasthttp.StatusNotFound, "no-route")
-		return
-	}
-	if r.Unreadable {
-		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, reasonRouteUnreadable)
 		return
 	}
 	key := presentedKeyOf(h)
@@ -84,7 +75,28 @@
 	g.finish(c, c.run())
 }
 
-// finish ends a call with its result.
+// findRoute returns the route of a request. It refuses the request and returns nil if there is
+// none that can serve it.
+func (g *Gateway) findRoute(ctx *fasthttp.RequestCtx, id string, snap *snapshot) *route.Route {
+	h := &ctx.Request.Header
+	target, err := reqtarget.Parse(h.RequestURI(), h.Host())
+	if err != nil {
+		g.refuse(ctx, id, fasthttp.StatusBadRequest, reasonBadTarget)
+		return nil
+	}
+	r := snap.table.Match(string(target.Host), string(target.Path))
+	if r == nil {
+		g.refuse(ctx, id, fasthttp.StatusNotFound, "no-route")
+		return nil
+	}
+	if r.Unreadable {
+		g.refuse(ctx, id, fasthttp.StatusServiceUnavailable, reasonRouteUnreadable)
+		return nil
+	}
+	return r
+}
+
+// finish ends a call with its result, and gives back its token if it was not sent.
 func (g *Gateway) finish(c *call, res callResult) {
 	c.returnToken(res)
 	g.respond(c, res)
--- a/gateway/keyguard.go
+++ b/gateway/keyguard.go
@@ -64,9 +64,9 @@
 	defer g.keys.mu.Unlock()
 	age := g.copyAge()
 	for _, c := range g.keys.states.update(g.now(), age, g.keys.freshness()) {
-		msg, kv := "copy of the store is new enough again", []any{"state", c.state, "lasted", c.lasted}
+		msg, kv := "key state ended: copy of the store is new enough", []any{"state", c.state, "lasted", c.lasted}
 		if c.began {
-			msg, kv = "copy of the store is old", []any{"state", c.state}
+			msg, kv = "key state began: copy of the store is too old", []any{"state", c.state}
 			gometrics.GetOrRegisterCounter("key_states_total."+c.state, g.metrics.registry).Inc(1)
 		}
 		kv = append([]any{"msg", msg}, append(kv, "copy_age", ageText(age), "limit", time.Duration(g.keys.maxAge.Load()))...)
--- a/gateway/leastcost.go
+++ b/gateway/leastcost.go
@@ -171,6 +171,7 @@
 	return after
 }
 
+// ahead returns the number of waiting calls that go before the given one.
 func (s *costQueue) ahead(now time.Duration, call admission.Call) (n int) {
 	for _, w := range s.waiters {
 		if admission.Compare(now, w.call, call) < 0 {
@@ -194,6 +195,7 @@
 // last returns the last call in the order.
 func (s *costQueue) last(now time.Duration) *waiter { return slices.MaxFunc(s.waiters, orderAt(now)) }
 
+// orderAt returns the comparison of waiting calls at a time.
 func orderAt(now time.Duration) func(a, b *waiter) int {
 	return func(a, b *waiter) int { return admission.Compare(now, a.call, b.call) }
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -61,7 +61,9 @@
 		silentLosses: c("silent_losses_total"), silentCancels: c("silent_cancels_total"),
 		leaving: c("upstreams_leaving_total"), pauses: c("upstream_pauses_total"),
 		crashReports: c("crash_reports_total"), quarantines: c("quarantines_total"), quarantinesLifted: c("quarantines_lifted_total"),
-		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"), rateLimited: c("rate_limited_passes_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"), lookups: c("lookups_total"), unreadyLookups: c("lookups_unready_total"), warnings: c("warnings_total"),
+		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"),
+		rateLimited: c("rate_limited_passes_total"), hedges: c("hedges_total"), handoffs: c("handoffs_total"),
+		lookups: c("lookups_total"), unreadyLookups: c("lookups_unready_total"), warnings: c("warnings_total"),
 		logFailures: c("log_failures_total"), panics: c("panics_total"), latency: metrics.NewHistogram(),
 	}
 	registry.GetOrRegister("request_duration_us", m.latency)
--- a/gateway/queueorder.go
+++ b/gateway/queueorder.go
@@ -142,6 +142,7 @@
 	return c.failureResult(reason)
 }
 
+// recordRejection counts a call that the queue turned away, by reason and priority.
 func (m *metricSet) recordRejection(reason string, priority int) {
 	gometrics.GetOrRegisterCounter("queue_rejections_total."+reason+"."+admission.PriorityLabel(priority), m.registry).Inc(1)
 }
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -16,12 +16,14 @@
 	table pick.SilentLosses
 }
 
+// record records a silent loss at an upstream of a service.
 func (l *silentLosses) record(now time.Duration, service string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table.Record(now, service)
 }
 
+// recent reports whether a silent loss of the service was seen lately.
 func (l *silentLosses) recent(now time.Duration, service string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
