--- a/configcheck/rules.go
+++ b/configcheck/rules.go
@@ -20,9 +20,6 @@
 	minBurst = 1.0
 	// minColdPerSecond is the least rate at which one instance sends.
 	minColdPerSecond = 0.1
-	// targetWorkDivisor: a route's target divided by it is the work that instances expect
-	// of a request until they have measured it.
-	targetWorkDivisor = 3
 )
 
 // rules are the checks of what the instances accept.
@@ -188,10 +185,7 @@
 func leastWork(v *View) map[string]time.Duration {
 	work := map[string]time.Duration{}
 	for _, r := range v.Document.Rules {
-		w := pick.DefaultWork
-		if r.TargetLatency > 0 {
-			w = r.TargetLatency / targetWorkDivisor
-		}
+		w := pick.InitialWork(r.TargetLatency)
 		for _, p := range r.Parts {
 			if known := work[p.Service]; known == 0 || w < known {
 				work[p.Service] = w
--- a/gateway/estimates.go
+++ b/gateway/estimates.go
@@ -12,10 +12,6 @@
 // expected work; outliers hardly change the median.
 const workQuantile = 0.5
 
-// targetWorkDivisor: a route's target divided by it is the expected work until
-// the route has been measured.
-const targetWorkDivisor = 3
-
 // workKey identifies one kind of work: the requests of a route to one service.
 // Another service of the same route may need another time.
 type workKey struct{ route, service string }
@@ -84,10 +80,7 @@
 	defer w.mu.Unlock()
 	if w.quantiles[key] == nil {
 		w.quantiles[key] = &attempt.Quantile{}
-		w.initial[key] = pick.DefaultWork
-		if target > 0 {
-			w.initial[key] = target / targetWorkDivisor
-		}
+		w.initial[key] = pick.InitialWork(target)
 	}
 }
 
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -33,8 +33,11 @@
 	// coldSlowdown is the factor by which requests take longer at an upstream
 	// that has just started.
 	coldSlowdown = 2.0
-	// DefaultWork is assumed for a route without a measured Work.
+	// DefaultWork is assumed for a route without a measured Work and without a latency
+	// target.
 	DefaultWork = 100 * time.Millisecond
+	// targetWorkDivisor: a route's latency target divided by it is assumed as its Work.
+	targetWorkDivisor = 3
 	// noAnswerPace is the pace assumed for an upstream that did not answer. It
 	// is added to the pace of an upstream with a failed health check.
 	noAnswerPace = 6.0
@@ -43,6 +46,15 @@
 	AcceptableDelayFactor = 1.35
 )
 
+// InitialWork returns the Work that is assumed for a route until it is measured. target is the
+// route's latency target, 0 for none.
+func InitialWork(target time.Duration) time.Duration {
+	if target > 0 {
+		return target / targetWorkDivisor
+	}
+	return DefaultWork
+}
+
 // ahead returns the number of requests ahead of one more request.
 func (r *Report) ahead(sentSince int) int { return r.Running + r.Waiting + sentSince }
 
