--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -289,10 +289,9 @@
 // instance read from the store itself.
 const SourceStore = "store"
 
-// apply merges a delta into the copy, which is then complete as of confirmedAt, and proven to
-// be so as of provenAt.
-// It returns false if the delta leaves a gap, so that a full copy is needed. What
-// is new, and each confirmation by the store, is told to the instances that rely
+// apply merges a delta into the copy, which is then complete as of confirmedAt, and proven
+// complete as of provenAt. It returns false if the delta leaves a gap, so that a full copy is
+// needed. What is new, and each confirmation by the store, is told to the instances that rely
 // on this one.
 func (f *Fleet) apply(now time.Duration, d mirror.Delta, confirmedAt, provenAt time.Duration, source string) bool {
 	f.countSuspension()
