--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -161,8 +161,8 @@
 	// a configuration that a peer has said to be in force there.
 	synced       bool
 	peersVersion uint64
-	// proof is when the copy was last proven complete, published the same for CopyAge; nil
-	// until the copy was proven complete.
+	// proof is when the copy was last proven complete, published its copy for CopyAge, nil
+	// until the first copy counts.
 	proof     proof
 	published atomic.Pointer[publishedProof]
 
@@ -289,10 +289,9 @@
 // instance read from the store itself.
 const SourceStore = "store"
 
-// apply merges a delta into the copy, which is then complete as of confirmedAt, and proven to
-// be so as of provenAt.
-// It returns false if the delta leaves a gap, so that a full copy is needed. What
-// is new, and each confirmation by the store, is told to the instances that rely
+// apply merges a delta into the copy, which is then complete as of confirmedAt, and proven
+// complete as of provenAt. It returns false if the delta leaves a gap, so that a full copy is
+// needed. What is new, and each confirmation by the store, is told to the instances that rely
 // on this one.
 func (f *Fleet) apply(now time.Duration, d mirror.Delta, confirmedAt, provenAt time.Duration, source string) bool {
 	f.countSuspension()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,7 +6,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/attempt"
 	"github.com/catkinrouter/catkinrouter/customer"
 	"github.com/catkinrouter/catkinrouter/internal/netpeek"
@@ -43,10 +43,10 @@
 	// hasCustomers is set if the configuration has customers.
 	hasCustomers bool
 	// key is what the request carries. customer is the one that held it at the call's
-	// arrival, identified at its last attempt; nil for none.
-	key                  presentedKey
-	customer, identified *customer.Customer
-	// token is that of the customer's limit, if there is one.
+	// arrival, attemptCustomer the one at its last attempt; nil for none.
+	key                       presentedKey
+	customer, attemptCustomer *customer.Customer
+	// token was taken for the call if its customer has a limit.
 	token   ratelimit.Decision
 	service route.Service
 	arrived time.Duration
@@ -74,7 +74,7 @@
 	// leastCost is the queue of the call's service, nil with the order by priority.
 	leastCost *leastCostQueue
 	// orderInputs is set once inputs has determined them.
-	orderInputs *leastcost.Call
+	orderInputs *admission.Call
 	// silence fires when an attempt may count as lost.
 	silence *time.Timer
 	// contentDigest is set once content has computed it.
@@ -176,7 +176,7 @@
 		c.g.releaseChoice(ch)
 		return c.failureResult(reasonQuarantined), true
 	}
-	if refusal := c.identify(); refusal != nil {
+	if refusal := c.recheckKey(); refusal != nil {
 		c.g.releaseChoice(ch)
 		return c.keyRefusalResult(refusal), true
 	}
@@ -198,18 +198,21 @@
 	}
 	c.hedgeSearches++
 	work := c.work()
-	if c.quarantinedFor() > 0 || c.timeLeft() < work || c.g.estimates.fullnessOf(c.service.Name).Busy() || !c.g.retryBudgets.allowsHedge(c.g.now(), c.service.Name, c.priority()) {
+	if c.quarantinedFor() > 0 || c.timeLeft() < work || c.g.estimates.fullnessOf(c.service.Name).Busy() {
+		return
+	}
+	if !c.g.retryBudgets.allowsHedge(c.g.now(), c.service.Name, c.priority()) {
 		return
 	}
 	ch, ok := c.g.pickUpstream(c)
 	if !ok {
 		return
 	}
-	if c.identify() != nil {
+	if c.recheckKey() != nil {
 		c.g.releaseChoice(ch)
 		return
 	}
-	if ch.report == nil || ch.rateLimit.Named || ch.cold || ch.report.NearlyFull(ch.sentSince) || ch.report.Pace > maxHedgePace || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()) {
+	if !suitsHedge(&ch) || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()) {
 		c.g.releaseChoice(ch)
 		timer.Reset(hedgeRecheckDelay)
 		return
@@ -219,6 +222,14 @@
 	c.watchSilence()
 }
 
+// suitsHedge reports whether a hedge may be sent to the chosen upstream.
+func suitsHedge(ch *choice) bool {
+	if ch.report == nil || ch.rateLimit.Named || ch.cold {
+		return false
+	}
+	return !ch.report.NearlyFull(ch.sentSince) && ch.report.Pace <= maxHedgePace
+}
+
 // maxHedgePace is the pace above which an upstream is not used for a hedge.
 const maxHedgePace = 1.3
 
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -50,12 +50,14 @@
 	bucket        quota.ColdBucket
 }
 
+// setColdTable sets the routing table that holds the services' rates while cold.
 func (e *evidenceTable) setColdTable(t *route.Table) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cold.table = t
 }
 
+// setColdLimit sets the bound that turns these rates into limits.
 func (e *evidenceTable) setColdLimit(l ColdLimit) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -132,7 +134,7 @@
 	left, err := parseCold(resp.Header.PeekAll(g.proto.Cold))
 	if err != nil {
 		g.metrics.malformedCold.Inc(1)
-		g.logEvent("cold time ignored", "upstream", u.ID, "service", u.Service, "err", err)
+		g.logEvent("malformed cold time in health reply ignored", "upstream", u.ID, "service", u.Service, "err", err)
 		return
 	}
 	if g.evidence.observeCold(g.now(), u, left) {
--- a/gateway/queueorder.go
+++ b/gateway/queueorder.go
@@ -6,7 +6,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
-	leastcost "github.com/catkinrouter/catkinrouter/admission"
+	"github.com/catkinrouter/catkinrouter/admission"
 	"github.com/catkinrouter/catkinrouter/route"
 )
 
@@ -24,7 +24,7 @@
 // leastCostFor returns the queue of the least-cost order if it is in force for a service, or
 // nil. With the order by configuration it is where requests of the service differ in priority.
 func (g *Gateway) leastCostFor(t *route.Table, service string) *leastCostQueue {
-	if g.opt.QueueOrder == leastcost.ByConfiguration && !t.PrioritiesDiffer(service) {
+	if g.opt.QueueOrder == admission.ByConfiguration && !t.PrioritiesDiffer(service) {
 		return nil
 	}
 	return g.leastCost
@@ -32,13 +32,13 @@
 
 // inputs returns the inputs of the least-cost order. Whether the call is a retry is
 // decided when it is first asked for, at its arrival.
-func (c *call) inputs() leastcost.Call {
+func (c *call) inputs() admission.Call {
 	if c.orderInputs == nil {
 		left := cmp.Or(c.callerTime, c.deadline-c.arrived)
-		timing := leastcost.Timing{
+		timing := admission.Timing{
 			Arrived: c.arrived, Left: left, Usual: c.leastCost.usualDeadline(c.arrived, c.route.Name, left), Target: c.route.TargetLatency,
 		}
-		c.orderInputs = &leastcost.Call{
+		c.orderInputs = &admission.Call{
 			Priority: c.priority(), Arrived: c.arrived, Target: min(timing.TargetTime(), c.deadline), Deadline: c.deadline, Retrying: timing.IsRetry(),
 		}
 		c.leastCost.recordTarget(c.arrived, c.service.Name, cmp.Or(c.route.TargetLatency, left))
@@ -135,7 +135,7 @@
 		return 0
 	}
 	after := c.leastCost.promise(c.g.now(), c.service.Name, c.inputs())
-	return min(after, leastcost.MaxRetryAfter(c.timeLeft())-retryAfterJitter)
+	return min(after, admission.MaxRetryAfter(c.timeLeft())-retryAfterJitter)
 }
 
 // reject returns the result of a call that the queue turns away.
@@ -149,6 +149,7 @@
 	return c.failureResult(reason)
 }
 
+// recordRejection counts a call that the queue turned away, by reason and priority.
 func (m *metricSet) recordRejection(reason string, priority int) {
-	gometrics.GetOrRegisterCounter("queue_rejections_total."+reason+"."+leastcost.PriorityLabel(priority), m.registry).Inc(1)
+	gometrics.GetOrRegisterCounter("queue_rejections_total."+reason+"."+admission.PriorityLabel(priority), m.registry).Inc(1)
 }
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -9,19 +9,21 @@
 	"github.com/catkinrouter/catkinrouter/pick"
 )
 
-// silentLosses tells the services at whose upstreams silent losses were seen. It is safe for
+// silentLosses holds the services at whose upstreams silent losses were seen. It is safe for
 // concurrent use.
 type silentLosses struct {
 	mu    sync.Mutex
 	table pick.SilentLosses
 }
 
+// record records a silent loss at an upstream of a service.
 func (l *silentLosses) record(now time.Duration, service string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table.Record(now, service)
 }
 
+// recent reports whether a silent loss of the service was seen lately.
 func (l *silentLosses) recent(now time.Duration, service string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -34,7 +36,7 @@
 	return !c.heard.Load() && (isTimeout(err) || errors.Is(err, net.ErrClosed))
 }
 
-// recordSent records that the request is about to be written.
+// recordSent records when the request is written.
 func (t *try) recordSent(now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
