Tell listeners of a changed size in the directory, and mistrust a stepped clock

The size of the fleet that the store's directory names was not passed on if it arrived after the last change of the members, so that an instance that had just started divided the limits of customers by what it saw alone. And a wall clock that was set back made an old heartbeat seem to have arrived just now; a step now leaves the bound by the last read.

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -155,7 +155,7 @@
 		level.Info(f.opt.Log).Log("msg", "no kernel timestamps for datagrams: heartbeats that waited confirm less", "err", err)
 	}
 	buf, control := make([]byte, maxDatagramBytes), make([]byte, timestampBytes)
-	lastRead := f.opt.Now()
+	lastRead, lastOffset := f.opt.Now(), f.clockOffset()
 	for {
 		n, controlled, _, from, err := conn.ReadMsgUDPAddrPort(buf, control)
 		if errors.Is(err, net.ErrClosed) {
@@ -168,15 +168,25 @@
 		_ = f.opt.Guard.Run("datagram", func() {
 			// The datagram may have arrived as early as the last one was read.
 			waited := f.opt.Now() - lastRead
-			if exact, known := socketWait(time.Now(), control[:controlled]); known {
+			if exact, known := socketWait(time.Now(), control[:controlled]); known && (f.clockOffset()-lastOffset).Abs() < maxClockStep {
 				waited = min(waited, exact)
 			}
 			f.handleDatagram(from.String(), buf[:n], waited)
 		})
-		lastRead = f.opt.Now()
+		lastRead, lastOffset = f.opt.Now(), f.clockOffset()
 	}
 }
 
+// maxClockStep is the step of the wall clock since the last datagram from which the kernel's
+// timestamp, which is of the wall clock, does not tell how long a datagram waited.
+const maxClockStep = 20 * time.Millisecond
+
+// clockOffset returns the difference between the wall clock and Options.Now, which changes
+// when the wall clock is set.
+func (f *Fleet) clockOffset() time.Duration {
+	return time.Duration(time.Now().UnixNano()) - f.opt.Now()
+}
+
 // handleDatagram handles a datagram that has waited in the socket for at most the given time.
 func (f *Fleet) handleDatagram(from string, p []byte, waited time.Duration) {
 	if f.receiveTokens(from, p) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -149,8 +149,10 @@
 	notifiedVersion uint64 // version of the member list last passed to the Listener
 	// notifiedAllocators is the version of the leaders last passed to the Listener.
 	notifiedAllocators uint64
-	live               int // number of live instances
-	loggedRoles        string
+	// notifiedStored is the number of instances in the directory last passed to the Listener.
+	notifiedStored int
+	live           int // number of live instances
+	loggedRoles    string
 	// storedDirectory is the directory read from the store.
 	storedDirectory directory
 	packed          packedDeltas
@@ -276,11 +278,12 @@
 // notifyMembers passes the view of the fleet to the Listener if it changed.
 func (f *Fleet) notifyMembers() {
 	allocators := f.table.allocatorsVersion(f.opt.Now()) // may change the table's version
-	if v := f.table.Version(); v != f.notifiedVersion || allocators != f.notifiedAllocators {
-		f.notifiedVersion, f.notifiedAllocators = v, allocators
+	stored := f.storedDirectory.Live
+	if v := f.table.Version(); v != f.notifiedVersion || allocators != f.notifiedAllocators || stored != f.notifiedStored {
+		f.notifiedVersion, f.notifiedAllocators, f.notifiedStored = v, allocators, stored
 		view := f.table.View()
 		f.live = view.Live()
-		view.Allocators, view.Stored = f.table.allocators(f.opt.Now()), f.storedDirectory.Live
+		view.Allocators, view.Stored = f.table.allocators(f.opt.Now()), stored
 		f.listener.MembersChanged(f.opt.Now(), view)
 	}
 }
