Keep a silent attempt in flight when its call is sent again

The call is now sent to a further upstream only if one has room, and the silent attempt stays until one of them answers. The time that an attempt is expected to take is fixed when it starts.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -129,7 +129,7 @@
 		case <-hedge.C:
 			c.hedge(hedge)
 		case <-c.silence.C:
-			c.cancelLost()
+			c.resendLost()
 		case <-timeout.C:
 			return c.timeoutResult()
 		case <-callerCheck.C:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -39,8 +39,8 @@
 	// quarantinesLifted this instance's own decisions.
 	crashReports, quarantines, quarantinesLifted gometrics.Counter
 	// silentLosses counts the attempts that got no byte of a reply from an upstream that
-	// answers its health checks, silentCancels those cancelled to be sent again.
-	silentLosses, silentCancels gometrics.Counter
+	// answers its health checks, silentResends the calls sent again for that.
+	silentLosses, silentResends gometrics.Counter
 	hedges                      gometrics.Counter
 	handoffs                    gometrics.Counter
 	// unreadyLookups counts the lookups answered with instances that are not ready.
@@ -58,7 +58,7 @@
 		strayReplies: c("stray_replies_total"), malformedReplies: c("malformed_replies_total"), repeatedIDs: c("repeated_ids_total"),
 		coldSends: c("cold_sends_total"), coldPasses: c("cold_passes_total"), malformedCold: c("cold_malformed_total"),
 		crashes: c("upstream_crashes_total"), crashChecksSkipped: c("crash_checks_skipped_total"),
-		silentLosses: c("silent_losses_total"), silentCancels: c("silent_cancels_total"),
+		silentLosses: c("silent_losses_total"), silentResends: c("silent_resends_total"),
 		leaving: c("upstreams_leaving_total"), pauses: c("upstream_pauses_total"),
 		crashReports: c("crash_reports_total"), quarantines: c("quarantines_total"), quarantinesLifted: c("quarantines_lifted_total"),
 		rateLimitChanges: c("upstream_rate_limit_changes_total"), limitedSends: c("rate_limited_sends_total"),
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -58,7 +58,7 @@
 func (g *Gateway) recordEnd(c *call, t *try) {
 	now := g.now()
 	answered := t.report != nil && !t.report.Unhealthy // its probe, just before
-	lost := t.unheard && answered && pick.IsSilentLoss(t.took, c.expectedTime(t.choice), c.route.Timeout)
+	lost := t.unheard && answered && pick.IsSilentLoss(t.took, t.expected, c.route.Timeout)
 	g.evidence.update(t.upstream, func(ev *pick.Evidence) {
 		ev.Ended()
 		switch {
@@ -96,21 +96,27 @@
 
 // lostIn returns after how much more silence an attempt counts as lost.
 func (c *call) lostIn(t *try) time.Duration {
-	return pick.LostAfter(c.expectedTime(t.choice)) - t.silentFor(c.g.now())
+	return pick.LostAfter(t.expected) - t.silentFor(c.g.now())
 }
 
-// cancelLost cancels the attempts that count as lost, if the service loses requests and the
-// call could be sent again. The retry follows once the last of them has ended.
-func (c *call) cancelLost() {
-	if c.losesRequests() && c.couldRetry() {
-		for _, t := range c.inFlight {
-			if c.lostIn(t) <= 0 && t.cancel() {
-				c.g.metrics.silentCancels.Inc(1)
-				c.log("silent attempt cancelled", "upstream", t.upstream.ID, "conn", t.connNumber)
-			}
-		}
+// resendLost sends the call to a further upstream if its only attempt counts as lost and the
+// service loses requests. The silent attempt stays in flight: its upstream may be at work, and
+// if no other has room, only it can still answer.
+func (c *call) resendLost() {
+	defer c.watchSilence()
+	if len(c.inFlight) != 1 || c.lostIn(c.inFlight[0]) > 0 || !c.losesRequests() || !c.couldRetry() {
+		return
+	}
+	ch, ok := c.g.pickUpstream(c)
+	if !ok {
+		return
+	}
+	if c.recheckKey() != nil || !c.hasRoom(&ch) || !c.g.retryBudgets.take(c.g.now(), c.service.Name, c.priority()) {
+		c.g.releaseChoice(ch)
+		return
 	}
-	c.watchSilence()
+	c.g.metrics.silentResends.Inc(1)
+	c.inFlight = append(c.inFlight, c.launch(ch, "silent"))
 }
 
 // couldRetry reports whether the call could be sent again if its attempts in flight were
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -195,8 +195,8 @@
 			r = tg.call("GET", "/clue/1", fmt.Sprint("c-", i), "")
 		}
 		wantStatus(t, r, status)
-		if cancels := tg.g.metrics.silentCancels.Count(); (cancels > 0) != affected {
-			t.Errorf("affected %v: %d silent attempts cancelled", affected, cancels)
+		if cancels := tg.g.metrics.silentResends.Count(); (cancels > 0) != affected {
+			t.Errorf("affected %v: %d silent attempts sent again", affected, cancels)
 		}
 		select {
 		case <-a.disconnected:
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -46,6 +46,8 @@
 	upstream  *discovery.Upstream
 	reason    string
 	startedAt time.Duration
+	// expected is the time that the attempt was expected to take when it started.
+	expected time.Duration
 	// customer is the one that the request is sent for, nil for none.
 	customer *customer.Customer
 	// head is that of the call when the attempt was launched.
@@ -91,7 +93,7 @@
 // launch starts an attempt at the chosen upstream.
 func (c *call) launch(ch choice, reason string) *try {
 	t := &try{
-		choice: ch, upstream: ch.probeResult.upstream, reason: reason, startedAt: c.g.now(), customer: c.attemptCustomer, head: c.head,
+		choice: ch, upstream: ch.probeResult.upstream, reason: reason, startedAt: c.g.now(), expected: c.expectedTime(ch), customer: c.attemptCustomer, head: c.head,
 		resp: fasthttp.AcquireResponse(), memory: c.g.memory.Begin(membudget.Replies, 0),
 	}
 	c.tries = append(c.tries, t)
