Show that a stopped machine drops requests that wait for a slot

With backends that name a limit below the load, orders wait at a machine for a slot. It gets SIGTERM, and 5.5 s later it ends and closes their connections without an answer, about 6 s after it read them, with time left and no backend at work on them.

A draining instance holds no part of the upstreams' limits, so what waits there can't be sent; waitForRoom in gateway/admission.go goes on until the deadline of a retry, and shutDown in gateway/shutdown.go ends the process before.

--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -58,6 +58,9 @@
 	addr     string
 	slots    int
 	work     time.Duration
+	// limit is what the backend names as the requests a second that it takes from all
+	// machines together, empty for none.
+	limit string
 
 	mu               sync.Mutex
 	running, waiting int
@@ -68,9 +71,9 @@
 }
 
 // newBackend starts a backend of a service on an address of its own and registers it.
-func (s *site) newBackend(l *ledger, service string, number, slots int, work time.Duration) (*backend, error) {
+func (s *site) newBackend(l *ledger, service string, number, slots int, work time.Duration, limit string) (*backend, error) {
 	zones := []string{"bole", "kirkos", "yeka"}
-	b := &backend{site: s, ledger: l, service: service, id: fmt.Sprintf("i-%08x", 0x51f30000+number), zone: zones[number%len(zones)], slots: slots, work: work, free: make(chan struct{}, slots), born: time.Now().UnixMilli()}
+	b := &backend{site: s, ledger: l, service: service, id: fmt.Sprintf("i-%08x", 0x51f30000+number), zone: zones[number%len(zones)], slots: slots, work: work, limit: limit, free: make(chan struct{}, slots), born: time.Now().UnixMilli()}
 	ln, err := net.Listen("tcp4", fmt.Sprintf("%s%d:8384", s.prefix, 100+number))
 	if err != nil {
 		return nil, err
@@ -103,6 +106,9 @@
 	h := w.Header()
 	b.mu.Lock()
 	h.Set(proto.Load, fmt.Sprintf("%d,%d,%d,100", b.running, b.waiting, b.slots))
+	if b.limit != "" {
+		h.Set(proto.RateLimit, b.limit)
+	}
 	full := b.waiting >= 4*b.slots
 	b.mu.Unlock()
 	if r.URL.Path == "/health" {
--- a/review/stand/entries.go
+++ b/review/stand/entries.go
@@ -32,7 +32,7 @@
 		if i >= 6 {
 			service = "desk2"
 		}
-		if _, err := s.newBackend(l, service, i, 3, 50*time.Millisecond); err != nil {
+		if _, err := s.newBackend(l, service, i, 3, 50*time.Millisecond, ""); err != nil {
 			return 0, err
 		}
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -10,6 +10,7 @@
 // cases are the scripts, by name. Each returns how often the rule was broken.
 var cases = map[string]func(r *record, trouble bool) (broken int, err error){
 	"entries": playEntries,
+	"stop":    playStop,
 }
 
 // Exit codes of a script.
