Show that changed settings reset the retry budget

While backends reject 55 in 100 requests, each machine gets one SIGHUP after which retryBudgetSlack is 61 instead of 62. The machines repeat requests as if none had been repeated before: 195 repeats in 10 s for 500 requests, allowed 162.

At fault is setLimits in gateway/retrybudget.go, which drops the counts of the present window if any bound differs.

--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -61,6 +63,8 @@
 	// limit is what the backend names as the requests a second that it takes from all
 	// machines together, empty for none.
 	limit string
+	// shed is the share of requests that it rejects although it has room.
+	shed atomic.Uint64 // in thousandths
 
 	mu               sync.Mutex
 	running, waiting int
@@ -123,7 +127,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if full {
+	if full || uint64(rand.IntN(1000)) < b.shed.Load() {
 		b.ledger.add(a)
 		h.Set(proto.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken int, err error){
 	"entries": playEntries,
 	"stop":    playStop,
+	"reload":  playReload,
 }
 
 // Exit codes of a script.
