--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -18,7 +18,7 @@
 	stopLimit     = "4" // requests a second of each backend, 24 of all
 	quoteDeadline = 6 * time.Second
 	orderDeadline = 8 * time.Second // also timeoutMs of the route
-	// lookupLife is how long clients keep an answer of the directory: its ttlS.
+	// lookupLife is how long clients keep an answer of the directory.
 	lookupLife = 2 * time.Second
 	// Between rounds of requests, of one quote each.
 	quiet = 100 * time.Millisecond
