Date what a heartbeat proves by its sender's clock

Cause: a heartbeat said how old the sender's copy was, and the receiver added how long the datagram might have waited, which it took for the time since the last read of the socket. Behind the first datagram after a pause that is nothing. Nothing was added for the time in a link or in a sender that stood still, and each instance passed the error on.

Ruled out as the only cause: the standstill itself. Heartbeats that wait for the fleet's lock do the same.

Change: heartbeats name moments of the sender's clock, and echo the newest heartbeat from the receiver. The receiver places them on its own clock by that round trip, with a bound that is never too late; a peer without one confirms nothing. Ages are rounded up. The clock of proofs counts suspensions, so the account of suspensions beside them is gone. Logged and counted: process stood still, heartbeat was late.

In TestSuspensionCountsAtOnce the age after a reply from before the suspension is now wanted exactly, as of when the store's wait was over: 59.55 s; the bound of a minute counted the reply as older than it was. The simulated store answers no waiting call while it is away.

--- a/fleet/copyage.go
+++ b/fleet/copyage.go
@@ -8,75 +8,43 @@
 // AgeUnknown is the age of a copy of the store that was never proven complete.
 const AgeUnknown = time.Duration(math.MaxInt64)
 
-// proof is when the copy was last proven complete. It is stricter than reader.confirmedAt,
-// which decides when the store is read and counts a message as of the time at which this
-// process read it. A process that was stopped finds old messages in its sockets: they prove
-// nothing about the time for which they waited there.
+// proof is when the copy was last proven complete, by Options.Elapsed. It is stricter than
+// reader.confirmedAt, which decides when the store is read and counts the reply to a watch as
+// of the time at which this process read it.
 type proof struct {
 	known bool // false if the copy was never proven complete
 	at    time.Duration
-	// suspended is the time since at for which the machine was suspended, suspensionSeenAt
-	// when that was last noticed.
-	suspended, suspensionSeenAt time.Duration
 }
 
 // provenNever is the time at which a copy was proven complete that never was.
 const provenNever = time.Duration(math.MinInt64)
 
-// prove records that the copy was complete at a time, or provenNever. A time before a
-// suspension was noticed may be one before the suspension.
+// prove records that the copy was complete at a time, or provenNever.
 func (p *proof) prove(at time.Duration) {
 	if at == provenNever || p.known && at <= p.at {
 		return
 	}
 	p.known, p.at = true, at
-	if at > p.suspensionSeenAt {
-		p.suspended = 0
-	}
-}
-
-// countSuspension records that the machine was suspended since the last proof.
-func (p *proof) countSuspension(now, lost time.Duration) {
-	p.suspended += lost
-	p.suspensionSeenAt = now
 }
 
 // age returns the time since the copy was proven complete, or AgeUnknown.
-func (p *proof) age(now time.Duration) time.Duration {
+func (p *proof) age(elapsed time.Duration) time.Duration {
 	if !p.known {
 		return AgeUnknown
 	}
-	return now - p.at + p.suspended
+	return elapsed - p.at
 }
 
-// publishedProof is a copy of the last proof that CopyAge reads without the lock.
-type publishedProof struct {
-	proof
-	// suspendedTotal is what Options.Suspended had returned when proof.suspended was counted.
-	suspendedTotal time.Duration
-}
-
-// CopyAge returns the time since the copy was last proven complete, with the time for
-// which the machine was suspended until now. It returns AgeUnknown if the copy never was,
-// and at a start while a peer may have a newer configuration. The Listener has received all
-// changes that the proof covers. It takes no lock: the lock is held while a configuration is
-// decoded.
+// CopyAge returns the time since the copy was last proven complete. It returns AgeUnknown if
+// the copy never was, and at a start while a peer may have a newer configuration. The Listener
+// has received all changes that the proof covers. It takes no lock: the lock is held while a
+// configuration is decoded.
 func (f *Fleet) CopyAge() time.Duration {
 	p := f.published.Load()
 	if p == nil {
 		return AgeUnknown
 	}
-	return p.age(f.opt.Now()) + f.suspendedSince(p.suspendedTotal)
-}
-
-// provenAge returns the age of the copy with the suspension that was not counted yet, or
-// AgeUnknown. It is called with the lock held.
-func (f *Fleet) provenAge(now time.Duration) time.Duration {
-	age := f.proof.age(now)
-	if age == AgeUnknown {
-		return age
-	}
-	return age + f.suspendedSince(f.suspended)
+	return p.age(f.opt.Elapsed())
 }
 
 // firstSyncWait is how long an instance that starts waits for the end of a first sync before
@@ -94,22 +62,9 @@
 // the Listener has received what the proof covers.
 func (f *Fleet) publishProof() {
 	if f.proof.known && (f.published.Load() != nil || f.firstCopyCounts()) {
-		f.published.Store(&publishedProof{f.proof, f.suspended})
-	}
-}
-
-// minSuspension is the shortest suspension that is counted; less is the
-// difference between two clocks that are not read at the same moment.
-const minSuspension = 100 * time.Millisecond
-
-// suspendedSince returns the time for which the machine was suspended since
-// Options.Suspended returned total.
-func (f *Fleet) suspendedSince(total time.Duration) time.Duration {
-	lost := f.opt.Suspended() - total
-	if lost < minSuspension {
-		return 0
+		p := f.proof
+		f.published.Store(&p)
 	}
-	return lost
 }
 
 // replyProvesAt returns the time as of which the reply to a sync that began at a time proves
@@ -124,9 +79,9 @@
 // watchProvesAt returns the time as of which a watch proves the copy complete. Its reply may
 // have waited in the socket of a process that was stopped. The store may have written a reply
 // with changes at any time since the call began, one without them only when the wait was over.
-func watchProvesAt(now time.Duration, c dueRead, changes int) time.Duration {
+func watchProvesAt(elapsed time.Duration, c dueRead, changes int) time.Duration {
 	if changes > 0 {
 		return c.began
 	}
-	return min(now, c.began+c.wait)
+	return min(elapsed, c.began+c.wait)
 }
--- a/fleet/copyage_test.go
+++ b/fleet/copyage_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -21,12 +20,15 @@
 func newAgingFleet() *agingFleet {
 	a := &agingFleet{now: 10 * time.Second}
 	a.Fleet = New(Options{
-		Self: info(1), Now: func() time.Duration { return a.now }, Suspended: func() time.Duration { return a.slept },
+		Self: info(1), Now: func() time.Duration { return a.now }, Elapsed: func() time.Duration { return a.now + a.slept },
 		Log: log.NewNopLogger(), Guard: panics.Guard{Log: log.NewNopLogger()}, OnStoreCall: func(string) {},
 	}, nil, &recordingListener{values: map[string]string{}})
 	return a
 }
 
+// Elapsed returns the time with the suspension.
+func (a *agingFleet) Elapsed() time.Duration { return a.now + a.slept }
+
 // read makes the result of a watch known that began at a time and waited for a second.
 func (a *agingFleet) read(began time.Duration, revision store.Revision, items ...mirror.Item) {
 	a.handleReadResult(dueRead{kind: callWatch, wait: time.Second, began: began}, mirror.Delta{Base: a.copy.Revision(), Full: a.copy.Revision() == 0, Revision: revision, Items: items}, nil)
@@ -57,15 +59,13 @@
 	a.read(9*time.Second, 5)
 	a.slept, a.now = time.Minute, a.now+50*time.Millisecond
 	a.wantAge(t, "before the tick", time.Minute+50*time.Millisecond)
-	if age := a.newHeartbeat(0).ProvenAgeMillis; age < 60_000 {
+	if age := a.newHeartbeat(unusedAddress, 0).ProvenAgeMillis; age < 60_000 {
 		t.Errorf("heartbeat names an age of %d ms", age)
 	}
-	a.read(9500*time.Millisecond, 5)
-	if age := a.CopyAge(); age < time.Minute {
-		t.Errorf("a reply from before the suspension makes the copy %v old", age)
-	}
+	a.read(9500*time.Millisecond, 5) // the store answered at 10.5 s
+	a.wantAge(t, "after a reply from before the suspension", a.Elapsed()-10500*time.Millisecond)
 	a.now += time.Second
-	a.read(a.now-time.Second/2, 5)
+	a.read(a.Elapsed()-time.Second/2, 5)
 	if age := a.CopyAge(); age > time.Second {
 		t.Errorf("a read after the suspension leaves the copy %v old", age)
 	}
@@ -107,42 +107,19 @@
 	a.wantAge(t, "watch with a change", 19*time.Second)
 	a.read(11500*time.Millisecond, 7, mirror.Item{Key: "k", Revision: 7})
 	a.wantAge(t, "later watch with a change", 18500*time.Millisecond)
-	beat := heartbeat{Format: heartbeatFormat, Incarnation: 1, Revision: 7, AgeMillis: 300, ProvenAgeMillis: 300}
-	a.handleDatagram(info(2).Address, beat.encode(), 19*time.Second)
+	// The peer's clock is 100 s ahead of this one.
+	const ahead = 100 * time.Second
+	beat := heartbeat{Format: heartbeatFormat, Incarnation: 1, Revision: 7, AgeMillis: 300, ProvenAgeMillis: 300, SentAt: ahead + 11*time.Second}
+	a.table.UpdateMember(a.now, info(2), State{})
+	a.handleDatagram(info(2).Address, beat.encode())
+	a.wantAge(t, "heartbeat of a peer whose clock is unknown", 18500*time.Millisecond)
+	beat.EchoIncarnation, beat.EchoSentAt, beat.EchoReceivedAt = info(1).Incarnation, 10*time.Second, ahead+10*time.Second
+	a.handleDatagram(info(2).Address, beat.encode())
 	a.wantAge(t, "heartbeat that waited", 18500*time.Millisecond)
-	a.handleDatagram(info(2).Address, beat.encode(), 0)
-	a.wantAge(t, "heartbeat", 300*time.Millisecond)
-}
-
-// A heartbeat that waited in the socket, as of a process that stood still, confirmed the copy as
-// of the moment at which it was read.
-func TestWaitOfDatagrams(t *testing.T) {
-	sockets := listen(t)
-	started := time.Now()
-	a := newAgingFleet()
-	a.opt.Now = func() time.Duration { return 10*time.Second + time.Since(started) }
-	a.read(9*time.Second, 5)
-	out, err := net.Dial("udp4", sockets.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer out.Close()
-	beat := heartbeat{Format: heartbeatFormat, Incarnation: 1, Revision: 5}
-	if _, err := out.Write(beat.encode()); err != nil {
-		t.Fatal(err)
-	}
-	const pause = 300 * time.Millisecond
-	time.Sleep(pause)
-	before := a.CopyAge()
-	done := make(chan error)
-	go func() { done <- a.receive(sockets.udp) }()
-	time.Sleep(pause / 10) // until it is read
-	sockets.Close()
-	if err := <-done; err != nil {
-		t.Fatal(err)
-	}
-	if age := a.CopyAge(); age < before {
-		t.Errorf("a heartbeat that waited for %v makes the copy %v old, before %v", pause, age, before)
+	beat.SentAt = ahead + a.now
+	a.handleDatagram(info(2).Address, beat.encode())
+	if age, want := a.CopyAge(), 300*time.Millisecond; age < want || age > want+time.Duration(maxClockDrift*float64(20*time.Second)) {
+		t.Errorf("heartbeat: age %v, want %v and what clocks may drift in 20 s", age, want)
 	}
 }
 
--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -39,7 +39,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opt.Now()
-	f.countSuspension()
+	f.noticePause()
+	f.aliveAt = f.opt.Elapsed()
 	f.publishProof()
 	if b := f.reader.blind(now); b != f.state.Blind {
 		f.state.Blind = b
@@ -59,20 +60,6 @@
 	return HeartbeatInterval
 }
 
-// countSuspension adds the time for which the machine was suspended to the age of
-// the copy: the clock that Now reads did not count it.
-func (f *Fleet) countSuspension() {
-	lost := f.suspendedSince(f.suspended)
-	if lost == 0 {
-		return
-	}
-	f.suspended += lost
-	f.reader.countSuspension(f.opt.Now(), lost)
-	f.proof.countSuspension(f.opt.Now(), lost)
-	f.publishProof()
-	level.Warn(f.opt.Log).Log("msg", "machine was suspended", "for", lost, "copy_age", f.reader.age(f.opt.Now()))
-}
-
 // logRoleChange logs the hubs and the leaders of this data centre if they
 // changed.
 func (f *Fleet) logRoleChange(now time.Duration) {
@@ -102,7 +89,7 @@
 // sendHeartbeat sends one heartbeat. A lost datagram needs no retry, since the
 // next heartbeat carries the current state.
 func (f *Fleet) sendHeartbeat(to string, flags uint8) {
-	f.send(to, f.newHeartbeat(flags).encode())
+	f.send(to, f.newHeartbeat(to, flags).encode())
 }
 
 // sendUDP sends p to the peer address to. Failures are only logged.
@@ -117,16 +104,19 @@
 	}
 }
 
-// newHeartbeat returns a heartbeat with this instance's current state.
-func (f *Fleet) newHeartbeat(flags uint8) heartbeat {
+// newHeartbeat returns a heartbeat to the peer with this instance's current state.
+func (f *Fleet) newHeartbeat(to string, flags uint8) heartbeat {
+	f.noticePause()
 	b := heartbeat{
-		Format: heartbeatFormat, Flags: flags, Incarnation: f.opt.Self.Incarnation, Count: f.state.Count,
+		Format: heartbeatFormat, Flags: flags, Incarnation: f.opt.Self.Incarnation, Count: f.state.Count, SentAt: f.opt.Elapsed(),
 		Revision: f.copy.Revision(), AgeMillis: ageUnknown, ProvenAgeMillis: ageUnknown, Members: f.publishedVersion,
 	}
+	r := f.table.receivedFrom(to)
+	b.EchoIncarnation, b.EchoSentAt, b.EchoReceivedAt = r.incarnation, r.sentAt, r.receivedAt
 	if f.reader.confirmed {
 		b.AgeMillis = ageMillis(f.reader.age(f.opt.Now()))
 	}
-	if age := f.provenAge(f.opt.Now()); age != AgeUnknown {
+	if age := f.proof.age(b.SentAt); age != AgeUnknown {
 		b.ProvenAgeMillis = ageMillis(age)
 	}
 	for _, s := range []struct {
@@ -152,7 +142,6 @@
 // receive handles heartbeats and warnings until the socket is closed.
 func (f *Fleet) receive(conn *net.UDPConn) error {
 	buf := make([]byte, maxDatagramBytes)
-	lastRead := time.Duration(0) // the socket is older than this loop
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -162,18 +151,12 @@
 			continue // the error concerns the destination of an earlier datagram
 		}
 		// A panic is logged; the sender sends its state again.
-		_ = f.opt.Guard.Run("datagram", func() {
-			// The datagram may have arrived as early as the last one was read. The kernel's
-			// timestamps don't tell: the first ones after they were enabled are of the read.
-			waited := f.opt.Now() - lastRead
-			f.handleDatagram(from.String(), buf[:n], waited)
-		})
-		lastRead = f.opt.Now()
+		_ = f.opt.Guard.Run("datagram", func() { f.handleDatagram(from.String(), buf[:n]) })
 	}
 }
 
-// handleDatagram handles a datagram that has waited in the socket for at most the given time.
-func (f *Fleet) handleDatagram(from string, p []byte, waited time.Duration) {
+// handleDatagram handles a datagram, which may have waited in the socket for any time.
+func (f *Fleet) handleDatagram(from string, p []byte) {
 	if f.receiveTokens(from, p) {
 		return
 	}
@@ -190,7 +173,7 @@
 		level.Warn(f.opt.Log).Log("msg", "datagram ignored", "from", from, "err", err)
 		return
 	}
-	f.handleHeartbeat(from, b.delayed(waited))
+	f.handleHeartbeat(from, b)
 }
 
 // handleHeartbeat records a peer's heartbeat, replies to it and queues a sync if
@@ -198,7 +181,9 @@
 func (f *Fleet) handleHeartbeat(from string, b heartbeat) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noticePause()
 	now := f.opt.Now()
+	f.recordClock(from, b)
 	known := f.table.ReceiveHeartbeat(now, from, b.Incarnation, State{
 		Ready: b.Flags&flagReady != 0, Leaving: b.Flags&flagLeaving != 0, Blind: b.Flags&flagBlind != 0, Count: b.Count,
 	})
@@ -215,7 +200,7 @@
 		}
 		f.sendHeartbeat(from, flags)
 	}
-	f.confirmFrom(now, b)
+	f.confirmFrom(now, from, b)
 	f.tellLacksStore(now, lackedStore)
 	newer := b.Revision > f.copy.Revision()
 	if newer && f.behindSince == 0 {
@@ -229,26 +214,57 @@
 	f.notifyMembers()
 }
 
+// recordClock records what a peer's heartbeat tells of its clock.
+func (f *Fleet) recordClock(from string, b heartbeat) {
+	m := f.table.members[from]
+	if m == nil {
+		return
+	}
+	elapsed := f.opt.Elapsed()
+	if b.EchoIncarnation == f.opt.Self.Incarnation && b.EchoReceivedAt > 0 && b.EchoSentAt <= elapsed {
+		m.clock.observe(b.Incarnation, b.EchoSentAt, b.EchoReceivedAt)
+	}
+	m.received = receivedHeartbeat{incarnation: b.Incarnation, sentAt: b.SentAt, receivedAt: elapsed}
+}
+
+// lateHeartbeat is the time on its way from which a heartbeat is logged and counted.
+const lateHeartbeat = time.Second
+
 // confirmFrom records a peer's confirmation of its copy as one of this copy, if
-// this copy is at least as new.
-func (f *Fleet) confirmFrom(now time.Duration, b heartbeat) {
+// this copy is at least as new. The confirmation is as of the moment at which the heartbeat was
+// made, so one of a peer whose clock is not known proves nothing.
+func (f *Fleet) confirmFrom(now time.Duration, from string, b heartbeat) {
+	elapsed := f.opt.Elapsed()
+	sentAt, ok := f.table.ownTimeOf(from, b, elapsed)
+	if !ok {
+		return
+	}
+	if delay := elapsed - sentAt; delay >= lateHeartbeat {
+		f.counts.LateHeartbeats++
+		level.Info(f.opt.Log).Log("msg", "heartbeat was late", "from", from, "delay", delay, "copy_age", f.proof.age(elapsed))
+	}
 	if b.Revision > f.copy.Revision() || f.copy.Revision() == 0 {
 		return
 	}
-	f.countSuspension()
 	if b.ProvenAgeMillis != ageUnknown {
-		f.proof.prove(now - time.Duration(b.ProvenAgeMillis)*time.Millisecond)
+		f.proof.prove(sentAt - time.Duration(b.ProvenAgeMillis)*time.Millisecond)
 		f.publishProof()
 	}
 	if b.AgeMillis == ageUnknown {
 		return
 	}
-	at := now - time.Duration(b.AgeMillis)*time.Millisecond
-	if at > f.reader.confirmedAt && f.reader.confirm(at) {
+	at := sentAt - time.Duration(b.AgeMillis)*time.Millisecond
+	if f.confirm(now, at) {
 		f.listener.StoreRecovered(now)
 	}
 }
 
+// confirm records that the copy was complete at a time of Options.Elapsed. It returns true if
+// this ends an outage of the store.
+func (f *Fleet) confirm(now, at time.Duration) (returned bool) {
+	return f.reader.confirm(now - (f.opt.Elapsed() - at))
+}
+
 // updateListSources requests the whole list from each new source. What this
 // instance learned from the previous source may be wrong, such as members that
 // it took for silent, and the new source may not have changed it since. The same
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -106,10 +106,10 @@
 	// WatchWait is the longest time between two replies of the store to a hub; 0 stands
 	// for watchWait.
 	WatchWait time.Duration
-	// Now returns the time since the process started, Suspended the total time
-	// for which the machine was suspended, which Now does not count.
-	Now       func() time.Duration
-	Suspended func() time.Duration
+	// Now returns the time since the process started, Elapsed the same with the time for
+	// which the machine was suspended, which Now does not count; Now if nil.
+	Now     func() time.Duration
+	Elapsed func() time.Duration
 	// Jitter returns random numbers between 0 and 1; rand.Float64 if nil.
 	Jitter func() float64
 	Log    log.Logger
@@ -157,8 +157,11 @@
 	storedDirectory directory
 	packed          packedDeltas
 	counts          Status // only the counters are set
-	// suspended is the value of opt.Suspended that the copy's age includes.
+	// suspended is the suspension of the machine since the start that the copy's age
+	// includes.
 	suspended time.Duration
+	// aliveAt is the time of the last tick by Options.Elapsed, 0 before the first.
+	aliveAt time.Duration
 	// synced is set once a sync with a peer has ended. peersVersion is the newest version of
 	// a configuration that a peer has said to be in force there.
 	synced       bool
@@ -166,7 +169,7 @@
 	// proof is when the copy was last proven complete, published its copy for CopyAge, nil
 	// until the first copy counts.
 	proof     proof
-	published atomic.Pointer[publishedProof]
+	published atomic.Pointer[proof]
 
 	warningLimiter, forwardLimiter *rate.Limiter
 	crashReports, crashForwards    crashLimiter
@@ -193,8 +196,8 @@
 	if opt.Jitter == nil {
 		opt.Jitter = rand.Float64
 	}
-	if opt.Suspended == nil {
-		opt.Suspended = func() time.Duration { return 0 }
+	if opt.Elapsed == nil {
+		opt.Elapsed = opt.Now
 	}
 	f := &Fleet{
 		opt: opt, source: source, listener: listener,
@@ -204,7 +207,7 @@
 		crashReports:   newCrashLimiter(maxCrashReportsPerSecond), crashForwards: newCrashLimiter(maxCrashForwardsPerSecond),
 		send:           func(string, []byte) {},
 		memberVersions: map[string]uint64{}, syncing: map[string]time.Duration{}, live: 1,
-		suspended: opt.Suspended(), peers: newPeerClients(), wake: make(chan struct{}, 1), tickNow: make(chan struct{}, 1), syncs: newSyncQueues(),
+		peers: newPeerClients(), wake: make(chan struct{}, 1), tickNow: make(chan struct{}, 1), syncs: newSyncQueues(),
 	}
 	f.reader.start(opt.FirstStart, slices.Contains(opt.Seeds, opt.Self.Address), opt.DirectoryKey != "", opt.Jitter())
 	return f
@@ -293,11 +296,10 @@
 const SourceStore = "store"
 
 // apply merges a delta into the copy, which is then complete as of confirmedAt, and proven
-// complete as of provenAt. It returns false if the delta leaves a gap, so that a full copy is
+// complete as of provenAt, both by Options.Elapsed. It returns false if the delta leaves a gap, so that a full copy is
 // needed. What is new, and each confirmation by the store, is told to the instances that rely
 // on this one.
 func (f *Fleet) apply(now time.Duration, d mirror.Delta, confirmedAt, provenAt time.Duration, source string) bool {
-	f.countSuspension()
 	before := f.copy.Revision()
 	first := before == 0
 	changed, ok := f.copy.Apply(d)
@@ -309,7 +311,7 @@
 	if restored {
 		level.Warn(f.opt.Log).Log("msg", "store came back from an older copy", "source", source, "revision_before", before, "revision", f.copy.Revision())
 	}
-	if f.reader.confirm(confirmedAt) || restored {
+	if f.confirm(now, confirmedAt) || restored {
 		level.Info(f.opt.Log).Log("msg", "store recovered", "source", source, "revision", f.copy.Revision())
 		f.listener.StoreRecovered(now)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -290,7 +290,7 @@
 	var slept time.Duration
 	f := New(Options{
 		Self: Info{Address: "10.0.0.1:1"}, Now: func() time.Duration { return 10 * time.Second },
-		Suspended: func() time.Duration { return slept }, Log: log.NewNopLogger(),
+		Elapsed: func() time.Duration { return 10*time.Second + slept }, Log: log.NewNopLogger(),
 	}, nil, &recordingListener{values: map[string]string{}})
 	f.reader.confirm(9900 * time.Millisecond)
 	slept = 5 * time.Second
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -25,6 +25,7 @@
 // and must not make a copy look newer or fresher than it is.
 func FuzzDatagram(f *testing.F) {
 	f.Add("10.0.0.2:1", heartbeat{Format: heartbeatFormat, Flags: flagReady | flagReply, Incarnation: 1, Revision: 9, AgeMillis: 3}.encode())
+	f.Add("10.0.0.2:1", heartbeat{Format: heartbeatFormat, Incarnation: 1, SentAt: time.Hour, Revision: 5, EchoIncarnation: 1, EchoSentAt: 9 * time.Second, EchoReceivedAt: time.Hour}.encode())
 	f.Add("10.0.0.3:1", Warning{Format: warningFormat, Upstream: 7, Weight: 50, Forward: true}.encode())
 	f.Add("10.0.0.3:1", CrashReport{Format: crashReportFormat, Content: [16]byte{7}, Upstream: 7, RanMillis: 50, Forward: true}.encode())
 	f.Add("10.0.0.3:1", TokenRequest{Number: 3, Customer: 7, Want: 2, Waiting: 1}.encode())
@@ -36,11 +37,11 @@
 		in.table.UpdateMember(now, info(2), State{Ready: true})
 		in.copy.Apply(mirror.Delta{Full: true, Revision: 5})
 		for range 3 {
-			in.handleDatagram(from, p, 0)
+			in.handleDatagram(from, p)
 			in.tick()
 		}
-		if in.copy.Revision() != 5 || in.reader.confirmed && in.reader.confirmedAt > now {
-			t.Errorf("revision %d, confirmed at %v", in.copy.Revision(), in.reader.confirmedAt)
+		if in.copy.Revision() != 5 || in.reader.confirmed && in.reader.confirmedAt > now || in.proof.at > now {
+			t.Errorf("revision %d, confirmed at %v, proven at %v", in.copy.Revision(), in.reader.confirmedAt, in.proof.at)
 		}
 	})
 }
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -17,19 +17,26 @@
 	Incarnation uint64
 	// Count orders the states of one incarnation.
 	Count uint32
+	// SentAt is when the heartbeat was made, by the sender's clock.
+	SentAt time.Duration
 	// Revision is the revision of the sender's copy of the store.
 	Revision store.Revision
-	// AgeMillis is the time since the copy was last confirmed complete, or
-	// ageUnknown.
+	// AgeMillis is the time from the last confirmation that the copy is complete to SentAt,
+	// or ageUnknown.
 	AgeMillis uint32
-	// ProvenAgeMillis is the time since the copy was last proven complete, or ageUnknown.
+	// ProvenAgeMillis is the time from the last proof that the copy is complete to SentAt,
+	// or ageUnknown.
 	ProvenAgeMillis uint32
+	// EchoIncarnation and EchoSentAt name the newest heartbeat that the sender had received
+	// from the receiver, EchoReceivedAt when that was, by the sender's clock; 0 for none.
+	EchoIncarnation            uint64
+	EchoSentAt, EchoReceivedAt time.Duration
 	// Members is the version of the sender's member list.
 	Members uint64
 }
 
 // heartbeatFormat changes with the layout of a heartbeat.
-const heartbeatFormat = 4
+const heartbeatFormat = 5
 
 // Flags of a heartbeat.
 const (
@@ -63,18 +70,20 @@
 	if len(p) != binary.Size(b) || p[0] != heartbeatFormat {
 		return b, errHeartbeat
 	}
-	return b, binary.Read(bytes.NewReader(p), binary.BigEndian, &b)
-}
-
-// delayed returns the heartbeat with its proven age increased by the time for which it waited
-// in the socket.
-func (b heartbeat) delayed(waited time.Duration) heartbeat {
-	if b.ProvenAgeMillis != ageUnknown {
-		b.ProvenAgeMillis = ageMillis(time.Duration(b.ProvenAgeMillis)*time.Millisecond + waited)
+	if err := binary.Read(bytes.NewReader(p), binary.BigEndian, &b); err != nil {
+		return b, err
 	}
-	return b
+	for _, at := range []time.Duration{b.SentAt, b.EchoSentAt, b.EchoReceivedAt} {
+		if at < 0 || at > maxElapsed {
+			return b, errHeartbeat
+		}
+	}
+	return b, nil
 }
 
+// maxElapsed bounds the times of a heartbeat, so that sums of them do not overflow.
+const maxElapsed = 20 * 365 * 24 * time.Hour
+
 // Warning is a datagram that reports a failed request to an upstream, or that an
 // upstream says that it is leaving, so that other instances learn of it without requests
 // of their own.
@@ -108,7 +117,9 @@
 	return w, binary.Read(bytes.NewReader(p), binary.BigEndian, &w) == nil
 }
 
-// ageMillis converts age to milliseconds, capped below ageUnknown.
+// ageMillis converts age to milliseconds, capped below ageUnknown. It rounds up: an age that
+// is passed on again and again must not fall.
 func ageMillis(age time.Duration) uint32 {
-	return uint32(min(max(0, age.Milliseconds()), int64(ageUnknown)-1))
+	millis := (max(0, age) + time.Millisecond - 1) / time.Millisecond
+	return uint32(min(millis, time.Duration(ageUnknown)-1))
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -57,6 +57,10 @@
 	// addedAt is when the member was added, lastHeard when it last sent a
 	// heartbeat or sync itself; 0 for never.
 	addedAt, lastHeard time.Duration
+	// clock relates the member's clock to that of this instance, received is its newest
+	// heartbeat.
+	clock    peerClock
+	received receivedHeartbeat
 	// lacksStore is set if the member's last heartbeat said that the store does
 	// not answer it.
 	lacksStore bool
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -74,11 +74,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opt.Now()
-	f.countSuspension()
+	f.noticePause()
 	f.counts.SyncsServed++
 	f.table.UpdateMember(now, args.Info, args.State)
 	reply.Info, reply.State = f.opt.Self, f.state
-	reply.Proven, reply.Age, reply.ProvenAge = f.reader.confirmed, f.reader.age(now), f.provenAge(now)
+	reply.Proven, reply.Age, reply.ProvenAge = f.reader.confirmed, f.reader.age(now), f.proof.age(f.opt.Elapsed())
 	reply.Members = f.table.ChangedSince(now, args.Members, args.Info.DataCentre)
 	reply.Summaries, reply.Version = f.table.summariesSince(args.Members), f.table.Version()
 	f.notifyMembers()
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -59,17 +59,18 @@
 	after store.Revision
 	// rank is this instance's place among the hubs, or -1.
 	rank int
-	// began is when the call began, or for a first copy its proving watch.
+	// began is when the call began, or for a first copy its proving watch, by
+	// Options.Elapsed.
 	began time.Duration
 }
 
 func (f *Fleet) nextRead() dueRead {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.opt.Now()
-	c := dueRead{rank: f.table.HubRank(now), after: f.copy.Revision(), began: now}
+	now, elapsed := f.opt.Now(), f.opt.Elapsed()
+	c := dueRead{rank: f.table.HubRank(now), after: f.copy.Revision(), began: elapsed}
 	c.kind, c.wait = f.reader.due(now, readState{
-		rank: c.rank, hasCopy: c.after > 0, live: f.live, isolated: f.table.isolated(now), leader: f.table.IsLeader(now), lacksStore: f.lacksStore(now), provenAge: f.provenAge(now),
+		rank: c.rank, hasCopy: c.after > 0, live: f.live, isolated: f.table.isolated(now), leader: f.table.IsLeader(now), lacksStore: f.lacksStore(now), provenAge: f.proof.age(elapsed),
 	}, f.opt.Jitter())
 	return c
 }
@@ -84,11 +85,11 @@
 	if d, err = f.source.ReadAllStale(ctx); err != nil {
 		return d, 0, err
 	}
-	began = f.opt.Now()
+	began = f.opt.Elapsed()
 	changes, err := f.source.Watch(ctx, d.Revision, firstWatchWait)
 	switch {
 	case store.IsKind(err, store.NotFound): // the history since the stale copy is gone
-		began = f.opt.Now()
+		began = f.opt.Elapsed()
 		d, err = f.source.ReadAll(ctx)
 	case err == nil:
 		d = d.Append(changes)
@@ -101,6 +102,7 @@
 func (f *Fleet) handleReadResult(c dueRead, d mirror.Delta, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noticePause()
 	now := f.opt.Now()
 	f.opt.OnStoreCall(outcomeOf(err))
 	if c.kind == callWatch && store.IsKind(err, store.NotFound) {
@@ -119,7 +121,8 @@
 	}
 	confirmedAt, provenAt := c.began, c.began
 	if c.kind == callWatch {
-		confirmedAt, provenAt = now, watchProvesAt(now, c, len(d.Items))
+		confirmedAt = f.opt.Elapsed()
+		provenAt = watchProvesAt(confirmedAt, c, len(d.Items))
 	} else {
 		f.reader.fullReadDue = false
 	}
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -48,6 +48,8 @@
 	watches  []func()
 	calls    float64 // store calls at their price
 	storeOut bool
+	// answeredAt is when the store last answered a read.
+	answeredAt time.Duration
 	// maxProvenAge and watchWait are those of the instances' Options.
 	maxProvenAge, watchWait time.Duration
 	// trace is a digest of all that was sent.
@@ -159,7 +161,7 @@
 	target := in.s.byAddress[to]
 	in.transmit(datagramBytes, func() {
 		if target != nil {
-			target.exec(target.run, receiveCost, func() { target.f.handleDatagram(in.info.Address, p, 0) })
+			target.exec(target.run, receiveCost, func() { target.f.handleDatagram(in.info.Address, p) })
 		}
 	})
 }
--- a/fleet/simulationstore_test.go
+++ b/fleet/simulationstore_test.go
@@ -12,10 +12,15 @@
 func (s *simulation) watch(c dueRead, done func(mirror.Delta, error)) {
 	ended := false
 	end := func() {
-		if !ended {
-			ended = true
+		switch {
+		case ended:
+			return
+		case s.storeOut:
+			done(mirror.Delta{}, &store.Error{Kind: store.Unavailable})
+		default:
 			done(s.since(c.after), nil)
 		}
+		ended = true
 	}
 	if s.revision > c.after {
 		s.At(s.Now+storeLatency, end)
@@ -46,10 +51,12 @@
 }
 
 func (s *simulation) full() mirror.Delta {
+	s.answeredAt = s.Now
 	return mirror.Delta{Full: true, Revision: s.revision, Items: append([]mirror.Item(nil), s.items...)}
 }
 
 func (s *simulation) since(after store.Revision) mirror.Delta {
+	s.answeredAt = s.Now
 	d := mirror.Delta{Base: after, Revision: s.revision}
 	for _, it := range s.items {
 		if it.Revision > after {
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -23,6 +23,9 @@
 	// served, and its own syncs that failed. RoleChanges counts the changes of
 	// the hubs and of the leaders of its data centre.
 	SyncsServed, SyncsFailed, RoleChanges int64
+	// Pauses counts the times at which this process was seen to have stood still,
+	// LateHeartbeats the heartbeats that took lateHeartbeat or longer.
+	Pauses, LateHeartbeats int64
 }
 
 // Status returns the current status.
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -94,7 +94,7 @@
 // syncFrom fetches members and changes of the store from the peer.
 func (f *Fleet) syncFrom(ctx context.Context, from string) {
 	args := f.syncArgs(from)
-	began := f.opt.Now()
+	began := f.opt.Elapsed()
 	var reply SyncReply
 	err := f.peers.call(ctx, from, "Peer.Sync", &args, &reply)
 	f.handleSyncReply(from, &args, began, &reply, err)
@@ -119,10 +119,11 @@
 	}
 }
 
-// handleSyncReply merges the reply of a sync that began at the time began.
+// handleSyncReply merges the reply of a sync that began at a time of Options.Elapsed.
 func (f *Fleet) handleSyncReply(from string, args *SyncArgs, began time.Duration, reply *SyncReply, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noticePause()
 	delete(f.syncing, from)
 	if err != nil {
 		f.counts.SyncsFailed++
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -132,6 +132,23 @@
 	return true
 }
 
+// receivedFrom returns the newest heartbeat of the member at address, or the zero value.
+func (t *Table) receivedFrom(address string) (r receivedHeartbeat) {
+	if m := t.members[address]; m != nil {
+		r = m.received
+	}
+	return r
+}
+
+// ownTimeOf returns when the member at address made a heartbeat, as peerClock.ownTimeOf does.
+func (t *Table) ownTimeOf(address string, b heartbeat, elapsed time.Duration) (at time.Duration, ok bool) {
+	m := t.members[address]
+	if m == nil {
+		return 0, false
+	}
+	return m.clock.ownTimeOf(b, elapsed)
+}
+
 // UpdateMember records the Info and State that an instance sent about itself.
 func (t *Table) UpdateMember(now time.Duration, i Info, s State) {
 	if i.Address == t.self {
--- a/fleet/tokens_test.go
+++ b/fleet/tokens_test.go
@@ -58,11 +58,11 @@
 	var to string
 	var sent []byte
 	f.send = func(a string, p []byte) { to, sent = a, p }
-	f.handleDatagram("10.0.0.9:1", TokenRequest{Number: 4, Customer: 7, Want: 3}.encode(), 0)
+	f.handleDatagram("10.0.0.9:1", TokenRequest{Number: 4, Customer: 7, Want: 3}.encode())
 	if to != "10.0.0.9:1" {
 		t.Errorf("answered at %q", to)
 	}
-	f.handleDatagram("10.0.0.9:1", sent, 0)
+	f.handleDatagram("10.0.0.9:1", sent)
 	if len(listener.granted) != 1 || listener.granted[0].Number != 4 || listener.granted[0].Granted != 3 {
 		t.Errorf("received %+v", listener.granted)
 	}
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -69,7 +69,8 @@
 		"fleet_copy_age_ms": s.CopyAge.Milliseconds(), "fleet_copy_revision": s.Revision.Count(), "fleet_copy_epoch": s.Revision.Epoch(),
 		"fleet_syncs_total.served": s.SyncsServed, "fleet_syncs_total.failed": s.SyncsFailed,
 		"fleet_role_changes_total": s.RoleChanges,
-		"quarantined":              n.countQuarantined(),
+		"fleet_pauses_total":       s.Pauses, "fleet_late_heartbeats_total": s.LateHeartbeats,
+		"quarantined": n.countQuarantined(),
 	} {
 		gometrics.GetOrRegisterGauge(name, n.registry).Update(value)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,7 @@
 		FirstStart: settings.FirstStart, Seeds: settings.Seeds, DirectoryKey: adapter.Keys.Directory,
 		MaxCopyAge:   time.Duration(maxCopyAgeShare * float64(settings.MaxChangeDelay)),
 		MaxProvenAge: maxProvenAge(settings), WatchWait: watchWait(settings),
-		Now: n.now, Suspended: suspended, Log: logs.WithPart(l, "fleet"),
+		Now: n.now, Elapsed: elapsedClock(n.now), Log: logs.WithPart(l, "fleet"),
 		Guard: n.guard, Metrics: n.registry,
 		OnStoreCall: func(outcome string) {
 			gometrics.GetOrRegisterCounter("store_calls_total."+outcome, n.registry).Inc(1)
