Date a watch's reply strictly if it waited for the process

What was seen: after a standstill of 4 s the reply to a watch that had waited in the socket confirmed the copy as of now, and heartbeats passed that on (AgeMillis 0). Those who hear it don't read the store until the age has grown again, also if nobody else can read it: a change would be in force later than the platform asks.

Cause: the age by which the store is read counted a watch as of the time at which its reply was read. That holds while the process runs, and is kept so, since it saves calls while the store is slow; it doesn't hold once the process stood still during the watch.

Change: such a reply counts as of what it proves, as for keys. TestReplyFromBeforeAStandstillConfirmsNothingNew fails without it (age 0 s, wanted 3 s).

--- a/fleet/copyage_test.go
+++ b/fleet/copyage_test.go
@@ -123,6 +123,33 @@
 	}
 }
 
+// The reply to a watch that waited while the process stood still confirmed the copy as of now, and
+// so a hub that woke kept the others from reading the store.
+func TestReplyFromBeforeAStandstillConfirmsNothingNew(t *testing.T) {
+	for _, items := range [][]mirror.Item{nil, {{Key: "k", Revision: 6}}} {
+		a := newAgingFleet()
+		a.tick()
+		a.read(9*time.Second, 5)
+		began := a.now
+		a.now += 4 * time.Second
+		a.read(began, 6, items...)
+		least := 3 * time.Second // the watch waited for a second at most
+		if age := a.Status().CopyAge; age < least {
+			t.Errorf("%d changes: the copy was confirmed %v ago, want %v or more", len(items), age, least)
+		}
+		if age := a.newHeartbeat(unusedAddress, 0).AgeMillis; age < ageMillis(least) {
+			t.Errorf("%d changes: peers are told of a confirmation %d ms ago", len(items), age)
+		}
+		a.tick()
+		began = a.now
+		a.now += 800 * time.Millisecond
+		a.read(began, 7)
+		if age := a.Status().CopyAge; age > 0 {
+			t.Errorf("a reply without a standstill confirms the copy as of %v ago", age)
+		}
+	}
+}
+
 // With a bound of 2 s for keys, instances read the store at 1 s and hubs watch for 0.5 s: no
 // copy may come near 1.2 s, from which an instance is not ready, while the store answers.
 func TestCopiesStayReadyForKeys(t *testing.T) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -160,8 +160,9 @@
 	// suspended is the suspension of the machine since the start that the copy's age
 	// includes.
 	suspended time.Duration
-	// aliveAt is the time of the last tick by Options.Elapsed, 0 before the first.
-	aliveAt time.Duration
+	// aliveAt is the time of the last tick, resumedAt when this process was last seen to
+	// have stood still, both by Options.Elapsed; 0 for never.
+	aliveAt, resumedAt time.Duration
 	// synced is set once a sync with a peer has ended. peersVersion is the newest version of
 	// a configuration that a peer has said to be in force there.
 	synced       bool
--- a/fleet/pause.go
+++ b/fleet/pause.go
@@ -24,7 +24,7 @@
 	if f.aliveAt == 0 || lost < pauseAfter {
 		return
 	}
-	f.aliveAt = elapsed
+	f.aliveAt, f.resumedAt = elapsed, elapsed
 	f.table.resume(f.opt.Now(), lost-suspended)
 	f.counts.Pauses++
 	level.Warn(f.opt.Log).Log("msg", "process stood still", "for", lost, "copy_age", f.proof.age(elapsed))
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -98,7 +98,8 @@
 }
 
 // handleReadResult processes the result of a store call. A read shows the store's
-// state as of its beginning, a watch as of now.
+// state as of its beginning, a watch as of now, unless its reply may have waited while this
+// process stood still.
 func (f *Fleet) handleReadResult(c dueRead, d mirror.Delta, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -121,8 +122,11 @@
 	}
 	confirmedAt, provenAt := c.began, c.began
 	if c.kind == callWatch {
-		confirmedAt = f.opt.Elapsed()
-		provenAt = watchProvesAt(confirmedAt, c, len(d.Items))
+		elapsed := f.opt.Elapsed()
+		provenAt = watchProvesAt(elapsed, c, len(d.Items))
+		if confirmedAt = elapsed; c.began < f.resumedAt {
+			confirmedAt = provenAt
+		}
 	} else {
 		f.reader.fullReadDue = false
 	}
