Let customers' tokens and leases end during a suspension

What was seen: after the machine was suspended for a minute, an instance still admitted requests of a customer from a lease of 3 s (TestLeaseEndsDuringASuspension, status 200; the clock of the code before doesn't advance then). Its allocator had given the rate to others meanwhile, so the sum could exceed the customer's limit.

A stopped process was covered, since leases are dated by the question that they answer and an allocator notices that it was stopped. A suspension was not: the steady clock leaves it out.

Change: customers' limits run by the clock that counts suspensions. A lease that the allocator charged until its end has ended at its holder then too, and an allocator that was suspended notices it like one that was stopped.

--- a/gateway/customerlimit.go
+++ b/gateway/customerlimit.go
@@ -10,7 +10,8 @@
 	"github.com/catkinrouter/catkinrouter/ratelimit"
 )
 
-// customerLimits holds what this instance spends and allocates of customers' limits.
+// customerLimits holds what this instance spends and allocates of customers' limits. Its times
+// are those of Options.Elapsed: tokens and leases end while the machine is suspended.
 type customerLimits struct {
 	self    string
 	metrics *customerMetrics
--- a/gateway/customerlimit_test.go
+++ b/gateway/customerlimit_test.go
@@ -30,6 +30,7 @@
 type limitedGateway struct {
 	*testGateway
 	skipped atomic.Int64 // added to the clock, in nanoseconds
+	slept   atomic.Int64 // the time for which the machine was suspended, in nanoseconds
 }
 
 // newLimitedGateway returns a gateway that has run for long, with the allocator at the
@@ -41,6 +42,7 @@
 		o.PeerAddress = ownPeer
 		o.Limits.CustomerQuota = CustomerQuota{Window: 5 * time.Second, Overshoot: 0.1, Slack: 0}
 		o.Now = func() time.Duration { return time.Since(began) + time.Minute + time.Duration(lg.skipped.Load()) }
+		o.Elapsed = func() time.Duration { return o.Now() + time.Duration(lg.slept.Load()) }
 	})
 	lg.g.hooks.AskTokens, lg.g.proto.Customer = hook, "Customer"
 	lg.g.SetFleet(Fleet{
@@ -142,6 +144,27 @@
 	}
 }
 
+// A lease went on after a suspension of the machine, during which its allocator had given its
+// tokens to others.
+func TestLeaseEndsDuringASuspension(t *testing.T) {
+	s := newStub(t, "u1", answerOK)
+	var lg *limitedGateway
+	var asked atomic.Int64
+	lg = newLimitedGateway(t, otherPeer, customer.Limit{PerSecond: 50, Burst: 1}, func(_ string, q ratelimit.Question) {
+		if asked.Add(1) > 1 {
+			return // the allocator no longer answers
+		}
+		time.AfterFunc(time.Millisecond, func() {
+			lg.g.ReceiveTokens(ratelimit.Reply{Number: q.Number, Customer: q.Customer, Granted: 1, Lease: 50})
+		})
+	}, s)
+	lg.g.customerLimits.setQuota(CustomerQuota{Window: 5 * time.Second})
+	wantStatus(t, lg.get(limitedKey, "granted", time.Second), 200)
+	wantStatus(t, lg.get(limitedKey, "leased", time.Second), 200)
+	lg.slept.Add(int64(time.Minute))
+	wantStatus(t, lg.get(limitedKey, "after", time.Second), 503)
+}
+
 // A request that was admitted and then refused unsent must leave its token to the next.
 func TestUnsentRequestReturnsToken(t *testing.T) {
 	lg := newLimitedGateway(t, ownPeer, customer.Limit{PerSecond: 0.01, Burst: 1}, nil)
--- a/gateway/customertoken.go
+++ b/gateway/customertoken.go
@@ -20,8 +20,8 @@
 // takeToken takes a token for a call of the customer, which must be answered by deadline.
 // It waits for the customer's allocator for at most ratelimit.ReplyTimeout.
 func (g *Gateway) takeToken(c *customer.Customer, deadline time.Duration) ratelimit.Decision {
-	now := g.now()
-	until := min(now+ratelimit.ReplyTimeout, deadline)
+	now := g.opt.Elapsed()
+	until := now + min(ratelimit.ReplyTimeout, deadline-g.now())
 	d, questions, wake := g.customerLimits.take(now, c, true, now >= until)
 	g.sendQuestions(questions)
 	if d.Verdict != ratelimit.Wait {
@@ -33,9 +33,9 @@
 		select {
 		case <-wake:
 		case <-t.C:
-			t.Reset(max(0, min(ratelimit.RepeatAfter, until-g.now())))
+			t.Reset(max(0, min(ratelimit.RepeatAfter, until-g.opt.Elapsed())))
 		}
-		now = g.now()
+		now = g.opt.Elapsed()
 		d, questions, wake = g.customerLimits.take(now, c, false, now >= until)
 		g.sendQuestions(questions)
 	}
@@ -77,19 +77,19 @@
 	if c.token.Verdict != ratelimit.Admitted || !unsent {
 		return
 	}
-	c.g.customerLimits.giveBack(c.g.now(), c.customer.Name, c.token)
+	c.g.customerLimits.giveBack(c.g.opt.Elapsed(), c.customer.Name, c.token)
 }
 
 // AnswerTokens answers a question of the instance at the peer address from.
 func (g *Gateway) AnswerTokens(from string, q ratelimit.Question) ratelimit.Reply {
-	return g.customerLimits.answer(g.now(), from, q)
+	return g.customerLimits.answer(g.opt.Elapsed(), from, q)
 }
 
 // ReceiveTokens takes a reply of another instance.
 func (g *Gateway) ReceiveTokens(r ratelimit.Reply) {
-	g.customerLimits.receiveFromPeer(g.now(), r)
+	g.customerLimits.receiveFromPeer(g.opt.Elapsed(), r)
 }
 
 // MaintainCustomerLimits must be called at least twice a second: an instance that was
 // stopped for longer may have been replaced as an allocator.
-func (g *Gateway) MaintainCustomerLimits() { g.customerLimits.maintain(g.now()) }
+func (g *Gateway) MaintainCustomerLimits() { g.customerLimits.maintain(g.opt.Elapsed()) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,8 +36,10 @@
 	MaxCallers int
 	// QueueOrder is the order in which calls wait for a slot.
 	QueueOrder admission.QueueOrder
-	Now        func() time.Duration
-	Seed       uint64
+	// Now returns the time since the process started, Elapsed the same with the time for
+	// which the machine was suspended, which Now does not count; Now if nil.
+	Now, Elapsed func() time.Duration
+	Seed         uint64
 }
 
 // Limits are the settings that may change while a Gateway runs.
@@ -138,6 +140,9 @@
 // New returns a Gateway without a configuration, which refuses all requests.
 func New(opt Options, proto Protocol, logger log.Logger, registry gometrics.Registry) *Gateway {
 	metrics := newMetricSet(registry)
+	if opt.Elapsed == nil {
+		opt.Elapsed = opt.Now
+	}
 	g := &Gateway{
 		opt: opt, proto: proto, log: logger, now: opt.Now, metrics: metrics, guard: panics.Guard{Log: logger, Count: metrics.panics},
 		pool: newPool(metrics), memory: membudget.New(opt.MemoryBytes), evidence: newEvidenceTable(), estimates: newWorkEstimates(), queue: newWaitQueue(),
@@ -159,7 +164,7 @@
 	}, registry)
 	g.callers.SetTimeouts(defaultTimeouts)
 	registerMemory(registry, g.memory)
-	g.customerLimits = newCustomerLimits(opt.Now(), opt.PeerAddress, metrics)
+	g.customerLimits = newCustomerLimits(opt.Elapsed(), opt.PeerAddress, metrics)
 	g.SetLimits(opt.Limits)
 	g.registerKeysServed(registry)
 	return g
@@ -267,7 +272,7 @@
 	g.liveCount.Store(int64(live))
 	g.retryBudgets.setInstances(now, live)
 	g.probeBudget.setCounts(0, live)
-	g.customerLimits.setFleet(now, f, live)
+	g.customerLimits.setFleet(g.opt.Elapsed(), f, live)
 	own := quota.Fleet{Self: g.opt.Address, DataCentre: g.opt.DataCentre, Live: f.Live, Usable: addressesIn(f.Usable, g.opt.DataCentre)}
 	if len(own.Usable) == 0 && g.keys.maxAge.Load() > 0 {
 		// They still serve: without holders, the upstreams' limits would admit nothing.
--- a/node/node.go
+++ b/node/node.go
@@ -86,10 +86,11 @@
 		rng: rand.New(rand.NewPCG(seed, 2)), upstreams: discovery.New(), maintainNow: make(chan struct{}, 1),
 		quarantineChanged: make(chan struct{}, 1), evacuations: evacuations{},
 	}
+	elapsed := elapsedClock(n.now)
 	n.guard = panics.Guard{Log: n.log, Count: gometrics.GetOrRegisterCounter("panics_total", n.registry)}
 	n.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Address: settings.DataAddress, PeerAddress: settings.PeerAddress, Limits: gatewayLimits(settings), MemoryBytes: settings.MemoryBytes,
-		MaxCallers: connlimit.MaxCallers(connlimit.Descriptors(settings.MaxDescriptors, n.log)), QueueOrder: settings.QueueOrder, Now: n.now, Seed: seed,
+		MaxCallers: connlimit.MaxCallers(connlimit.Descriptors(settings.MaxDescriptors, n.log)), QueueOrder: settings.QueueOrder, Now: n.now, Elapsed: elapsed, Seed: seed,
 	}, adapter.Protocol, logs.WithPart(l, "gateway"), n.registry)
 	n.gateway.SetHooks(gateway.Hooks{
 		UpstreamFailed: func(key uint64, weight float64) {
@@ -110,7 +111,7 @@
 		FirstStart: settings.FirstStart, Seeds: settings.Seeds, DirectoryKey: adapter.Keys.Directory,
 		MaxCopyAge:   time.Duration(maxCopyAgeShare * float64(settings.MaxChangeDelay)),
 		MaxProvenAge: maxProvenAge(settings), WatchWait: watchWait(settings),
-		Now: n.now, Elapsed: elapsedClock(n.now), Log: logs.WithPart(l, "fleet"),
+		Now: n.now, Elapsed: elapsed, Log: logs.WithPart(l, "fleet"),
 		Guard: n.guard, Metrics: n.registry,
 		OnStoreCall: func(outcome string) {
 			gometrics.GetOrRegisterCounter("store_calls_total."+outcome, n.registry).Inc(1)
