Take no read of the store from messages that waited for an agent

What was seen: an agent that stood still for 10 s handled an exchange from before it, and took the store for read 1 ms ago instead of 10 s; it told its peers, and all put off their next read of the store by up to 2.5 s.

The table drops heartbeats that come within a second after a standstill, since they may be older than they say; the age of the newest read, in the same message, was believed.

Change: no read is taken from what comes then; a watch counts no newer read.

--- a/agent/node.go
+++ b/agent/node.go
@@ -144,7 +144,9 @@
 
 // processMessage handles the fields of a message that the Table does not read.
 func (n *Node) processMessage(now time.Duration, address string, m *membership.Message) []Action {
-	n.scheduler.observePeerRead(now, m.ReadAge)
+	if !n.table.Late(now) { // else the read is older than ReadAge
+		n.scheduler.observePeerRead(now, m.ReadAge)
+	}
 	n.entry.leaving.addRemote(now, m.Leaving)
 	if n.entry.quarantine.add(now, m.Quarantined) {
 		n.entry.requestSync()
@@ -198,7 +200,11 @@
 	if !changed {
 		return nil
 	}
-	n.scheduler.readDone(now, now, key, nil)
+	began := now
+	if n.table.Late(now) { // the store may have answered long ago
+		began = n.scheduler.lastOwnRead
+	}
+	n.scheduler.readDone(now, began, key, nil)
 	return append(n.Accept(now, h), n.replica.restoreIfLost(h, key)...)
 }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -202,7 +202,7 @@
 		t.counts.Malformed++
 		return err
 	}
-	if now-t.lastTick >= pauseLimit || now < t.lateEnd {
+	if t.Late(now) {
 		t.counts.Late++
 		return nil // its heartbeats may be older than their Age
 	}
@@ -219,6 +219,12 @@
 	return nil
 }
 
+// Late reports whether this process stood still until lately, so that what it receives now may
+// have waited for it.
+func (t *Table) Late(now time.Duration) bool {
+	return now-t.lastTick >= pauseLimit || now < t.lateEnd
+}
+
 // mergeBeat merges a heartbeat received from the peer with key from.
 func (t *Table) mergeBeat(now time.Duration, b Beat, from Key) {
 	if b.Key == t.self.Key {
