Count reads of the store that seem hardly newer as one

What was seen: while the store was away for 20 s from 12 simulated agents, whose messages take up to 60 ms, one took it for read 17.6 s ago; after a minute 47.8 s (a trial). Operators read that age (ReadAge), and the next read is put off by it.

Cause: the age of the newest read leaves out the time that a message is under way, and the younger age was believed each time, so the error grew with every exchange.

Change: a read that peers tell of replaces the known one if it is more than a second newer. Reads are 2.5 s apart, so what seems newer by less is the known one. Heartbeats of agents don't have this: a counter tells which is newer.

TestReadDoesNotGetYounger fails on the code before.

--- a/agent/platform_scheduler.go
+++ b/agent/platform_scheduler.go
@@ -32,6 +32,9 @@
 	// maxStoreReadAge is the age of this instance's own newest read from which
 	// the store counts as unreachable.
 	maxStoreReadAge = 90 * time.Second
+	// sameRead is the time within which two reads that peers tell of count as one. It is
+	// above the time that a message is under way and below storeReadInterval.
+	sameRead = time.Second
 	// never stands for the time of an event that has not happened.
 	never = -time.Hour
 )
@@ -105,10 +108,11 @@
 }
 
 // observePeerRead records the age in milliseconds of the newest store read that
-// a peer knows of; 0 means that it knows of none.
+// a peer knows of; 0 means that it knows of none. The age lacks the time that the message
+// was under way, so a read that seems hardly newer is the one that is known.
 func (s *platformScheduler) observePeerRead(now time.Duration, age uint32) {
-	if age > 0 {
-		s.lastRead = max(s.lastRead, now-time.Duration(age)*time.Millisecond)
+	if at := now - time.Duration(age)*time.Millisecond; age > 0 && at > s.lastRead+sameRead {
+		s.lastRead = at
 	}
 }
 
--- a/agent/platform_scheduler_test.go
+++ b/agent/platform_scheduler_test.go
@@ -51,3 +51,22 @@
 		}
 	}
 }
+
+// Agents that told each other of the last read of the store left out the time on the way, again
+// and again: after a minute without the store they took it for read 48 s ago.
+func TestReadDoesNotGetYounger(t *testing.T) {
+	f := newFleet(12, 1)
+	f.delay = 60 * time.Millisecond
+	f.advance(20 * time.Second)
+	f.storePartitioned = func(*host) bool { return true }
+	f.advance(2 * f.delay) // calls that were under way
+	away := f.Now
+	for range 12 {
+		f.advance(5 * time.Second)
+		for _, h := range f.hosts {
+			if age, least := h.now()-h.node.scheduler.lastRead, f.Now-away-2*sameRead; age < least {
+				t.Fatalf("%s: the store, away for %v, counts as read %v ago", h.id, f.Now-away, age)
+			}
+		}
+	}
+}
