Read the clocks of the fleet once for each message

A confirmation was also placed by the difference of two readings, between which the process may be stopped.

Change: readClocks reads both clocks, once, and notices a standstill; what is judged gets their times. A confirmation is placed by the suspensions that were counted, which no stop between two readings can change.

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -38,9 +38,8 @@
 func (f *Fleet) tick() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.opt.Now()
-	f.noticePause()
-	f.aliveAt = f.opt.Elapsed()
+	now, elapsed := f.readClocks()
+	f.aliveAt = elapsed
 	f.publishProof()
 	if b := f.reader.blind(now); b != f.state.Blind {
 		f.state.Blind = b
@@ -106,17 +105,17 @@
 
 // newHeartbeat returns a heartbeat to the peer with this instance's current state.
 func (f *Fleet) newHeartbeat(to string, flags uint8) heartbeat {
-	f.noticePause()
+	now, elapsed := f.readClocks()
 	b := heartbeat{
-		Format: heartbeatFormat, Flags: flags, Incarnation: f.opt.Self.Incarnation, Count: f.state.Count, SentAt: f.opt.Elapsed(),
+		Format: heartbeatFormat, Flags: flags, Incarnation: f.opt.Self.Incarnation, Count: f.state.Count, SentAt: elapsed,
 		Revision: f.copy.Revision(), AgeMillis: ageUnknown, ProvenAgeMillis: ageUnknown, Members: f.publishedVersion,
 	}
 	r := f.table.receivedFrom(to)
 	b.EchoIncarnation, b.EchoSentAt, b.EchoReceivedAt = r.incarnation, r.sentAt, r.receivedAt
 	if f.reader.confirmed {
-		b.AgeMillis = ageMillis(f.reader.age(f.opt.Now()))
+		b.AgeMillis = ageMillis(f.reader.age(now))
 	}
-	if age := f.proof.age(b.SentAt); age != AgeUnknown {
+	if age := f.proof.age(elapsed); age != AgeUnknown {
 		b.ProvenAgeMillis = ageMillis(age)
 	}
 	for _, s := range []struct {
@@ -126,7 +125,7 @@
 		{f.state.Ready, flagReady},
 		{f.state.Leaving, flagLeaving},
 		{f.state.Blind, flagBlind},
-		{f.lacksStore(f.opt.Now()), flagLacksStore},
+		{f.lacksStore(now), flagLacksStore},
 	} {
 		if s.set {
 			b.Flags |= s.flag
@@ -181,9 +180,8 @@
 func (f *Fleet) handleHeartbeat(from string, b heartbeat) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noticePause()
-	now := f.opt.Now()
-	f.recordClock(from, b)
+	now, elapsed := f.readClocks()
+	f.recordClock(elapsed, from, b)
 	known := f.table.ReceiveHeartbeat(now, from, b.Incarnation, State{
 		Ready: b.Flags&flagReady != 0, Leaving: b.Flags&flagLeaving != 0, Blind: b.Flags&flagBlind != 0, Count: b.Count,
 	})
@@ -200,7 +198,7 @@
 		}
 		f.sendHeartbeat(from, flags)
 	}
-	f.confirmFrom(now, from, b)
+	f.confirmFrom(now, elapsed, from, b)
 	f.tellLacksStore(now, lackedStore)
 	newer := b.Revision > f.copy.Revision()
 	if newer && f.behindSince == 0 {
@@ -215,12 +213,11 @@
 }
 
 // recordClock records what a peer's heartbeat tells of its clock.
-func (f *Fleet) recordClock(from string, b heartbeat) {
+func (f *Fleet) recordClock(elapsed time.Duration, from string, b heartbeat) {
 	m := f.table.members[from]
 	if m == nil {
 		return
 	}
-	elapsed := f.opt.Elapsed()
 	if b.EchoIncarnation == f.opt.Self.Incarnation && b.EchoReceivedAt > 0 && b.EchoSentAt <= elapsed {
 		m.clock.observe(b.Incarnation, b.EchoSentAt, b.EchoReceivedAt)
 	}
@@ -233,8 +230,7 @@
 // confirmFrom records a peer's confirmation of its copy as one of this copy, if
 // this copy is at least as new. The confirmation is as of the moment at which the heartbeat was
 // made, so one of a peer whose clock is not known proves nothing.
-func (f *Fleet) confirmFrom(now time.Duration, from string, b heartbeat) {
-	elapsed := f.opt.Elapsed()
+func (f *Fleet) confirmFrom(now, elapsed time.Duration, from string, b heartbeat) {
 	sentAt, ok := f.table.ownTimeOf(from, b, elapsed)
 	if !ok {
 		return
@@ -254,17 +250,11 @@
 		return
 	}
 	at := sentAt - time.Duration(b.AgeMillis)*time.Millisecond
-	if f.confirm(now, at) {
+	if f.confirm(at) {
 		f.listener.StoreRecovered(now)
 	}
 }
 
-// confirm records that the copy was complete at a time of Options.Elapsed. It returns true if
-// this ends an outage of the store.
-func (f *Fleet) confirm(now, at time.Duration) (returned bool) {
-	return f.reader.confirm(now - (f.opt.Elapsed() - at))
-}
-
 // updateListSources requests the whole list from each new source. What this
 // instance learned from the previous source may be wrong, such as members that
 // it took for silent, and the new source may not have changed it since. The same
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -297,9 +297,9 @@
 const SourceStore = "store"
 
 // apply merges a delta into the copy, which is then complete as of confirmedAt, and proven
-// complete as of provenAt, both by Options.Elapsed. It returns false if the delta leaves a gap, so that a full copy is
-// needed. What is new, and each confirmation by the store, is told to the instances that rely
-// on this one.
+// complete as of provenAt, both by Options.Elapsed. It returns false if the delta leaves a gap,
+// so that a full copy is needed. What is new, and each confirmation by the store, is told to the
+// instances that rely on this one.
 func (f *Fleet) apply(now time.Duration, d mirror.Delta, confirmedAt, provenAt time.Duration, source string) bool {
 	before := f.copy.Revision()
 	first := before == 0
@@ -312,7 +312,7 @@
 	if restored {
 		level.Warn(f.opt.Log).Log("msg", "store came back from an older copy", "source", source, "revision_before", before, "revision", f.copy.Revision())
 	}
-	if f.confirm(now, confirmedAt) || restored {
+	if f.confirm(confirmedAt) || restored {
 		level.Info(f.opt.Log).Log("msg", "store recovered", "source", source, "revision", f.copy.Revision())
 		f.listener.StoreRecovered(now)
 	}
--- a/fleet/pause.go
+++ b/fleet/pause.go
@@ -14,18 +14,24 @@
 	minSuspension = 100 * time.Millisecond
 )
 
-// noticePause notices that this process stood still: that it was stopped, or the machine
-// suspended. It is called with the lock held, before anything is judged that may have waited
-// meanwhile.
-func (f *Fleet) noticePause() {
-	suspended := f.countSuspension()
-	elapsed := f.opt.Elapsed()
-	lost := elapsed - f.aliveAt
-	if f.aliveAt == 0 || lost < pauseAfter {
-		return
+// readClocks returns the times of Options.Now and Options.Elapsed. It notices first whether this
+// process stood still: whether it was stopped, or the machine suspended. It is called with the
+// lock held, before anything is judged that may have waited meanwhile.
+func (f *Fleet) readClocks() (now, elapsed time.Duration) {
+	elapsed = f.opt.Elapsed() // first: a stop between the two must not count as a suspension
+	now = f.opt.Now()
+	suspended := f.countSuspension(now, elapsed)
+	if lost := elapsed - f.aliveAt; f.aliveAt > 0 && lost >= pauseAfter {
+		f.resume(now, elapsed, lost, suspended)
 	}
+	return now, elapsed
+}
+
+// resume gives up what does not hold after this process stood still for the time lost, during a
+// part of which the machine was suspended.
+func (f *Fleet) resume(now, elapsed, lost, suspended time.Duration) {
 	f.aliveAt, f.resumedAt = elapsed, elapsed
-	f.table.resume(f.opt.Now(), lost-suspended)
+	f.table.resume(now, lost-suspended)
 	f.counts.Pauses++
 	level.Warn(f.opt.Log).Log("msg", "process stood still", "for", lost, "copy_age", f.proof.age(elapsed))
 }
@@ -33,13 +39,16 @@
 // countSuspension adds the time for which the machine was suspended to the time since the
 // last confirmation of the copy: the clock that Now reads did not count it. It returns what was
 // not counted before.
-func (f *Fleet) countSuspension() (lost time.Duration) {
-	elapsed := f.opt.Elapsed() // first: a stop between the two must not count as a suspension
-	if lost = elapsed - f.opt.Now() - f.suspended; lost < minSuspension {
+func (f *Fleet) countSuspension(now, elapsed time.Duration) (lost time.Duration) {
+	if lost = elapsed - now - f.suspended; lost < minSuspension {
 		return 0
 	}
 	f.suspended += lost
-	f.reader.countSuspension(f.opt.Now(), lost)
-	level.Warn(f.opt.Log).Log("msg", "machine was suspended", "for", lost, "copy_age", f.reader.age(f.opt.Now()))
+	f.reader.countSuspension(now, lost)
+	level.Warn(f.opt.Log).Log("msg", "machine was suspended", "for", lost, "copy_age", f.reader.age(now))
 	return lost
 }
+
+// confirm records that the copy was complete at a time of Options.Elapsed. It returns true if
+// this ends an outage of the store. A time before a suspension counts as older than it is.
+func (f *Fleet) confirm(at time.Duration) (returned bool) { return f.reader.confirm(at - f.suspended) }
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -73,12 +73,11 @@
 func (f *Fleet) serveSync(args *SyncArgs, reply *SyncReply) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.opt.Now()
-	f.noticePause()
+	now, elapsed := f.readClocks()
 	f.counts.SyncsServed++
 	f.table.UpdateMember(now, args.Info, args.State)
 	reply.Info, reply.State = f.opt.Self, f.state
-	reply.Proven, reply.Age, reply.ProvenAge = f.reader.confirmed, f.reader.age(now), f.proof.age(f.opt.Elapsed())
+	reply.Proven, reply.Age, reply.ProvenAge = f.reader.confirmed, f.reader.age(now), f.proof.age(elapsed)
 	reply.Members = f.table.ChangedSince(now, args.Members, args.Info.DataCentre)
 	reply.Summaries, reply.Version = f.table.summariesSince(args.Members), f.table.Version()
 	f.notifyMembers()
--- a/fleet/read_loop.go
+++ b/fleet/read_loop.go
@@ -67,7 +67,7 @@
 func (f *Fleet) nextRead() dueRead {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now, elapsed := f.opt.Now(), f.opt.Elapsed()
+	now, elapsed := f.readClocks()
 	c := dueRead{rank: f.table.HubRank(now), after: f.copy.Revision(), began: elapsed}
 	c.kind, c.wait = f.reader.due(now, readState{
 		rank: c.rank, hasCopy: c.after > 0, live: f.live, isolated: f.table.isolated(now), leader: f.table.IsLeader(now), lacksStore: f.lacksStore(now), provenAge: f.proof.age(elapsed),
@@ -103,8 +103,7 @@
 func (f *Fleet) handleReadResult(c dueRead, d mirror.Delta, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noticePause()
-	now := f.opt.Now()
+	now, elapsed := f.readClocks()
 	f.opt.OnStoreCall(outcomeOf(err))
 	if c.kind == callWatch && store.IsKind(err, store.NotFound) {
 		level.Info(f.opt.Log).Log("msg", "store history no longer available, reading all keys", "revision", f.copy.Revision())
@@ -122,7 +121,6 @@
 	}
 	confirmedAt, provenAt := c.began, c.began
 	if c.kind == callWatch {
-		elapsed := f.opt.Elapsed()
 		provenAt = watchProvesAt(elapsed, c, len(d.Items))
 		if confirmedAt = elapsed; c.began < f.resumedAt {
 			confirmedAt = provenAt
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -123,14 +123,13 @@
 func (f *Fleet) handleSyncReply(from string, args *SyncArgs, began time.Duration, reply *SyncReply, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noticePause()
+	now, _ := f.readClocks()
 	delete(f.syncing, from)
 	if err != nil {
 		f.counts.SyncsFailed++
 		level.Info(f.opt.Log).Log("msg", "peer sync failed", "peer", from, "err", err)
 		return
 	}
-	now := f.opt.Now()
 	f.table.UpdateMember(now, reply.Info, reply.State)
 	f.table.MergeMembers(now, reply.Members, reply.Info.DataCentre)
 	f.table.MergeSummaries(now, from, reply.Summaries)
