--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -40,6 +40,7 @@
 	defer f.mu.Unlock()
 	now, elapsed := f.readClocks()
 	f.aliveAt = elapsed
+	f.logLateHeartbeats()
 	f.publishProof()
 	if b := f.reader.blind(now); b != f.state.Blind {
 		f.state.Blind = b
@@ -224,9 +225,6 @@
 	m.received = receivedHeartbeat{incarnation: b.Incarnation, sentAt: b.SentAt, receivedAt: elapsed}
 }
 
-// lateHeartbeat is the time on its way from which a heartbeat is logged and counted.
-const lateHeartbeat = time.Second
-
 // confirmFrom records a peer's confirmation of its copy as one of this copy, if
 // this copy is at least as new. The confirmation is as of the moment at which the heartbeat was
 // made, so one of a peer whose clock is not known proves nothing.
@@ -236,8 +234,7 @@
 		return
 	}
 	if delay := elapsed - sentAt; delay >= lateHeartbeat {
-		f.counts.LateHeartbeats++
-		level.Info(f.opt.Log).Log("msg", "heartbeat was late", "from", from, "delay", delay, "copy_age", f.proof.age(elapsed))
+		f.late.add(from, delay)
 	}
 	if b.Revision > f.copy.Revision() || f.copy.Revision() == 0 {
 		return
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -163,6 +163,7 @@
 	// aliveAt is the time of the last tick, resumedAt when this process was last seen to
 	// have stood still, both by Options.Elapsed; 0 for never.
 	aliveAt, resumedAt time.Duration
+	late               lateHeartbeats // since the last tick
 	// synced is set once a sync with a peer has ended. peersVersion is the newest version of
 	// a configuration that a peer has said to be in force there.
 	synced       bool
--- a/fleet/pause.go
+++ b/fleet/pause.go
@@ -12,6 +12,8 @@
 	// minSuspension is the shortest suspension of the machine that is counted; less is the
 	// difference between two clocks that are not read at the same moment.
 	minSuspension = 100 * time.Millisecond
+	// lateHeartbeat is the time on its way from which a heartbeat is counted and logged.
+	lateHeartbeat = time.Second
 )
 
 // readClocks returns the times of Options.Now and Options.Elapsed. It notices first whether this
@@ -52,3 +54,29 @@
 // confirm records that the copy was complete at a time of Options.Elapsed. It returns true if
 // this ends an outage of the store. A time before a suspension counts as older than it is.
 func (f *Fleet) confirm(at time.Duration) (returned bool) { return f.reader.confirm(at - f.suspended) }
+
+// lateHeartbeats sums up heartbeats that were late: an instance that wakes may find hundreds.
+type lateHeartbeats struct {
+	count int64
+	// longest is the longest time on the way, of a heartbeat from the peer.
+	longest time.Duration
+	peer    string
+}
+
+// add counts a heartbeat that was under way for a time.
+func (l *lateHeartbeats) add(peer string, delay time.Duration) {
+	l.count++
+	if delay > l.longest {
+		l.longest, l.peer = delay, peer
+	}
+}
+
+// logLateHeartbeats logs and counts the heartbeats that were late since the last tick.
+func (f *Fleet) logLateHeartbeats() {
+	if f.late.count == 0 {
+		return
+	}
+	f.counts.LateHeartbeats += f.late.count
+	level.Info(f.opt.Log).Log("msg", "heartbeats were late", "count", f.late.count, "longest", f.late.longest, "from", f.late.peer)
+	f.late = lateHeartbeats{}
+}
--- a/fleet/standstill_test.go
+++ b/fleet/standstill_test.go
@@ -47,3 +47,18 @@
 		})
 	}
 }
+
+// Nothing told that heartbeats had waited: only a line for each proof, made for the purpose, did.
+func TestLateHeartbeatsAreCounted(t *testing.T) {
+	s := newSimulation(30, 1)
+	s.startAll(60)
+	leader := s.instances[0]
+	leader.frozen = s.Now + 4*time.Second
+	s.RunUntil(s.Now + 6*time.Second)
+	for _, in := range s.instances {
+		st := in.f.Status()
+		if woke := in == leader; (st.Pauses > 0) != woke || woke && st.LateHeartbeats == 0 {
+			t.Errorf("%s (stood still: %v): %d pauses, %d late heartbeats", in.info.Address, woke, st.Pauses, st.LateHeartbeats)
+		}
+	}
+}
