--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -147,6 +147,7 @@
 	}
 	s.clearFaults()
 	s.evacuation.end(s.kv)
+	s.standStill()
 	time.Sleep(settleTime)
 	close(stop)
 	wg.Wait()
