--- a/fleet/simulatedfleet_test.go
+++ b/fleet/simulatedfleet_test.go
@@ -102,8 +102,6 @@
 	}
 }
 
-// checkLeadersKilled kills the first leaders of two data centres, which are the
-// hubs too, and starts them again.
 // checkCrashReports lets many upstreams crash for a second, with a report of each
 // request that ran there, and one request crash three more, one after the other: all
 // instances must hear of that one in time, and the load must stay bounded.
@@ -137,6 +135,8 @@
 	}
 }
 
+// checkLeadersKilled kills the first leaders of two data centres, which are the
+// hubs too, and starts them again.
 func (s *simulation) checkLeadersKilled(t *testing.T) {
 	t.Helper()
 	for _, in := range s.instances[:2] {
